--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes, load tool, history checker and demo; not shipped."""
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions of knapweedbeam, free of I/O, wall clocks and global random."""
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/ids.py
@@ -0,0 +1,25 @@
+"""Names of processes and tasks."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class ProcessId:
+    """One run of one process.
+
+    `incarnation` is unique for each start. Only equality counts: another
+    incarnation under the same name means that the earlier run has ended.
+    """
+
+    name: str
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class TaskId:
+    """One task of a job: the job's ticket text and the task's index from 0."""
+
+    ticket: str
+    index: int
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/reasons.py
@@ -0,0 +1,43 @@
+"""The reasons that outcomes and refusals carry."""
+
+from __future__ import annotations
+
+import enum
+
+
+class Reason(enum.StrEnum):
+    """Why something was refused or failed; the value is the text on the wire."""
+
+    # The whole submission was not run.
+    DEADLINE = "deadline"
+    OVERLOADED = "overloaded"
+    LIMIT = "limit"
+    MEMORY = "memory"
+    NEVER_FITS = "never_fits"
+    NO_ENDPOINT = "no_endpoint"
+    STOPPING = "stopping"
+    NOT_READY = "not_ready"
+    CANCELLED = "cancelled"
+    WITNESS_LOST = "witness_lost"
+    SEALED = "sealed"
+    UNKNOWN_SERVICE = "unknown_service"
+    # Something may have run.
+    TASK_FAILED = "task_failed"
+    TASK_TIMEOUT = "task_timeout"
+    ENDPOINT_LOST = "endpoint_lost"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    OWNER_LOST = "owner_lost"
+    EXPIRED = "expired"
+    # The request itself is at fault.
+    INVALID = "invalid"
+    TOO_LARGE = "too_large"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "not_found"
+    CONFLICT = "conflict"
+    # An announcement or a message came too late.
+    STALE = "stale"
+    # Bundles and the replicated log.
+    NO_QUORUM = "no_quorum"
+    SIGNATURES = "signatures"
+    DISK = "disk"
--- /dev/null
+++ b/packages/ctl/src/knapweedbeam_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The `knapweedctl` command line of callers and operators."""
--- /dev/null
+++ b/packages/server/src/knapweedbeam_server/__init__.py
@@ -0,0 +1,1 @@
+"""The `knapweedbeam` process: HTTP, logs, metrics and the gevent shell."""
--- /dev/null
+++ b/packages/server/tests/test_package.py
@@ -0,0 +1,10 @@
+from __future__ import annotations
+
+import unittest
+
+import knapweedbeam_server
+
+
+class PackageTest(unittest.TestCase):
+    def test_package_says_what_it_holds(self) -> None:
+        self.assertTrue(knapweedbeam_server.__doc__)
--- /dev/null
+++ b/packages/wire/src/knapweedbeam_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Links between processes and files in the data folder."""
--- /dev/null
+++ b/packages/wire/tests/test_package.py
@@ -0,0 +1,10 @@
+from __future__ import annotations
+
+import unittest
+
+import knapweedbeam_wire
+
+
+class PackageTest(unittest.TestCase):
+    def test_package_says_what_it_holds(self) -> None:
+        self.assertTrue(knapweedbeam_wire.__doc__)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Scripts of the build."""
