--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/charts/__init__.py
@@ -0,0 +1,1 @@
+"""State charts: data files and the tables compiled from them."""
--- a/packages/core/src/knapweedbeam_core/effects.py
+++ b/packages/core/src/knapweedbeam_core/effects.py
@@ -9,7 +9,7 @@
 import dataclasses
 import typing
 
-from knapweedbeam_core import ids, outcomes, reasons
+from knapweedbeam_core import ids, jobs, outcomes, reasons
 
 
 class Message(typing.Protocol):
@@ -78,6 +78,20 @@
     run_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Enqueue:
+    """The owner took the job: the dispatcher queues it."""
+
+    job: jobs.Job
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelJob:
+    """The caller cancelled: the dispatcher stops what is left of the job."""
+
+    ticket: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestBegin:
     """The dispatcher is about to start the job: it must be begun first."""
@@ -102,23 +116,25 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobAbandoned:
-    """The owner gave up a job that never begun: take it out of the queue."""
+    """The owner gave up a job not begun: the dispatcher drops it."""
 
     ticket: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
-    """Give the outcome to every caller that waits for the ticket."""
+    """Give the outcome, or the refusal, to all callers that wait for the ticket."""
 
     ticket: str
-    outcome: outcomes.Outcome
+    outcome: outcomes.Outcome | outcomes.Refusal
 
 
 Effect = (
     Send
     | StartTask
     | StopTask
+    | Enqueue
+    | CancelJob
     | RequestBegin
     | JobBegun
     | JobEnded
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/entry/__init__.py
@@ -0,0 +1,1 @@
+"""One entry VM's decisions, composed from the parts."""
--- /dev/null
+++ b/packages/wire/src/knapweedbeam_wire/codec.py
@@ -0,0 +1,188 @@
+"""Encode message dataclasses as Cap'n Proto structs, and back.
+
+A message class and its struct share one name, and a field `snake_case` of the
+class is `snakeCase` in the struct. `int`, `bool`, `str` and `bytes` map to
+themselves, a `StrEnum` to `Text`, a tuple to `List`, a dataclass to a struct,
+and a union of dataclasses to a struct that holds one unnamed union whose fields
+are the class names in `camelCase`.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import enum
+import importlib.resources
+import types
+import typing
+
+import capnp
+
+from knapweedbeam_core import effects, reasons
+
+TRAVERSAL_LIMIT_WORDS = 16 * 1024 * 1024
+NESTING_LIMIT = 16
+
+Convert = collections.abc.Callable[[typing.Any], typing.Any]
+
+
+def camel_case(name: str) -> str:
+    """Return `some_name` or `SomeName` as `someName`."""
+    head, *rest = name.split("_")
+    words = head[:1].lower() + head[1:]
+    return words + "".join(word.capitalize() for word in rest)
+
+
+def same(value: typing.Any) -> typing.Any:
+    """Return the value as it is."""
+    return value
+
+
+def load_schema(file_name: str) -> typing.Any:
+    """Load a schema file of this package."""
+    folder = importlib.resources.files("knapweedbeam_wire") / "schema"
+    return capnp.load(str(folder / file_name))
+
+
+class StructCodec:
+    """Converts one dataclass to the plain form of its struct, and back."""
+
+    def __init__(self, cls: type) -> None:
+        hints = typing.get_type_hints(cls)
+        fields = [field.name for field in dataclasses.fields(cls)]
+        self.cls = cls
+        self.writers = [(n, camel_case(n), build_writer(hints[n])) for n in fields]
+        self.readers = [(n, camel_case(n), build_reader(hints[n])) for n in fields]
+
+    def write(self, value: typing.Any) -> dict[str, typing.Any]:
+        """Return the keyword form that pycapnp builds a struct from."""
+        return {wire: write(getattr(value, n)) for n, wire, write in self.writers}
+
+    def read(self, struct: typing.Any) -> typing.Any:
+        """Return the dataclass that a struct reader stands for."""
+        return self.cls(
+            **{n: read(getattr(struct, wire)) for n, wire, read in self.readers}
+        )
+
+
+class UnionCodec:
+    """Converts a union of dataclasses to a struct with one unnamed union."""
+
+    def __init__(self, classes: tuple[type, ...]) -> None:
+        self.by_class = {
+            cls: (camel_case(cls.__name__), StructCodec(cls)) for cls in classes
+        }
+        self.by_name = dict(self.by_class.values())
+
+    def write(self, value: typing.Any) -> dict[str, typing.Any]:
+        """Return the keyword form with the one field that is set."""
+        name, codec = self.by_class[type(value)]
+        return {name: codec.write(value)}
+
+    def read(self, struct: typing.Any) -> typing.Any:
+        """Return the dataclass that is set."""
+        name = struct.which()
+        return self.by_name[str(name)].read(getattr(struct, str(name)))
+
+
+def build_codec(hint: typing.Any) -> StructCodec | UnionCodec | None:
+    """Return the codec for a dataclass or a union of them, or none."""
+    if typing.get_origin(hint) in (typing.Union, types.UnionType):
+        return UnionCodec(typing.get_args(hint))
+    if dataclasses.is_dataclass(hint):
+        return StructCodec(typing.cast(type, hint))
+    return None
+
+
+def build_writer(hint: typing.Any) -> Convert:
+    """Return the function that turns a field into its plain form."""
+    if typing.get_origin(hint) is tuple:
+        write = build_writer(typing.get_args(hint)[0])
+        return lambda values: [write(value) for value in values]
+    codec = build_codec(hint)
+    if codec is not None:
+        return codec.write
+    if isinstance(hint, type) and issubclass(hint, enum.StrEnum):
+        return str
+    return same
+
+
+def build_reader(hint: typing.Any) -> Convert:
+    """Return the function that turns what pycapnp reads into a field."""
+    if typing.get_origin(hint) is tuple:
+        read = build_reader(typing.get_args(hint)[0])
+        return lambda values: tuple(read(value) for value in values)
+    codec = build_codec(hint)
+    if codec is not None:
+        return codec.read
+    if isinstance(hint, type) and issubclass(hint, (enum.StrEnum, bytes)):
+        return hint
+    return same
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Malformed:
+    """Bytes that are no message; the link that brought them is closed."""
+
+    reason: reasons.Reason
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """One registered message class."""
+
+    name: str
+    struct: typing.Any
+    codec: StructCodec
+
+
+class Codec:
+    """Encodes batches of registered messages."""
+
+    def __init__(self) -> None:
+        self.frame = load_schema("frame.capnp").Frame
+        self.by_class: dict[type, Entry] = {}
+        self.by_name: dict[str, Entry] = {}
+
+    def register(self, schema_file: str, *classes: type) -> None:
+        """Register message classes whose structs stand in `schema_file`."""
+        schema = load_schema(schema_file)
+        for cls in classes:
+            entry = Entry(cls.__name__, getattr(schema, cls.__name__), StructCodec(cls))
+            self.by_class[cls] = entry
+            self.by_name[cls.__name__] = entry
+
+    def encode(self, messages: collections.abc.Sequence[effects.Message]) -> bytes:
+        """Return one frame body that carries all `messages`."""
+        packed = []
+        for message in messages:
+            entry = self.by_class[type(message)]
+            struct = entry.struct.new_message(**entry.codec.write(message))
+            packed.append({"kind": entry.name, "body": struct.to_bytes()})
+        return bytes(self.frame.new_message(messages=packed).to_bytes())
+
+    def decode(self, body: bytes) -> tuple[effects.Message, ...] | Malformed:
+        """Return the messages of a frame body, or why it is none."""
+        try:
+            return self.decode_frame(body)
+        except (capnp.KjException, KeyError, ValueError, TypeError) as error:
+            return Malformed(reasons.Reason.INVALID, str(error))
+
+    def decode_frame(self, body: bytes) -> tuple[effects.Message, ...]:
+        """Return the messages of a frame body; raises on malformed bytes."""
+        messages = []
+        with self.open(self.frame, body) as frame:
+            for packed in frame.messages:
+                entry = self.by_name[packed.kind]
+                with self.open(entry.struct, bytes(packed.body)) as struct:
+                    messages.append(entry.codec.read(struct))
+        return tuple(messages)
+
+    def open(self, struct: typing.Any, body: bytes) -> typing.Any:
+        """Open a struct reader over bytes, with bounds on depth and size."""
+        return struct.from_bytes(
+            body,
+            traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS,
+            nesting_limit=NESTING_LIMIT,
+        )
