Add authenticated links and the composed node

Frames carry an HMAC bound to the link's handshake and their number, so they cannot be altered, repeated or moved.

--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/entry/node.py
@@ -0,0 +1,138 @@
+"""All decisions of one entry VM: the parts, and the events between them."""
+
+from __future__ import annotations
+
+import collections
+
+from knapweedbeam_core import effects, ids, jobs, outcomes
+from knapweedbeam_core.entry import parts
+
+
+class Node:
+    """Composes the parts; every call returns effects for the shell only."""
+
+    def __init__(
+        self,
+        coordinator: parts.Coordinator,
+        dispatcher: parts.Dispatcher,
+        control: parts.Control,
+    ) -> None:
+        self.coordinator = coordinator
+        self.dispatcher = dispatcher
+        self.control = control
+        self.parts: tuple[parts.Part, ...] = (control, dispatcher, coordinator)
+        self.takers: dict[type, parts.Part] = {
+            cls: part for part in self.parts for cls in part.get_message_classes()
+        }
+        self.live: frozenset[ids.ProcessId] = frozenset()
+
+    def submit(self, job: jobs.Job) -> parts.Effects:
+        """Take a submission under its ticket."""
+        return self.settle_events(self.coordinator.submit(job))
+
+    def submit_new(
+        self, job: jobs.Job, key: str
+    ) -> tuple[str, parts.Effects] | outcomes.Refusal:
+        """Take a submission without a ticket, under the caller's key or none."""
+        taken = self.coordinator.submit_new(job, key)
+        if isinstance(taken, outcomes.Refusal):
+            return taken
+        handle, followed = taken
+        return handle, self.settle_events(followed)
+
+    def look_up(self, ticket: str, member: str) -> parts.Effects:
+        """Ask for a job's outcome."""
+        return self.settle_events(self.coordinator.look_up(ticket, member))
+
+    def cancel(self, ticket: str, member: str) -> parts.Effects:
+        """Cancel a job."""
+        return self.settle_events(self.coordinator.cancel(ticket, member))
+
+    def announce(
+        self, announcement: parts.Announcement
+    ) -> tuple[parts.EndpointLease | outcomes.Refusal, parts.Effects]:
+        """Take an endpoint's announcement."""
+        answer, followed = self.dispatcher.announce(announcement)
+        return answer, self.settle_events(followed)
+
+    def report_usage(self, report: parts.UsageReport) -> parts.Effects:
+        """Take a worker's usage."""
+        return self.settle_events(self.dispatcher.report_usage(report))
+
+    def task_end(self, end: effects.TaskEnd) -> parts.Effects:
+        """Take the end of a task."""
+        return self.settle_events(self.dispatcher.task_end(end))
+
+    def propose(self, call: int, bundle: str) -> parts.Effects:
+        """Roll a bundle."""
+        return self.settle_events(self.control.propose(call, bundle))
+
+    def persisted(self, batch: int) -> parts.Effects:
+        """Go on after records are synced."""
+        return self.settle_events(self.control.persisted(batch))
+
+    def on_message(
+        self, sender: ids.ProcessId, message: effects.Message
+    ) -> parts.Effects:
+        """Hand a message to the part that takes its class."""
+        taker = self.takers.get(type(message))
+        if taker is None:
+            return []
+        return self.settle_events(taker.on_message(sender, message))
+
+    def tick(self) -> parts.Effects:
+        """Let every part do what is due."""
+        found: parts.Effects = []
+        for part in self.parts:
+            found += part.tick()
+        return self.settle_events(found)
+
+    def stop(self) -> parts.Effects:
+        """Start a graceful stop."""
+        found = self.coordinator.stop()
+        return self.settle_events(found + self.dispatcher.stop())
+
+    def settle_events(self, found: parts.Effects) -> parts.Effects:
+        """Hand events to their parts until only effects for the shell are left."""
+        waiting = collections.deque(found)
+        left: parts.Effects = []
+        while True:
+            waiting.extend(self.follow_live())
+            if not waiting:
+                return left
+            effect = waiting.popleft()
+            followed = self.hand_over(effect)
+            if followed is None:
+                left.append(effect)
+            else:
+                waiting.extend(followed)
+
+    def follow_live(self) -> parts.Effects:
+        """Tell the coordinator when the live entry VMs have changed."""
+        live = self.dispatcher.get_live()
+        if live is self.live or live == self.live:
+            return []
+        self.live = live
+        return self.coordinator.on_live(live)
+
+    def hand_over(self, effect: parts.Effect) -> parts.Effects | None:
+        """Return what follows from an event, or nothing for a shell's effect."""
+        match effect:
+            case effects.Enqueue(job):
+                return self.dispatcher.enqueue(job)
+            case effects.CancelJob(ticket):
+                return self.dispatcher.cancel(ticket)
+            case effects.RequestBegin(ticket):
+                return self.coordinator.begin(ticket)
+            case effects.JobBegun(ticket):
+                return self.dispatcher.begun(ticket)
+            case effects.JobAbandoned(ticket):
+                return self.dispatcher.abandon(ticket)
+            case effects.JobEnded(ticket, outcome):
+                return self.coordinator.settle(ticket, outcome)
+            case parts.RulesInForce(new):
+                found: parts.Effects = []
+                for part in self.parts:
+                    found += part.on_rules(new)
+                return found
+        return None
--- /dev/null
+++ b/packages/wire/src/knapweedbeam_wire/frames.py
@@ -0,0 +1,105 @@
+"""Frames on a stream: length, MAC, body.
+
+A frame is a 4-byte big-endian body length, a 16-byte MAC and the body. The MAC
+is HMAC-SHA256, cut to 16 bytes, over the frame's number on this link and the
+body, under a key made from the shared key and both nonces of the handshake. So a
+frame can be neither altered, repeated, left out nor taken to another link.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import hmac
+import struct
+import typing
+
+from knapweedbeam_wire import codec
+
+MAC_BYTES = 16
+LENGTH = struct.Struct(">I")
+NUMBER = struct.Struct(">Q")
+HEADER_BYTES = LENGTH.size + MAC_BYTES
+MAX_BODY_BYTES = 16 * 1024 * 1024
+DIGEST = "sha256"
+
+
+class Stream(typing.Protocol):
+    """The part of a socket that frames need."""
+
+    def recv(self, size: int, /) -> bytes:
+        """Return at most `size` bytes, none at the end."""
+
+    def sendall(self, data: bytes, /) -> None:
+        """Send all of `data`."""
+
+
+class LinkError(Exception):
+    """The link must be closed: its end, a bad frame or a bad peer."""
+
+
+class LinkClosedError(LinkError):
+    """The other side closed the link between two frames."""
+
+
+def derive_key(link_key: bytes, *parts: bytes) -> bytes:
+    """Return a key bound to `parts`, which are length-prefixed."""
+    joined = b"".join(LENGTH.pack(len(part)) + part for part in parts)
+    return hmac.digest(link_key, joined, DIGEST)
+
+
+def recv_exactly(stream: Stream, size: int) -> bytes:
+    """Return exactly `size` bytes; raises `LinkError` when the stream ends."""
+    chunks = []
+    missing = size
+    while missing:
+        chunk = stream.recv(min(missing, 256 * 1024))
+        if not chunk:
+            if missing == size:
+                raise LinkClosedError("closed")
+            raise LinkError("closed within a frame")
+        chunks.append(chunk)
+        missing -= len(chunk)
+    return chunks[0] if len(chunks) == 1 else b"".join(chunks)
+
+
+@dataclasses.dataclass(slots=True)
+class FrameWriter:
+    """Writes numbered frames to a stream."""
+
+    stream: Stream
+    key: bytes
+    number: int = 0
+
+    def write(self, body: bytes) -> int:
+        """Send one frame and return its size in bytes."""
+        mac = hmac.digest(self.key, NUMBER.pack(self.number) + body, DIGEST)
+        self.number += 1
+        self.stream.sendall(LENGTH.pack(len(body)) + mac[:MAC_BYTES] + body)
+        return HEADER_BYTES + len(body)
+
+
+@dataclasses.dataclass(slots=True)
+class FrameReader:
+    """Reads numbered frames from a stream."""
+
+    stream: Stream
+    key: bytes
+    number: int = 0
+
+    def read(self) -> bytes:
+        """Return the next body; raises `LinkError` on a bad frame or the end."""
+        header = recv_exactly(self.stream, HEADER_BYTES)
+        (size,) = LENGTH.unpack_from(header)
+        if size > MAX_BODY_BYTES:
+            raise LinkError(f"frame of {size} bytes")
+        body = recv_exactly(self.stream, size) if size else b""
+        mac = hmac.digest(self.key, NUMBER.pack(self.number) + body, DIGEST)
+        if not hmac.compare_digest(mac[:MAC_BYTES], header[LENGTH.size :]):
+            raise LinkError("frame with a wrong MAC")
+        self.number += 1
+        return body
+
+
+def explain(malformed: codec.Malformed) -> LinkError:
+    """Return the error that closes a link whose frame holds no messages."""
+    return LinkError(f"malformed frame: {malformed.detail[:80]}")
--- /dev/null
+++ b/packages/wire/src/knapweedbeam_wire/links.py
@@ -0,0 +1,234 @@
+"""Links to the other processes over TCP, one for each direction."""
+
+from __future__ import annotations
+
+import collections
+import contextlib
+import dataclasses
+import random
+import socket as std_socket
+import typing
+
+import gevent
+import gevent.event
+import gevent.pool
+import gevent.server
+import gevent.socket
+
+from knapweedbeam_core import effects, ids
+from knapweedbeam_wire import codec, frames, handshake, traffic
+
+CONNECT_TIMEOUT_S = 2.0
+HANDSHAKE_TIMEOUT_S = 2.0
+SILENCE_TIMEOUT_S = 15.0
+FIRST_RETRY_S = 0.05
+MAX_RETRY_S = 1.0
+UNACKED_TIMEOUT_MS = 3_000
+MAX_QUEUED_MESSAGES = 20_000
+MAX_BATCH = 512
+MAX_INCOMING_LINKS = 256
+
+
+class LinkObserver(typing.Protocol):
+    """Who hears of links and messages."""
+
+    def on_message(self, sender: ids.ProcessId, message: effects.Message) -> None:
+        """Take a message from a proved sender."""
+
+    def link_up(self, peer: ids.ProcessId) -> None:
+        """Hear that the outgoing link to `peer` is up."""
+
+    def link_down(self, name: str, detail: str) -> None:
+        """Hear that the outgoing link to `name` went down."""
+
+    def link_refused(self, address: str, detail: str) -> None:
+        """Hear that an incoming link was closed for what it sent."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerAddress:
+    """Where a peer listens for links."""
+
+    name: str
+    host: str
+    port: int
+
+
+def set_options(sock: gevent.socket.socket) -> None:
+    """Send at once, and give up a connection that acknowledges nothing."""
+    sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
+    sock.setsockopt(
+        std_socket.IPPROTO_TCP, std_socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS
+    )
+
+
+class Outgoing:
+    """The link to one peer: queues messages and sends what gathered in a turn."""
+
+    def __init__(
+        self,
+        peer: PeerAddress,
+        source_host: str,
+        shake: handshake.Handshake,
+        codec_: codec.Codec,
+        observer: LinkObserver,
+    ) -> None:
+        self.peer = peer
+        self.source_host = source_host
+        self.shake = shake
+        self.codec = codec_
+        self.observer = observer
+        self.sent = traffic.Traffic()
+        self.queue: collections.deque[effects.Message] = collections.deque()
+        self.pending = gevent.event.Event()
+        self.connected = False
+        self.greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Dial, and dial again whenever the link is lost."""
+        self.greenlet = gevent.spawn(self.run)
+
+    def stop(self) -> None:
+        """Close the link."""
+        if self.greenlet is not None:
+            self.greenlet.kill()
+
+    def send(self, message: effects.Message) -> None:
+        """Queue a message, or drop it when the peer is not reached."""
+        if not self.connected or len(self.queue) >= MAX_QUEUED_MESSAGES:
+            self.sent.dropped += 1
+            return
+        self.queue.append(message)
+        self.pending.set()
+
+    def run(self) -> None:
+        """Keep one connection open."""
+        retry_s = FIRST_RETRY_S
+        while True:
+            try:
+                self.hold_connection()
+            except (OSError, frames.LinkError, gevent.Timeout) as error:
+                if self.connected:
+                    retry_s = FIRST_RETRY_S
+                    self.observer.link_down(self.peer.name, str(error))
+            self.connected = False
+            self.queue.clear()
+            gevent.sleep(retry_s * random.uniform(0.5, 1.5))
+            retry_s = min(2 * retry_s, MAX_RETRY_S)
+
+    def hold_connection(self) -> None:
+        """Connect and send until the link fails."""
+        sock = gevent.socket.create_connection(
+            (self.peer.host, self.peer.port),
+            CONNECT_TIMEOUT_S,
+            (self.source_host, 0),
+        )
+        with sock:
+            set_options(sock)
+            sock.settimeout(HANDSHAKE_TIMEOUT_S)
+            session = self.shake.dial(sock, self.peer.name)
+            sock.settimeout(None)
+            watcher = gevent.spawn(self.watch, sock)
+            try:
+                self.connected = True
+                self.observer.link_up(session.peer)
+                self.send_batches(frames.FrameWriter(sock, session.key))
+            finally:
+                watcher.kill(block=False)
+
+    def watch(self, sock: gevent.socket.socket) -> None:
+        """Wake the sender when the peer closes: it never sends on this link."""
+        with contextlib.suppress(OSError):
+            sock.recv(1)
+        self.connected = False
+        self.pending.set()
+
+    def send_batches(self, writer: frames.FrameWriter) -> None:
+        """Send what gathers, one frame for each turn of the loop."""
+        while True:
+            self.pending.wait()
+            self.pending.clear()
+            if not self.connected:
+                raise frames.LinkClosedError("closed by the peer")
+            while self.queue:
+                self.send_batch(writer)
+
+    def send_batch(self, writer: frames.FrameWriter) -> None:
+        """Send one frame of queued messages."""
+        count = min(len(self.queue), MAX_BATCH)
+        batch = [self.queue.popleft() for _ in range(count)]
+        size = writer.write(self.codec.encode(batch))
+        self.sent.frames += 1
+        self.sent.frame_bytes += size
+        self.sent.messages.update(type(message).__name__ for message in batch)
+
+
+class Links:
+    """All links of a process."""
+
+    def __init__(
+        self,
+        me: ids.ProcessId,
+        listen: tuple[str, int],
+        peers: tuple[PeerAddress, ...],
+        link_key: bytes,
+        codec_: codec.Codec,
+        observer: LinkObserver,
+    ) -> None:
+        self.shake = handshake.Handshake(me, link_key)
+        self.codec = codec_
+        self.observer = observer
+        self.known = frozenset(peer.name for peer in peers)
+        self.received = traffic.Traffic()
+        self.outgoing = {
+            peer.name: Outgoing(peer, listen[0], self.shake, codec_, observer)
+            for peer in peers
+        }
+        pool = gevent.pool.Pool(MAX_INCOMING_LINKS)
+        self.server = gevent.server.StreamServer(listen, self.serve, spawn=pool)
+
+    def start(self) -> None:
+        """Listen and dial."""
+        self.server.start()
+        for link in self.outgoing.values():
+            link.start()
+
+    def stop(self) -> None:
+        """Close every link."""
+        self.server.stop(timeout=0)
+        for link in self.outgoing.values():
+            link.stop()
+
+    def send(self, to: str, message: effects.Message) -> None:
+        """Send a message if the peer is known and reached."""
+        link = self.outgoing.get(to)
+        if link is not None:
+            link.send(message)
+
+    def serve(self, sock: gevent.socket.socket, address: tuple[str, int]) -> None:
+        """Take one incoming link until it ends; a bad one ends alone."""
+        try:
+            set_options(sock)
+            sock.settimeout(HANDSHAKE_TIMEOUT_S)
+            session = self.shake.accept(sock)
+            if session.peer.name not in self.known:
+                raise frames.LinkError(f"unknown peer {session.peer.name[:40]}")
+            sock.settimeout(SILENCE_TIMEOUT_S)
+            self.receive(frames.FrameReader(sock, session.key), session.peer)
+        except frames.LinkClosedError:
+            return
+        except (OSError, frames.LinkError) as error:
+            self.observer.link_refused(address[0], str(error))
+
+    def receive(self, reader: frames.FrameReader, sender: ids.ProcessId) -> None:
+        """Hand on the messages of each frame."""
+        while True:
+            body = reader.read()
+            messages = self.codec.decode(body)
+            if isinstance(messages, codec.Malformed):
+                raise frames.explain(messages)
+            self.received.frames += 1
+            self.received.frame_bytes += frames.HEADER_BYTES + len(body)
+            self.received.messages.update(type(m).__name__ for m in messages)
+            for message in messages:
+                self.observer.on_message(sender, message)
--- /dev/null
+++ b/packages/wire/tests/test_links.py
@@ -0,0 +1,159 @@
+from __future__ import annotations
+
+import dataclasses
+import unittest
+
+import gevent
+import gevent.event
+import gevent.socket
+
+from knapweedbeam_core import effects, ids
+from knapweedbeam_wire import codec, frames, handshake, links
+
+KEY = b"k" * 32
+WAIT_S = 10
+
+
+@dataclasses.dataclass(slots=True)
+class Observer:
+    """Collects what links report."""
+
+    messages: list[tuple[ids.ProcessId, effects.Message]]
+    refused: list[str]
+    up: gevent.event.Event
+    arrived: gevent.event.Event
+
+    def on_message(self, sender: ids.ProcessId, message: effects.Message) -> None:
+        self.messages.append((sender, message))
+        self.arrived.set()
+
+    def link_up(self, peer: ids.ProcessId) -> None:
+        self.up.set()
+
+    def link_down(self, name: str, detail: str) -> None:
+        self.up.clear()
+
+    def link_refused(self, address: str, detail: str) -> None:
+        self.refused.append(detail)
+        self.arrived.set()
+
+
+def build_observer() -> Observer:
+    return Observer([], [], gevent.event.Event(), gevent.event.Event())
+
+
+def build_codec() -> codec.Codec:
+    built = codec.Codec()
+    built.register("link.capnp", handshake.Hello)
+    return built
+
+
+def get_free_port() -> int:
+    with gevent.socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+def build_links(
+    name: str, port: int, peer: links.PeerAddress, observer: Observer, key: bytes = KEY
+) -> links.Links:
+    me = ids.ProcessId(name, 7)
+    listen = ("127.0.0.1", port)
+    return links.Links(me, listen, (peer,), key, build_codec(), observer)
+
+
+class LinksTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.ports = [get_free_port(), get_free_port()]
+        self.seen = [build_observer(), build_observer()]
+        self.opened: list[links.Links] = []
+        self.addCleanup(lambda: [opened.stop() for opened in self.opened])
+
+    def open(self, index: int, name: str, peer: str, key: bytes = KEY) -> links.Links:
+        address = links.PeerAddress(peer, "127.0.0.1", self.ports[1 - index])
+        built = build_links(name, self.ports[index], address, self.seen[index], key)
+        built.start()
+        self.opened.append(built)
+        return built
+
+    def test_a_turn_of_messages_shares_one_frame(self) -> None:
+        first = self.open(0, "a1", "a2")
+        second = self.open(1, "a2", "a1")
+        self.assertTrue(self.seen[0].up.wait(WAIT_S))
+        sent = [handshake.Hello("x", n, b"") for n in range(50)]
+        for message in sent:
+            first.send("a2", message)
+        with gevent.Timeout(WAIT_S):
+            while len(self.seen[1].messages) < len(sent):
+                gevent.sleep(0.01)
+        self.assertEqual([m for _, m in self.seen[1].messages], sent)
+        self.assertEqual(self.seen[1].messages[0][0], ids.ProcessId("a1", 7))
+        self.assertEqual(second.received.frames, 1)
+
+    def test_wrong_key_is_refused(self) -> None:
+        first = self.open(0, "a1", "a2", b"other" * 8)
+        self.open(1, "a2", "a1")
+        gevent.sleep(0.3)
+        first.send("a2", handshake.Hello("x", 1, b""))
+        self.assertFalse(self.seen[0].up.is_set())
+        self.assertEqual(self.seen[1].messages, [])
+
+    def test_stranger_is_refused(self) -> None:
+        self.open(0, "z9", "a2")
+        self.open(1, "a2", "a1")
+        self.assertTrue(self.seen[1].arrived.wait(WAIT_S))
+        self.assertIn("unknown peer z9", self.seen[1].refused[0])
+
+    def test_garbage_ends_that_connection_only(self) -> None:
+        first = self.open(0, "a1", "a2")
+        self.open(1, "a2", "a1")
+        self.assertTrue(self.seen[0].up.wait(WAIT_S))
+        with gevent.socket.create_connection(("127.0.0.1", self.ports[1])) as sock:
+            sock.sendall(b"\x00\x00\x00\x08garbage!" * 10)
+            self.assertTrue(self.seen[1].arrived.wait(WAIT_S))
+        self.seen[1].arrived.clear()
+        first.send("a2", handshake.Hello("x", 1, b""))
+        self.assertTrue(self.seen[1].arrived.wait(WAIT_S))
+        self.assertEqual(len(self.seen[1].messages), 1)
+
+
+class Buffer:
+    """A stream that hands back what was written to it."""
+
+    def __init__(self, data: bytes = b"") -> None:
+        self.data = data
+
+    def sendall(self, data: bytes) -> None:
+        self.data += data
+
+    def recv(self, size: int) -> bytes:
+        head, self.data = self.data[:size], self.data[size:]
+        return head
+
+
+class FrameTest(unittest.TestCase):
+    def write(self, *bodies: bytes) -> bytes:
+        buffer = Buffer()
+        writer = frames.FrameWriter(buffer, KEY)
+        for body in bodies:
+            writer.write(body)
+        return buffer.data
+
+    def test_any_flipped_bit_is_refused(self) -> None:
+        data = self.write(b"payload")
+        for place in range(4, len(data)):
+            broken = bytearray(data)
+            broken[place] ^= 1
+            with self.assertRaises(frames.LinkError):
+                frames.FrameReader(Buffer(bytes(broken)), KEY).read()
+
+    def test_repeated_frame_is_refused(self) -> None:
+        reader = frames.FrameReader(Buffer(self.write(b"once") * 2), KEY)
+        self.assertEqual(reader.read(), b"once")
+        with self.assertRaisesRegex(frames.LinkError, "MAC"):
+            reader.read()
+
+    def test_oversized_frame_is_refused_unread(self) -> None:
+        header = frames.LENGTH.pack(frames.MAX_BODY_BYTES + 1) + b"\x00" * 16
+        with self.assertRaisesRegex(frames.LinkError, "bytes"):
+            frames.FrameReader(Buffer(header), KEY).read()
