--- /dev/null
+++ b/packages/server/src/knapweedbeam_server/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered log events, written as JSON lines or text."""
--- /dev/null
+++ b/packages/server/src/knapweedbeam_server/logs/catalogue.py
@@ -0,0 +1,369 @@
+"""Every log event of a process; docs/events.md is generated from this module.
+
+A number stays with its event for good: new events get new numbers.
+"""
+
+from __future__ import annotations
+
+from knapweedbeam_server.logs import event as events
+
+Event = events.Event
+Level = events.Level
+
+# 1000: the process.
+PROCESS_STARTED = Event(
+    1001,
+    "process_started",
+    Level.INFO,
+    "process {process} of {domain} started, version {version}",
+    "A new run of the process began.",
+)
+SETTINGS_LOADED = Event(
+    1002,
+    "settings_loaded",
+    Level.INFO,
+    "settings loaded from {source} with {peers} peers",
+    "The settings file was read and is valid.",
+)
+SETTINGS_WARNING = Event(
+    1003,
+    "settings_warning",
+    Level.WARNING,
+    "settings: {problem}",
+    "The settings are valid, but one of them is probably not meant.",
+    "Read the line, correct the file, restart the process.",
+)
+LISTENING = Event(
+    1004,
+    "listening",
+    Level.INFO,
+    "listening for {purpose} at {address}",
+    "A port is open.",
+)
+READY = Event(
+    1005,
+    "ready",
+    Level.INFO,
+    "ready with bundle {bundle}",
+    "The process takes callers' work from now on.",
+)
+NOT_READY = Event(
+    1006,
+    "not_ready",
+    Level.WARNING,
+    "not ready: {reason}",
+    "The process refuses callers' work as not run, and the balancer leaves it out.",
+    "None while it starts or stops; else see the reason and `knapweedctl status`.",
+)
+LISTEN_FAILED = Event(
+    1007,
+    "listen_failed",
+    Level.ERROR,
+    "cannot listen for {purpose} at {address}: {error}",
+    "The address is in use or not of this VM. The process ends.",
+    "Correct `[listen]`, or end the process that holds the port.",
+)
+LOOP_STALLED = Event(
+    1010,
+    "loop_stalled",
+    Level.WARNING,
+    "the loop stood still for {stall_ms} ms",
+    "Nothing was served or sent meanwhile; peers may have taken the process for lost.",
+    "Look for a VM that is short of processor time or for a slow disk.",
+)
+FAULT = Event(
+    1011,
+    "fault",
+    Level.ERROR,
+    "fault in {place}: {error}",
+    "A fault of the program itself was caught; the work it was about has failed.",
+    "Report it with the lines around it.",
+)
+STOP_BEGUN = Event(
+    1020,
+    "stop_begun",
+    Level.INFO,
+    "stopping, {jobs} jobs to finish within {deadline_ms} ms",
+    "The process was asked to stop and finishes what it began.",
+)
+STOP_FORCED = Event(
+    1021,
+    "stop_forced",
+    Level.WARNING,
+    "second signal: stopping at once, {cut} requests cut",
+    "A second signal ended a graceful stop early.",
+    "Callers of what was cut find the outcome under their ticket elsewhere.",
+)
+STOP_DEADLINE = Event(
+    1022,
+    "stop_deadline",
+    Level.WARNING,
+    "stop deadline reached: {cut} requests cut",
+    "A graceful stop took longer than `[stopping] deadline_ms`.",
+    "Raise the deadline above the longest task, or lower the jobs' deadlines.",
+)
+STOPPED = Event(
+    1023,
+    "stopped",
+    Level.INFO,
+    "stopped after {took_ms} ms, {cut} requests cut",
+    "The process ends now.",
+)
+
+# 2000: links between entry VMs.
+PEER_UP = Event(
+    2001,
+    "peer_up",
+    Level.INFO,
+    "link to {peer} is up, incarnation {incarnation}",
+    "The two processes authenticated each other.",
+)
+PEER_DOWN = Event(
+    2002,
+    "peer_down",
+    Level.WARNING,
+    "link to {peer} is down: {reason}",
+    "The peer died, is restarting, or is cut off.",
+    "None for a restart; else see `knapweedctl status` for whole cut-off domains.",
+)
+LINK_REFUSED_MAC = Event(
+    2003,
+    "link_refused_mac",
+    Level.WARNING,
+    "link from {address} refused: authentication failed",
+    "The other side holds another link key, or is no process of this deployment.",
+    "Compare the files of `[keys] link_key_file`; look who owns the address.",
+)
+LINK_REFUSED_FRAME = Event(
+    2004,
+    "link_refused_frame",
+    Level.WARNING,
+    "link of {peer} closed: malformed frame, {detail}",
+    "Bytes arrived that are no message of this version.",
+    "Compare the versions of the two processes.",
+)
+LINK_QUEUE_FULL = Event(
+    2005,
+    "link_queue_full",
+    Level.WARNING,
+    "link to {peer} is full: {dropped} messages dropped",
+    "The peer reads too slowly. Messages may be lost by design and are repeated.",
+    "Look at the peer's processor time and at `loop_stalled` there.",
+)
+PEER_RESTARTED = Event(
+    2006,
+    "peer_restarted",
+    Level.INFO,
+    "{peer} is back with incarnation {incarnation}",
+    "Another run of the peer serves under its name; the earlier one has ended.",
+)
+
+# 3000: callers.
+REQUEST_MALFORMED = Event(
+    3001,
+    "request_malformed",
+    Level.INFO,
+    "request from {address} refused: {reason}, {detail}",
+    "A request broke the interface; its connection is closed.",
+    "Tell the caller, when it goes on.",
+)
+REQUEST_UNAUTHENTICATED = Event(
+    3002,
+    "request_unauthenticated",
+    Level.INFO,
+    "request from {address} refused: no valid token",
+    "The token is missing, or not of the bundle in force.",
+    "Check that the caller's token is in the bundle in force.",
+)
+CONNECTIONS_FULL = Event(
+    3003,
+    "connections_full",
+    Level.WARNING,
+    "connection refused: all {limit} are in use",
+    "`[caller_limits] connections` is reached.",
+    "See the page on reading overload.",
+)
+MEMORY_REFUSAL = Event(
+    3004,
+    "memory_refusal",
+    Level.WARNING,
+    "submission refused as not run: {held} of {limit} bytes held for {scope}",
+    "Payloads and answers reached a memory limit; nothing begun was cut.",
+    "See the page on reading overload.",
+)
+CALLER_SLOW = Event(
+    3005,
+    "caller_slow",
+    Level.INFO,
+    "connection of {address} closed: {detail}",
+    "A caller sent its request, or read its answer, too slowly.",
+)
+
+# 4000: bundles, the replicated log, limits.
+BUNDLE_IN_FORCE = Event(
+    4001,
+    "bundle_in_force",
+    Level.INFO,
+    "bundle {version} is in force here, digest {digest}",
+    "New work follows this bundle; work begun before ends under its own.",
+)
+PROPOSAL_ANSWERED = Event(
+    4002,
+    "proposal_answered",
+    Level.INFO,
+    "proposed bundle answered: {answer}",
+    "An operator's bundle was accepted or refused.",
+)
+BUNDLE_REFUSED = Event(
+    4003,
+    "bundle_refused",
+    Level.WARNING,
+    "bundle {version} from {peer} refused: {reason}",
+    "A peer offered a bundle that is not signed as the one in force demands.",
+    "Compare the peers' versions and `knapweedctl bundle history`.",
+)
+REPLICA_LEADER = Event(
+    4010,
+    "replica_leader",
+    Level.INFO,
+    "leader of the replicated log in term {term}",
+    "This process decides on bundles from now on.",
+)
+REPLICA_FOLLOWER = Event(
+    4011,
+    "replica_follower",
+    Level.INFO,
+    "follower in the replicated log in term {term}",
+    "Another process leads, or nobody does yet.",
+)
+REPLICA_CANDIDATE = Event(
+    4012,
+    "replica_candidate",
+    Level.INFO,
+    "candidate in the replicated log in term {term}",
+    "No leader was heard of for a while.",
+    "See `replica_no_quorum` if it repeats.",
+)
+REPLICA_LEARNER = Event(
+    4013,
+    "replica_learner",
+    Level.INFO,
+    "learner in the replicated log, {behind} entries behind",
+    "The replica holds no vote until it has every entry.",
+)
+REPLICA_NO_QUORUM = Event(
+    4014,
+    "replica_no_quorum",
+    Level.WARNING,
+    "no quorum of replicas can be reached",
+    "Bundles cannot be rolled; the one in force stays, and work goes on.",
+    "See the pages on lost control VMs and on a cut-off failure domain.",
+)
+REPLICA_WIPED = Event(
+    4015,
+    "replica_wiped",
+    Level.ERROR,
+    "the data folder is empty, but this replica has voted before",
+    "The replica lost its state and does not vote as its old self.",
+    "Follow the page on a wiped data folder.",
+)
+STORE_FAILED = Event(
+    4020,
+    "store_failed",
+    Level.ERROR,
+    "data folder failed: {reason}, {detail}",
+    "A write, a sync or a read failed, or a record is corrupt; the replica stops.",
+    "Look at the disk, then follow the page on a wiped data folder.",
+)
+STORE_REPAIRED = Event(
+    4021,
+    "store_repaired",
+    Level.INFO,
+    "data folder: {bytes} bytes of an unfinished record cut",
+    "The process had died in the middle of a write that nobody had been told of.",
+)
+LIMIT_LEASE_LOST = Event(
+    4030,
+    "limit_lease_lost",
+    Level.WARNING,
+    "allotment of limits not renewed: floor shares only",
+    "The replicas cannot be reached, so only this failure domain's floor is used.",
+    "See the page on a cut-off failure domain.",
+)
+
+# 5000: endpoints.
+ENDPOINT_UP = Event(
+    5001,
+    "endpoint_up",
+    Level.INFO,
+    "endpoint {endpoint} is up with {slots} slots",
+    "An endpoint announced itself to its keeper.",
+)
+ENDPOINT_LEAVING = Event(
+    5002,
+    "endpoint_leaving",
+    Level.INFO,
+    "endpoint {endpoint} is leaving",
+    "It gets no new work once the slot leases have lapsed.",
+)
+ENDPOINT_LOST = Event(
+    5003,
+    "endpoint_lost",
+    Level.WARNING,
+    "endpoint {endpoint} is lost: its lease lapsed",
+    "It has not announced itself in time; its tasks may have run.",
+    "Look at the worker.",
+)
+ENDPOINT_EJECTED = Event(
+    5004,
+    "endpoint_ejected",
+    Level.WARNING,
+    "endpoint {endpoint} ejected after {failures} failures",
+    "Tasks of several jobs failed there; it gets only trials.",
+    "Follow the page on a bad endpoint.",
+)
+ENDPOINT_READMITTED = Event(
+    5005,
+    "endpoint_readmitted",
+    Level.INFO,
+    "endpoint {endpoint} readmitted",
+    "Its trials went well.",
+)
+KEEPER_CHANGED = Event(
+    5010,
+    "keeper_changed",
+    Level.INFO,
+    "{keeper} keeps {endpoints} endpoints of {domain}",
+    "An entry VM came or went, so endpoints have another keeper.",
+)
+
+# 6000: tickets.
+OWNER_LOST = Event(
+    6001,
+    "owner_lost",
+    Level.WARNING,
+    "owner {peer} lost: {jobs} tickets sealed here",
+    "An entry VM with open jobs is gone: jobs not begun are not run, others failed.",
+    "None; callers learn the outcome under their ticket.",
+)
+WITNESS_LOST = Event(
+    6002,
+    "witness_lost",
+    Level.WARNING,
+    "witness {peer} lost: {jobs} jobs not begun given up",
+    "New tickets name another witness.",
+)
+SOLO_TICKETS = Event(
+    6003,
+    "solo_tickets",
+    Level.WARNING,
+    "no other entry VM of {domain} is live: tickets without a witness",
+    "If this process dies now, the outcome of its jobs is unknown.",
+    "Bring back the failure domain's other entry VMs.",
+)
+
+
+def get_events() -> tuple[Event, ...]:
+    """Return all events by number."""
+    events = (value for value in globals().values() if isinstance(value, Event))
+    return tuple(sorted(events, key=lambda event: event.number))
