Run a submission at most once, by its ticket's owner and witness

A resubmission may arrive at any entry VM, late or twice. Only the run of the process that minted a ticket has its tasks started, after the witness named in the ticket holds the job as begun. Other entry VMs forward a submission to the owner and pass on its answer; when the owner is silent or another run has taken its place, the witness tells the outcome and seals what was not begun.

`Answer` gets the digest of the body that a conflict is about, since callers with the true body may wait for the same ticket.

--- a/packages/core/src/knapweedbeam_core/effects.py
+++ b/packages/core/src/knapweedbeam_core/effects.py
@@ -123,10 +123,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
-    """Give the outcome, or the refusal, to all callers that wait for the ticket."""
+    """Give the outcome, or the refusal, to all callers that wait for the ticket.
+
+    A refusal that concerns one body only, `CONFLICT`, carries that body's digest
+    (`tickets.answers.get_digest`): it is for those callers who sent that body.
+    """
 
     ticket: str
     outcome: outcomes.Outcome | outcomes.Refusal
+    body_digest: bytes = b""
 
 
 Effect = (
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/tickets/resolver.py
@@ -0,0 +1,239 @@
+"""Finds the outcomes of tickets that other processes own.
+
+A submission goes to the ticket's owner and no further: whoever else gets it
+says so. When the owner is silent or has ended, the witness is asked.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from knapweedbeam_core import clock, effects, ids, jobs, outcomes, reasons
+from knapweedbeam_core.entry import parts
+from knapweedbeam_core.tickets import answers, messages, ticket, timers
+
+FIRST_POLL_MS = clock.SECOND_MS
+POLL_MS = 500
+MAX_POLL_MS = 4 * clock.SECOND_MS
+OWNER_SILENCE_MS = 2 * clock.SECOND_MS
+WITNESS_SILENCE_MS = 3 * clock.SECOND_MS
+MAX_WATCHES = 200_000
+
+
+@dataclasses.dataclass(slots=True)
+class Watch:
+    """One ticket of another owner whose outcome is asked for here."""
+
+    ticket: ticket.Ticket
+    member: str
+    heard_ms: int
+    job: jobs.Job | None = None
+    digest: bytes = b""
+    cancelled: bool = False
+    asks_witness: bool = False
+    sent: int = 0
+    held_bytes: int = 0
+
+
+class Resolver:
+    """Watches tickets of other owners until their outcomes are known."""
+
+    def __init__(
+        self, me: ids.ProcessId, time: clock.Clock, account: answers.Account
+    ) -> None:
+        self.me = me
+        self.clock = time
+        self.account = account
+        self.watches: dict[str, Watch] = {}
+        self.timers: timers.Timers[str] = timers.Timers()
+
+    def submit(self, wanted: ticket.Ticket, job: jobs.Job) -> parts.Effects:
+        """Forward a submission to the ticket's owner."""
+        digest = answers.get_digest(job)
+        watch = self.watches.get(wanted.text)
+        if watch is not None and watch.digest not in (b"", digest):
+            refusal = outcomes.Refusal(reasons.Reason.CONFLICT, "body")
+            return [effects.Answer(wanted.text, refusal, digest)]
+        size = answers.get_job_bytes(job)
+        if not self.has_room(job.member, size):
+            full = outcomes.Refusal(reasons.Reason.MEMORY, "forwarded jobs")
+            return [effects.Answer(wanted.text, full, digest)]
+        fresh = watch is None or watch.job is None
+        watch = watch or self.add(wanted, job.member)
+        if not fresh:
+            return []
+        watch.job = job
+        watch.digest = digest
+        self.hold(watch, size)
+        return self.ask(watch)
+
+    def look_up(self, wanted: ticket.Ticket, member: str) -> parts.Effects:
+        """Ask the ticket's owner for the outcome."""
+        if wanted.text in self.watches:
+            return []
+        if not self.has_room(member, answers.RECORD_BYTES):
+            full = outcomes.Refusal(reasons.Reason.OVERLOADED, "look-ups")
+            return [effects.Answer(wanted.text, full)]
+        return self.ask(self.add(wanted, member))
+
+    def cancel(self, wanted: ticket.Ticket, member: str) -> parts.Effects:
+        """Ask the ticket's owner to cancel the job."""
+        watch = self.watches.get(wanted.text) or self.add(wanted, member)
+        if watch.cancelled:
+            return []
+        watch.cancelled = True
+        return self.ask(watch)
+
+    def add(self, wanted: ticket.Ticket, member: str) -> Watch:
+        """Start to watch a ticket."""
+        watch = Watch(wanted, member, self.clock.now_ms())
+        watch.asks_witness = wanted.owner.name == self.me.name
+        self.watches[wanted.text] = watch
+        self.hold(watch, answers.RECORD_BYTES)
+        return watch
+
+    def ask(self, watch: Watch) -> parts.Effects:
+        """Ask the owner, or the witness when the owner is silent."""
+        pause_ms = FIRST_POLL_MS if not watch.sent else POLL_MS
+        watch.sent += 1
+        self.timers.set(watch.ticket.text, self.clock.now_ms() + pause_ms)
+        if watch.asks_witness:
+            return self.ask_witness(watch)
+        return [effects.Send(watch.ticket.owner.name, self.build(watch))]
+
+    def ask_witness(self, watch: Watch) -> parts.Effects:
+        """Ask the witness; without one nobody else can tell the outcome."""
+        witness = watch.ticket.witness
+        if witness is None and watch.ticket.owner.name == self.me.name:
+            return self.finish(watch, get_unknown())
+        if witness is None:
+            return [effects.Send(watch.ticket.owner.name, self.build(watch))]
+        seal = messages.SealTicket(watch.ticket.text, watch.member)
+        return [effects.Send(witness.name, seal)]
+
+    def build(self, watch: Watch) -> effects.Message:
+        """Return the message for the owner."""
+        text = watch.ticket.text
+        if watch.cancelled:
+            return messages.CancelTicket(text, watch.member)
+        if watch.job is None:
+            return messages.FindOutcome(text, watch.member)
+        return self.build_submit(watch.job)
+
+    def build_submit(self, job: jobs.Job) -> effects.Message:
+        """Return the submission with what is left to its deadline."""
+        return messages.SubmitJob(
+            job.ticket,
+            job.member,
+            job.service,
+            job.job_class,
+            max(job.due_ms - self.clock.now_ms(), 0),
+            job.tasks,
+            job.repeatable,
+        )
+
+    def on_pending(self, text: str, sender: ids.ProcessId) -> parts.Effects:
+        """Go on waiting: the owner holds the job."""
+        watch = self.watches.get(text)
+        if watch is None or sender != watch.ticket.owner:
+            return []
+        self.hear(watch)
+        # The owner has the body, so that polls need not carry it again.
+        watch.job = None
+        return []
+
+    def on_answered(
+        self, message: messages.TicketAnswered, sender: ids.ProcessId
+    ) -> parts.Effects:
+        """Pass on what the owner or the witness answered."""
+        watch = self.watches.get(message.ticket)
+        if watch is None:
+            return []
+        if sender not in (watch.ticket.owner, watch.ticket.witness):
+            return []
+        return self.finish(watch, message.result)
+
+    def on_seal_refused(
+        self, message: messages.SealRefused, sender: ids.ProcessId
+    ) -> parts.Effects:
+        """Wait for a begun job while its owner lives; else it may have run."""
+        watch = self.watches.get(message.ticket)
+        if watch is None or sender != watch.ticket.witness:
+            return []
+        if not message.owner_live:
+            return self.finish(watch, outcomes.Failed(reasons.Reason.OWNER_LOST))
+        self.hear(watch)
+        return []
+
+    def on_wrong_run(self, text: str, sender: ids.ProcessId) -> parts.Effects:
+        """Turn to the witness, or give up when it has ended as well."""
+        watch = self.watches.get(text)
+        if watch is None:
+            return []
+        wanted = watch.ticket
+        if is_successor(sender, wanted.witness):
+            return self.finish(watch, get_unknown())
+        if not is_successor(sender, wanted.owner) or watch.asks_witness:
+            return []
+        return self.turn_to_witness(watch)
+
+    def turn_to_witness(self, watch: Watch) -> parts.Effects:
+        """Ask the witness from now on."""
+        if watch.ticket.witness is None:
+            return self.finish(watch, get_unknown())
+        watch.asks_witness = True
+        self.hear(watch)
+        return self.ask(watch)
+
+    def hear(self, watch: Watch) -> None:
+        """Note that the process which is asked has answered."""
+        watch.heard_ms = self.clock.now_ms()
+        doubled = FIRST_POLL_MS << min(watch.sent, 4)
+        pause_ms = min(doubled, MAX_POLL_MS)
+        self.timers.set(watch.ticket.text, watch.heard_ms + pause_ms)
+
+    def tick(self) -> parts.Effects:
+        """Ask again where no answer came, or somebody else."""
+        done: parts.Effects = []
+        for text in self.timers.pop_due(self.clock.now_ms()):
+            done += self.on_due(self.watches[text])
+        return done
+
+    def on_due(self, watch: Watch) -> parts.Effects:
+        """Ask again, or give up on who has been silent too long."""
+        silence_ms = self.clock.now_ms() - watch.heard_ms
+        if watch.asks_witness and silence_ms >= WITNESS_SILENCE_MS:
+            return self.finish(watch, get_unknown())
+        if not watch.asks_witness and silence_ms >= OWNER_SILENCE_MS:
+            return self.turn_to_witness(watch)
+        return self.ask(watch)
+
+    def finish(self, watch: Watch, result: messages.Result) -> parts.Effects:
+        """Answer those who wait here and watch no longer."""
+        text = watch.ticket.text
+        del self.watches[text]
+        self.timers.drop(text)
+        self.account.add(watch.member, -watch.held_bytes)
+        digest = watch.digest if isinstance(result, outcomes.Refusal) else b""
+        return [effects.Answer(text, result, digest)]
+
+    def has_room(self, member: str, size: int) -> bool:
+        """Say whether one more watch may be held."""
+        if len(self.watches) >= MAX_WATCHES:
+            return False
+        return self.account.has_room(member, size)
+
+    def hold(self, watch: Watch, size: int) -> None:
+        """Count `size` bytes as held by a watch, in place of what it held."""
+        self.account.add(watch.member, size - watch.held_bytes)
+        watch.held_bytes = size
+
+
+def is_successor(sender: ids.ProcessId, earlier: ids.ProcessId | None) -> bool:
+    """Say whether `sender` is another run of the process `earlier`."""
+    return earlier is not None and sender.name == earlier.name and sender != earlier
+
+
+def get_unknown() -> outcomes.Failed:
+    """Return the outcome of a job of which nobody can tell."""
+    return outcomes.Failed(reasons.Reason.OUTCOME_UNKNOWN)
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/tickets/ticket.py
@@ -0,0 +1,106 @@
+"""The text form of tickets and the MAC that binds one to its member."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import dataclasses
+import hmac
+
+import msgspec
+
+from knapweedbeam_core import ids, outcomes, reasons
+
+MAC_BYTES = 16
+NONCE_BYTES = 8
+MAX_CHARS = 512
+PURPOSE = b"knapweedbeam ticket 1"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticket:
+    """What a ticket names.
+
+    `minted_ms` is the owner's wall clock, for people and other processes.
+    `owner_ms` is the owner's monotonic clock: the owner judges the age by it,
+    so that a step of the wall clock changes nothing.
+    """
+
+    text: str
+    domain: str
+    owner: ids.ProcessId
+    witness: ids.ProcessId | None
+    minted_ms: int
+    owner_ms: int
+
+
+class Body(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """The fields of a ticket as they are packed."""
+
+    domain: str
+    owner: str
+    owner_incarnation: int
+    witness: str
+    witness_incarnation: int
+    minted_ms: int
+    owner_ms: int
+    nonce: bytes
+
+
+DECODER = msgspec.msgpack.Decoder(Body)
+
+
+def build_mac(key: bytes, member: str, packed: bytes) -> bytes:
+    """Return the MAC of a packed ticket for one member."""
+    bound = msgspec.msgpack.encode((PURPOSE, member, packed))
+    return hmac.digest(key, bound, "sha256")[:MAC_BYTES]
+
+
+def mint(key: bytes, member: str, body: Body) -> str:
+    """Return the text of a new ticket."""
+    packed = msgspec.msgpack.encode(body)
+    return encode_text(build_mac(key, member, packed) + packed)
+
+
+def encode_text(raw: bytes) -> str:
+    """Return bytes as text that needs no quoting in a URL."""
+    return base64.urlsafe_b64encode(raw).rstrip(b"=").decode("ascii")
+
+
+def decode_text(text: str) -> bytes | None:
+    """Return the bytes of the one text that stands for them, or none."""
+    if len(text) > MAX_CHARS:
+        return None
+    try:
+        raw = base64.urlsafe_b64decode(text + "=" * (-len(text) % 4))
+    except (binascii.Error, ValueError):
+        return None
+    return raw if encode_text(raw) == text else None
+
+
+def read(text: str) -> Ticket | None:
+    """Read a ticket without checking its MAC, or none when it is no ticket."""
+    raw = decode_text(text)
+    if raw is None:
+        return None
+    try:
+        body = DECODER.decode(raw[MAC_BYTES:])
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    witness = None
+    if body.witness:
+        witness = ids.ProcessId(body.witness, body.witness_incarnation)
+    owner = ids.ProcessId(body.owner, body.owner_incarnation)
+    return Ticket(text, body.domain, owner, witness, body.minted_ms, body.owner_ms)
+
+
+def parse(key: bytes, text: str, member: str) -> Ticket | outcomes.Refusal:
+    """Read a ticket that belongs to `member`; any other was never minted."""
+    ticket = read(text)
+    raw = decode_text(text)
+    if ticket is None or raw is None:
+        return outcomes.Refusal(reasons.Reason.NOT_FOUND, "ticket")
+    mac = build_mac(key, member, raw[MAC_BYTES:])
+    if not hmac.compare_digest(mac, raw[:MAC_BYTES]):
+        return outcomes.Refusal(reasons.Reason.NOT_FOUND, "ticket")
+    return ticket
