--- /dev/null
+++ b/packages/server/tests/test_histograms.py
@@ -0,0 +1,89 @@
+from __future__ import annotations
+
+import base64
+import dataclasses
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from knapweedbeam_core import outcomes
+from knapweedbeam_server import histograms
+
+Kind = histograms.Kind
+
+
+class HistogramsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.histograms = histograms.Histograms()
+
+    def test_a_member_sees_only_its_own(self) -> None:
+        self.histograms.record("north", "quote", Kind.WAIT, 5)
+        self.histograms.record("south", "stock", Kind.WAIT, 7)
+        found = self.histograms.get_member("north")
+        self.assertEqual(["quote"], [series.job_class for series in found])
+        self.assertEqual((1, 5), (found[0].count, found[0].percentiles[0].value))
+        self.assertEqual(2, len(self.histograms.get_all()))
+        self.assertEqual((), self.histograms.get_member("nobody"))
+
+    def test_classes_and_series_are_bounded(self) -> None:
+        for member in range(300):
+            for job_class in range(40):
+                for kind in Kind:
+                    name = f"m{member}"
+                    self.histograms.record(name, f"c{job_class}", kind, 1)
+        self.assertEqual(histograms.SERIES_LIMIT, self.histograms.size)
+        found = self.histograms.get_member("m0")
+        classes = {series.job_class for series in found}
+        self.assertEqual(histograms.CLASSES_PER_MEMBER + 1, len(classes))
+        other = [s for s in found if s.job_class == histograms.OTHER_CLASSES]
+        self.assertEqual([24] * len(Kind), [series.count for series in other])
+        self.histograms.drop_members({"m1"})
+        self.assertEqual(17 * len(Kind), self.histograms.size)
+
+    def test_values_out_of_range_are_kept_at_its_ends(self) -> None:
+        for value in (-1, 0, 10**12):
+            self.histograms.record("north", "quote", Kind.RUN, value)
+        found = self.histograms.get_member("north")[0]
+        self.assertEqual((3, histograms.LOWEST), (found.count, found.lowest))
+        self.assertLess(found.highest, histograms.HIGHEST * 1.01)
+
+    @hypothesis.settings(derandomize=True, deadline=None, database=None)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.lists(strategies.integers(1, 3_600_000)), max_size=5
+        )
+    )
+    def test_merging_equals_recording_in_one_place(
+        self, nodes: list[list[int]]
+    ) -> None:
+        whole = histograms.Histograms()
+        forms: list[histograms.Series] = []
+        for values in nodes:
+            node = histograms.Histograms()
+            for value in values:
+                node.record("north", "quote", Kind.RESPONSE, value)
+                whole.record("north", "quote", Kind.RESPONSE, value)
+            forms += node.get_all()
+        merged = histograms.merge(forms)
+        assert not isinstance(merged, outcomes.Refusal)
+        expected = whole.get_all()
+        self.assertEqual(
+            [dataclasses.replace(series, encoded="") for series in expected],
+            [dataclasses.replace(series, encoded="") for series in merged],
+        )
+
+    def test_malformed_forms_are_refused(self) -> None:
+        self.histograms.record("north", "quote", Kind.WAIT, 5)
+        form = self.histograms.get_all()[0]
+        larger = histograms.hdrh.histogram.HdrHistogram(1, 2**60, 5).encode().decode()
+        raw = base64.b64decode(form.encoded)
+        cut = base64.b64encode(raw[:-3]).decode()
+        flipped = base64.b64encode(raw[:20] + b"\xff" + raw[21:]).decode()
+        for encoded in ("", "HIST", "é", "A" * 2**17, larger, cut, flipped):
+            broken = dataclasses.replace(form, encoded=encoded)
+            self.assertIsInstance(histograms.merge([form, broken]), outcomes.Refusal)
+
+
+if __name__ == "__main__":
+    unittest.main()
