Add fakes, client and history checker of the bench

The promises can only be judged from what endpoints and clients recorded. Fake endpoints with set speed and faults, a platform, relays that delay and cut links, an open-loop client, the ideal of a trace and a checker with one seeded breach for each promise.

--- /dev/null
+++ b/bench/check/report.py
@@ -0,0 +1,74 @@
+"""Run every check over a folder of histories."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import dataclasses
+import pathlib
+
+from bench import events
+from bench.check import (
+    answers,
+    breaches,
+    bundles,
+    leaving,
+    limits,
+    reader,
+    starts,
+    stops,
+    view,
+)
+from knapweedbeam_server import history
+
+Check = collections.abc.Callable[[view.View], list[breaches.Breach]]
+CHECKS: tuple[Check, ...] = (
+    starts.check_single_starts,
+    answers.check_whole,
+    answers.check_own,
+    starts.check_not_run,
+    starts.check_at_most_once,
+    leaving.check_leaving,
+    stops.check_stops,
+    bundles.check_bundles,
+    limits.check_limits,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """What the checks found, and how much they saw."""
+
+    found: tuple[breaches.Breach, ...]
+    records: int
+    torn: int
+    tasks_started: int
+    over_slots: int
+
+    def count(self, promise: breaches.Promise) -> int:
+        """Return how many breaches of one promise there are."""
+        return sum(breach.promise == promise for breach in self.found)
+
+    def get_counts(self) -> dict[str, int]:
+        """Return the number of breaches by promise, zeros included."""
+        return {
+            promise.name.lower(): self.count(promise) for promise in breaches.Promise
+        }
+
+
+def check_folder(folder: pathlib.Path) -> Report:
+    """Check the histories of a folder."""
+    return check_history(reader.read_history(folder))
+
+
+def check_history(merged: reader.History) -> Report:
+    """Check a merged history."""
+    seen = view.View(merged)
+    found = [breach for check in CHECKS for breach in check(seen)]
+    return Report(
+        tuple(found),
+        len(merged.records),
+        merged.torn,
+        len(merged.get(history.Started, history.Role.ENDPOINT)),
+        len(merged.get(events.OverSlots)),
+    )
--- /dev/null
+++ b/bench/children.py
@@ -0,0 +1,81 @@
+"""Processes that the bench starts, and ends by their own ids."""
+
+from __future__ import annotations
+
+import dataclasses
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+import gevent
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+POLL_S = 0.02
+KILL_WAIT_S = 2.0
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Usage:
+    """Processor seconds and resident bytes of a process."""
+
+    cpu_s: float
+    memory_bytes: int
+
+
+class Child:
+    """One process; its output goes to a log file."""
+
+    def __init__(self, arguments: list[str], log: pathlib.Path) -> None:
+        with log.open("ab") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, *arguments],
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+
+    @property
+    def is_running(self) -> bool:
+        """Say whether the process has not ended yet."""
+        return self.process.poll() is None
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal when the process still runs."""
+        if self.is_running:
+            self.process.send_signal(number)
+
+    def wait(self, timeout_s: float) -> int | None:
+        """Wait for the end and return the exit status, none when it is late."""
+        end_s = time.monotonic() + timeout_s
+        while self.is_running and time.monotonic() < end_s:
+            gevent.sleep(POLL_S)
+        return self.process.poll()
+
+    def end(self, timeout_s: float) -> int | None:
+        """End the process gracefully, then by force when it is late.
+
+        Returns none where force was needed.
+        """
+        self.send(signal.SIGTERM)
+        status = self.wait(timeout_s)
+        if status is None:
+            self.send(signal.SIGKILL)
+            self.wait(KILL_WAIT_S)
+        return status
+
+    def get_usage(self) -> Usage:
+        """Return what a running process used so far; zeros after its end."""
+        folder = pathlib.Path("/proc") / str(self.process.pid)
+        try:
+            fields = (folder / "stat").read_text().rpartition(")")[2].split()
+            pages = int((folder / "statm").read_text().split()[1])
+        except (OSError, IndexError):
+            return Usage(0.0, 0)
+        ticks = int(fields[11]) + int(fields[12])
+        return Usage(ticks / TICKS_PER_S, pages * PAGE_BYTES)
--- /dev/null
+++ b/bench/client.py
@@ -0,0 +1,317 @@
+"""An open-loop client: sends a trace's jobs at their times, come what may.
+
+Latency counts from the intended time. A job whose connection is lost is sent
+again through another entry VM under the same ticket; some jobs are also sent
+twice on purpose.
+"""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import dataclasses
+import random
+import typing
+
+import gevent
+import gevent.pool
+import msgspec
+
+from bench import calls, deployment, events, trace
+from knapweedbeam_core import clock
+from knapweedbeam_server import history
+
+MINT_COUNT = 100
+MINT_LOW = 25
+WAIT_MS = 40_000
+CALL_MARGIN_S = 5.0
+RETRY_S = 0.1
+MAX_TRIES = 12
+MAX_OPEN = 20_000
+
+
+class TaskAnswer(msgspec.Struct):
+    """A task's answer, as the fake endpoints give it."""
+
+    echo: int
+    ticket: str
+    index: int
+
+
+class FinalBody(msgspec.Struct):
+    """The body of an answer to a job, final or not."""
+
+    outcome: str = ""
+    reason: str = ""
+    answers: list[TaskAnswer] = msgspec.field(default_factory=list)
+    may_have_run: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobResult:
+    """What became of a job; `response_ms` counts from the intended time.
+
+    An empty `outcome` says that the client gave up.
+    """
+
+    number: int
+    job_class: str
+    member: str
+    tasks: int
+    at_ms: float
+    response_ms: float
+    outcome: str
+    reason: str
+    entry: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientOptions:
+    """How the client behaves."""
+
+    service: str
+    deadline_ms: int = 30_000
+    resend_share: float = 0.0
+    declare: collections.abc.Callable[[trace.TraceJob, float], Declared] | None = None
+    seed: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Declared:
+    """What a client says of one task."""
+
+    cpu_millis: int = 0
+    memory_mib: int = 0
+    run_ms: int = 0
+
+
+class Client:
+    """Sends jobs of all members to the entry VMs that are in `entries`."""
+
+    def __init__(
+        self,
+        plan: deployment.Deployment,
+        writer: history.HistoryWriter,
+        own_clock: clock.Clock,
+        options: ClientOptions,
+    ) -> None:
+        self.plan = plan
+        self.history = writer
+        self.clock = own_clock
+        self.options = options
+        self.rng = random.Random(options.seed)
+        self.tokens = {member.name: member.token for member in plan.members}
+        timeout_s = WAIT_MS / clock.SECOND_MS + CALL_MARGIN_S
+        self.callers = {
+            vm.name: calls.Caller(vm.callers, "", timeout_s, connections=MAX_OPEN)
+            for vm in plan.vms
+        }
+        self.entries = [vm.name for vm in plan.vms]
+        self.tickets: dict[tuple[str, str], collections.deque[str]] = {}
+        self.minting: set[tuple[str, str]] = set()
+        self.results: list[JobResult] = []
+        self.pool = gevent.pool.Pool(MAX_OPEN)
+        self.started_ms = 0
+        self.late_ms = 0.0
+
+    def drop_entry(self, name: str) -> None:
+        """Send nothing more to an entry VM, as the platform's balancer does."""
+        if name in self.entries and len(self.entries) > 1:
+            self.entries.remove(name)
+
+    def add_entry(self, name: str) -> None:
+        """Send jobs to an entry VM again."""
+        if name not in self.entries:
+            self.entries.append(name)
+
+    def prepare(self) -> None:
+        """Mint a first block of every member at every entry VM."""
+        pairs = [(e, m) for e in self.entries for m in self.tokens]
+        gevent.joinall([gevent.spawn(self.mint, e, m) for e, m in pairs])
+
+    def run(self, jobs: collections.abc.Sequence[trace.TraceJob]) -> list[JobResult]:
+        """Send every job at its time and wait for all answers."""
+        self.started_ms = self.clock.now_ms()
+        for job in jobs:
+            wait_ms = self.started_ms + job.at_ms - self.clock.now_ms()
+            if wait_ms > 0:
+                gevent.sleep(wait_ms / clock.SECOND_MS)
+            else:
+                self.late_ms = max(self.late_ms, -wait_ms)
+            self.pool.spawn(self.serve, job)
+        self.pool.join()
+        return self.results
+
+    def mint(self, entry: str, member: str) -> None:
+        """Mint a block of tickets at an entry VM."""
+        pair = (entry, member)
+        if pair in self.minting:
+            return
+        self.minting.add(pair)
+        body = msgspec.json.encode({"count": MINT_COUNT})
+        answer = self.callers[entry].call(
+            "POST", "/v1/tickets", body, self.tokens[member]
+        )
+        self.minting.discard(pair)
+        if isinstance(answer, calls.Reply) and answer.status == 201:
+            pool = self.tickets.setdefault(pair, collections.deque())
+            pool.extend(answer.get_json()["tickets"])
+
+    def take_ticket(self, member: str) -> tuple[str, str] | None:
+        """Return an entry VM and a ticket minted there, or none."""
+        order = self.rng.sample(self.entries, len(self.entries))
+        for entry in order:
+            pool = self.tickets.get((entry, member))
+            if pool is None or len(pool) < MINT_LOW:
+                gevent.spawn(self.mint, entry, member)
+            if pool:
+                return entry, pool.popleft()
+        return None
+
+    def wait_for_ticket(self, member: str) -> tuple[str, str] | None:
+        """Return a ticket as soon as there is one, within the tries."""
+        for _ in range(MAX_TRIES):
+            taken = self.take_ticket(member)
+            if taken is not None:
+                return taken
+            gevent.sleep(RETRY_S)
+        return None
+
+    def serve(self, job: trace.TraceJob) -> None:
+        """See one job through, and a second sending of it where that is due."""
+        taken = self.wait_for_ticket(job.member)
+        if taken is None:
+            self.add_result(job, FinalBody(reason="no ticket"), "")
+            return
+        entry, ticket = taken
+        body = self.build_body(job)
+        again = None
+        if self.rng.random() < self.options.resend_share:
+            other = self.pick_other(entry)
+            again = gevent.spawn(self.send, job, ticket, other, body)
+        final, last = self.send(job, ticket, entry, body)
+        self.add_result(job, final, last)
+        if again is not None:
+            again.join()
+
+    def add_result(self, job: trace.TraceJob, final: FinalBody, entry: str) -> None:
+        """Keep a job's result."""
+        now_ms = self.clock.now_ms() + self.plan.client_delay_ms
+        response_ms = now_ms - self.started_ms - job.at_ms
+        self.results.append(
+            JobResult(
+                number=job.number,
+                job_class=job.job_class,
+                member=job.member,
+                tasks=len(job.work_ms),
+                at_ms=job.at_ms,
+                response_ms=response_ms,
+                outcome=final.outcome,
+                reason=final.reason,
+                entry=entry,
+            )
+        )
+
+    def pick_other(self, entry: str) -> str:
+        """Return another entry VM than this one, where there is one."""
+        others = [name for name in self.entries if name != entry]
+        return self.rng.choice(others) if others else entry
+
+    def build_body(self, job: trace.TraceJob) -> bytes:
+        """Return a job's body."""
+        declare = self.options.declare
+        tasks: list[dict[str, typing.Any]] = []
+        for index, work_ms in enumerate(job.work_ms):
+            payload = {"work_ms": work_ms, "echo": job.first_echo + index}
+            task: dict[str, typing.Any] = {"payload": payload}
+            if declare is not None:
+                task |= dataclasses.asdict(declare(job, work_ms))
+            tasks.append(task)
+        return msgspec.json.encode(
+            {
+                "service": self.options.service,
+                "class": job.job_class,
+                "deadline_ms": self.options.deadline_ms,
+                "tasks": tasks,
+            }
+        )
+
+    def send(
+        self, job: trace.TraceJob, ticket: str, entry: str, body: bytes
+    ) -> tuple[FinalBody, str]:
+        """Send a job until it has a final answer; return it and who gave it."""
+        detail = ""
+        for _ in range(MAX_TRIES):
+            answer = self.send_once(job, ticket, entry, body)
+            if isinstance(answer, calls.Lost):
+                detail = answer.detail
+                gevent.sleep(RETRY_S)
+                entry = self.pick_other(entry)
+                continue
+            final = read_final(answer)
+            if final.outcome in set(history.OutcomeKind):
+                self.record_answer(job, ticket, final)
+                return final, entry
+            detail = f"{answer.status} {final.reason}"
+            if final.outcome != "pending":
+                gevent.sleep(RETRY_S)
+                entry = self.pick_other(entry)
+        self.history.write(events.GaveUp(ticket, detail))
+        return FinalBody(reason=detail), entry
+
+    def send_once(
+        self, job: trace.TraceJob, ticket: str, entry: str, body: bytes
+    ) -> calls.Reply | calls.Lost:
+        """Send a job once, with the delay of the way there and back."""
+        self.history.write(
+            history.Submitted(
+                ticket,
+                job.member,
+                self.options.service,
+                job.job_class,
+                len(job.work_ms),
+                to=entry,
+            )
+        )
+        self.delay()
+        sent_ms = self.clock.now_ms()
+        answer = self.callers[entry].call(
+            "PUT", f"/v1/jobs/{ticket}?wait_ms={WAIT_MS}", body, self.tokens[job.member]
+        )
+        if isinstance(answer, calls.Lost):
+            refused = answer.kind == calls.LostKind.REFUSED
+            self.history.write(events.ConnectionLost(ticket, entry, sent_ms, refused))
+        return answer
+
+    def delay(self) -> None:
+        """Wait for the one way to the entry VM; the way back is added later."""
+        if self.plan.client_delay_ms:
+            gevent.sleep(self.plan.client_delay_ms / clock.SECOND_MS)
+
+    def record_answer(self, job: trace.TraceJob, ticket: str, final: FinalBody) -> None:
+        """Write a final answer down, with the answers of other requests in it."""
+        foreign = tuple(
+            index
+            for index, answer in enumerate(final.answers)
+            if answer.ticket != ticket
+            or answer.index != index
+            or answer.echo != job.first_echo + index
+        )
+        self.history.write(
+            history.Answered(
+                ticket,
+                history.OutcomeKind(final.outcome),
+                final.reason,
+                len(final.answers),
+                final.may_have_run,
+                foreign,
+            )
+        )
+
+
+def read_final(answer: calls.Reply) -> FinalBody:
+    """Return an answer's body; one that is no such JSON has no outcome."""
+    try:
+        return msgspec.json.decode(answer.body, type=FinalBody)
+    except msgspec.MsgspecError as error:
+        return FinalBody(reason=f"malformed: {error}")
--- /dev/null
+++ b/bench/cluster.py
@@ -0,0 +1,265 @@
+"""Start a deployment's processes, roll its first bundle, and end them."""
+
+from __future__ import annotations
+
+import dataclasses
+import os
+import pathlib
+import signal
+import time
+
+import gevent
+import msgspec
+from gevent import socket
+
+from bench import (
+    calls,
+    children,
+    deployment,
+    events,
+    files,
+    host,
+    relay,
+)
+from knapweedbeam_core import ids
+from knapweedbeam_server import history, system_clock
+
+FIRST_BLOCK = 20
+BLOCKS = 200
+GUARD_OCTET = 255
+GUARD_PORT = 7999
+LISTEN_TIMEOUT_S = 10.0
+READY_TIMEOUT_S = 15.0
+STOP_TIMEOUT_S = 25.0
+HOST_STOP_TIMEOUT_S = 3.0
+CALL_TIMEOUT_S = 5.0
+POLL_S = 0.05
+LIFE_S = 900.0
+
+
+class ClusterError(Exception):
+    """The processes of a run did not come up; the message says which."""
+
+
+@dataclasses.dataclass(slots=True)
+class Block:
+    """A block of loopback addresses that no other run uses meanwhile."""
+
+    number: int
+    guard: socket.socket
+
+    def release(self) -> None:
+        """Let other runs use the block."""
+        self.guard.close()
+
+
+def reserve_block() -> Block:
+    """Reserve a free block of addresses `127.{number}.x.y`."""
+    for step in range(BLOCKS):
+        number = FIRST_BLOCK + (os.getpid() + step) % BLOCKS
+        guard = socket.socket()
+        try:
+            guard.bind((f"127.{number}.{GUARD_OCTET}.1", GUARD_PORT))
+        except OSError:
+            guard.close()
+            continue
+        guard.listen(1)
+        return Block(number, guard)
+    raise ClusterError("every block of addresses is in use")
+
+
+class Cluster:
+    """The processes of one deployment; use it as a context manager."""
+
+    def __init__(
+        self,
+        plan: deployment.Deployment,
+        root: pathlib.Path,
+        options: files.ServerOptions | None = None,
+    ) -> None:
+        self.plan = plan
+        self.folder = files.RunFolder(root)
+        self.options = options or files.ServerOptions()
+        self.secrets = files.build_secrets()
+        self.clock = system_clock.SystemClock()
+        self.entries: dict[str, children.Child] = {}
+        self.relays: children.Child | None = None
+        self.host: children.Child | None = None
+        files.write_keys(self.folder)
+        process = ids.ProcessId("bench", self.clock.wall_ms())
+        path = self.folder.get_history("bench")
+        self.history = history.FileHistory(
+            path, process, self.clock, history.Role.BENCH
+        )
+
+    def __enter__(self) -> Cluster:
+        """Return the cluster; `start` brings it up."""
+        return self
+
+    def __exit__(self, *_error: object) -> None:
+        """End every process that still runs."""
+        self.stop_all()
+
+    def start(self) -> None:
+        """Bring up relays, entry VMs, the bundle and the endpoints, in order."""
+        self.start_relays()
+        for vm in self.plan.vms:
+            self.start_entry(vm)
+        for vm in self.plan.vms:
+            self.wait_for_listener(vm.operators)
+        self.roll(1)
+        self.start_host()
+        for vm in self.plan.vms:
+            self.wait_until_ready(vm)
+
+    def start_relays(self) -> None:
+        """Start the relays between failure domains."""
+        plan = self.plan
+        specs = tuple(
+            relay.RelaySpec(
+                plan.get_relay(source, target),
+                target.links,
+                source.domain,
+                target.domain,
+                plan.domain_delay_ms,
+            )
+            for source in plan.vms
+            for target in plan.vms
+            if source.domain != target.domain
+        )
+        if specs:
+            spec = relay.RelaysSpec(plan.relays, specs, LIFE_S)
+            self.relays = self.start_fake("relays", spec)
+            self.wait_for_listener(plan.relays)
+
+    def start_fake(self, command: str, spec: msgspec.Struct) -> children.Child:
+        """Start a process of the bench with its specification in a file."""
+        path = self.folder.root / f"{command}.json"
+        path.write_bytes(msgspec.json.encode(spec))
+        arguments = ["-m", "bench", command, str(path)]
+        return children.Child(arguments, self.folder.get_log(command))
+
+    def start_entry(self, vm: deployment.EntryVm) -> None:
+        """Start, or start again, one entry VM."""
+        files.write_settings(self.folder, self.plan, vm, self.secrets, self.options)
+        path = str(self.folder.get_settings(vm.name))
+        arguments = ["-m", "knapweedbeam_server", "serve", "--settings", path]
+        self.entries[vm.name] = children.Child(arguments, self.folder.get_log(vm.name))
+
+    def start_host(self) -> None:
+        """Start the endpoints and the platform."""
+        spec = host.HostSpec(
+            endpoints=self.plan.endpoints,
+            entries={
+                domain: tuple(vm.callers for vm in self.plan.get_vms(domain))
+                for domain in self.plan.domains
+            },
+            endpoint_token=self.secrets.endpoint_token,
+            platform_token=self.secrets.platform_token,
+            platform=self.plan.platform,
+            history_folder=str(self.folder.histories),
+            life_s=LIFE_S,
+        )
+        self.host = self.start_fake("host", spec)
+        self.wait_for_listener(self.plan.platform)
+
+    def wait_for_listener(self, address: str) -> None:
+        """Wait until a process accepts connections."""
+        end_s = time.monotonic() + LISTEN_TIMEOUT_S
+        while time.monotonic() < end_s:
+            try:
+                socket.create_connection(relay.parse_address(address), 1.0).close()
+                return
+            except OSError:
+                gevent.sleep(POLL_S)
+        raise ClusterError(f"nothing listens at {address}")
+
+    def wait_until_ready(self, vm: deployment.EntryVm) -> None:
+        """Wait until an entry VM says that it is ready."""
+        answer = self.poll(vm.callers, "GET", "/readyz", READY_TIMEOUT_S)
+        if answer is None:
+            raise ClusterError(f"{vm.name} is not ready")
+
+    def poll(
+        self, address: str, method: str, path: str, timeout_s: float, body: bytes = b""
+    ) -> calls.Reply | None:
+        """Repeat a call until it succeeds; return none when it never does."""
+        caller = calls.Caller(
+            address, self.secrets.operator_token, CALL_TIMEOUT_S, connections=1
+        )
+        end_s = time.monotonic() + timeout_s
+        try:
+            while time.monotonic() < end_s:
+                answer = caller.call(method, path, body)
+                if isinstance(answer, calls.Reply) and answer.status < 300:
+                    return answer
+                gevent.sleep(POLL_S)
+        finally:
+            caller.close()
+        return None
+
+    def roll(self, version: int) -> None:
+        """Roll a bundle of this version; a resend is answered the same."""
+        text = files.build_bundle(self.plan, self.secrets, version).encode()
+        target = next(vm for vm in self.plan.vms if vm.has_disk).operators
+        answer = self.poll(target, "POST", "/v1/bundles", READY_TIMEOUT_S, text)
+        if answer is None:
+            raise ClusterError(f"bundle {version} was not accepted")
+
+    def get_status(self, vm: deployment.EntryVm) -> dict[str, object]:
+        """Return an entry VM's status, empty when it does not answer."""
+        caller = calls.Caller(
+            vm.operators, self.secrets.operator_token, CALL_TIMEOUT_S, connections=1
+        )
+        answer = caller.call("GET", "/v1/status")
+        caller.close()
+        return answer.get_json() if isinstance(answer, calls.Reply) else {}
+
+    def control(self, address: str, path: str, change: msgspec.Struct) -> None:
+        """Send a change to one of the bench's own processes."""
+        caller = calls.Caller(address, "", CALL_TIMEOUT_S, connections=1)
+        answer = caller.call("POST", path, msgspec.json.encode(change))
+        caller.close()
+        if isinstance(answer, calls.Lost) or answer.status != 200:
+            raise ClusterError(f"{path} failed: {answer}")
+
+    def change_endpoint(self, name: str, change: host.Control) -> None:
+        """Change a fault, the speed or the leaving of an endpoint."""
+        self.control(self.plan.platform, host.CONTROL_PREFIX + name, change)
+
+    def cut(self, domain: str) -> None:
+        """Cut a failure domain's entry VMs off from all others."""
+        names = tuple(vm.name for vm in self.plan.get_vms(domain))
+        self.history.write(events.CutOff(domain, names))
+        self.control(self.plan.relays, relay.CUT_PATH, relay.DomainChange(domain))
+
+    def heal(self, domain: str) -> None:
+        """Let a failure domain's links work again."""
+        names = tuple(vm.name for vm in self.plan.get_vms(domain))
+        self.control(self.plan.relays, relay.HEAL_PATH, relay.DomainChange(domain))
+        self.history.write(events.Healed(domain, names))
+
+    def kill(self, name: str) -> None:
+        """Kill an entry VM."""
+        self.history.write(events.Killed(name))
+        child = self.entries.pop(name)
+        child.send(signal.SIGKILL)
+        child.wait(children.KILL_WAIT_S)
+
+    def stop(self, name: str) -> int | None:
+        """Stop an entry VM gracefully and return its exit status."""
+        self.history.write(events.StopSent(name))
+        child = self.entries.pop(name)
+        status = child.end(STOP_TIMEOUT_S)
+        self.history.write(events.Exited(name, -1 if status is None else status))
+        return status
+
+    def stop_all(self) -> None:
+        """Stop the entry VMs side by side, then the fakes."""
+        stops = [gevent.spawn(self.stop, name) for name in list(self.entries)]
+        gevent.joinall(stops)
+        for child in (self.host, self.relays):
+            if child is not None:
+                child.end(HOST_STOP_TIMEOUT_S)
+        self.host = self.relays = None
+        self.history.close()
