--- a/packages/core/src/knapweedbeam_core/entry/node.py
+++ b/packages/core/src/knapweedbeam_core/entry/node.py
@@ -3,23 +3,32 @@
 from __future__ import annotations
 
 import collections
+import collections.abc
 
-from knapweedbeam_core import effects, ids, jobs, outcomes
+from knapweedbeam_core import effects, ids, jobs, outcomes, rules
 from knapweedbeam_core.entry import parts
 
+Observe = collections.abc.Callable[[parts.Effect], None]
+
 
 class Node:
-    """Composes the parts; every call returns effects for the shell only."""
+    """Composes the parts; every call returns effects for the shell only.
+
+    `observe` is told of each effect as it happens, events between parts included.
+    """
 
     def __init__(
         self,
         coordinator: parts.Coordinator,
         dispatcher: parts.Dispatcher,
         control: parts.Control,
+        observe: Observe,
     ) -> None:
         self.coordinator = coordinator
         self.dispatcher = dispatcher
         self.control = control
+        self.observe = observe
+        self.rules = rules.Rules()
         self.parts: tuple[parts.Part, ...] = (control, dispatcher, coordinator)
         self.takers: dict[type, parts.Part] = {
             cls: part for part in self.parts for cls in part.get_message_classes()
@@ -107,6 +116,14 @@
             else:
                 waiting.extend(followed)
 
+    def obey(self, new: rules.Rules) -> parts.Effects:
+        """Have every part obey a newer bundle."""
+        self.rules = new
+        found: parts.Effects = []
+        for part in self.parts:
+            found += part.on_rules(new)
+        return found
+
     def follow_live(self) -> parts.Effects:
         """Tell the coordinator when the live entry VMs have changed."""
         live = self.dispatcher.get_live()
@@ -117,6 +134,7 @@
 
     def hand_over(self, effect: parts.Effect) -> parts.Effects | None:
         """Return what follows from an event, or nothing for a shell's effect."""
+        self.observe(effect)
         match effect:
             case effects.Enqueue(job):
                 return self.dispatcher.enqueue(job)
@@ -131,8 +149,5 @@
             case effects.JobEnded(ticket, outcome):
                 return self.coordinator.settle(ticket, outcome)
             case parts.RulesInForce(new):
-                found: parts.Effects = []
-                for part in self.parts:
-                    found += part.on_rules(new)
-                return found
+                return self.obey(new)
         return None
--- /dev/null
+++ b/packages/server/src/knapweedbeam_server/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP to callers, endpoints, the platform and operators."""
--- /dev/null
+++ b/packages/server/src/knapweedbeam_server/http/router.py
@@ -0,0 +1,179 @@
+"""Find the handler of a request, and read its body within bounds."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import typing
+import urllib.parse
+
+import gevent
+
+from knapweedbeam_core import outcomes, reasons
+from knapweedbeam_server.http import auth, replies
+
+Environ = dict[str, typing.Any]
+StartResponse = collections.abc.Callable[[str, list[tuple[str, str]]], typing.Any]
+JSON_TYPE = "application/json"
+WILDCARD = "*"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """One call; `places` are the path segments that the route leaves open."""
+
+    method: str
+    places: tuple[str, ...]
+    query: dict[str, str]
+    body: bytes
+    bearer: auth.Caller
+    key: str
+
+    def get_int(self, name: str, default: int) -> int | outcomes.Refusal:
+        """Return a query parameter as a whole number from 0."""
+        text = self.query.get(name)
+        if text is None:
+            return default
+        if not text.isdecimal() or len(text) > 15:
+            detail = f"{name} is {text[:20]!r}, not a whole number from 0"
+            return outcomes.Refusal(reasons.Reason.INVALID, detail)
+        return int(text)
+
+
+Handler = collections.abc.Callable[[Request], replies.Reply]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """A method and a path whose `*` segments are open, with who may call it."""
+
+    method: str
+    path: str
+    handler: Handler
+    access: auth.Access
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """What one request may take."""
+
+    body_bytes: int
+    read_timeout_ms: int
+
+
+class Gauge(typing.Protocol):
+    """Counts the requests that are being answered."""
+
+    open_requests: int
+
+    def is_stopping(self) -> bool:
+        """Say whether connections are to be closed after their reply."""
+
+
+class Router:
+    """A WSGI application over a table of routes."""
+
+    def __init__(
+        self,
+        routes: tuple[Route, ...],
+        authenticator: auth.Authenticator,
+        bounds: Bounds,
+        gauge: Gauge,
+    ) -> None:
+        self.authenticator = authenticator
+        self.bounds = bounds
+        self.gauge = gauge
+        self.by_length: dict[int, list[tuple[tuple[str, ...], Route]]] = {}
+        for route in routes:
+            segments = tuple(route.path.strip("/").split("/"))
+            self.by_length.setdefault(len(segments), []).append((segments, route))
+
+    def __call__(self, environ: Environ, start: StartResponse) -> list[bytes]:
+        """Answer one request."""
+        self.gauge.open_requests += 1
+        try:
+            reply = self.answer(environ)
+            headers = [
+                ("Content-Type", JSON_TYPE),
+                ("Content-Length", str(len(reply.body))),
+                *reply.headers,
+            ]
+            if self.gauge.is_stopping():
+                headers.append(("Connection", "close"))
+            start(replies.STATUS_TEXTS[reply.status], headers)
+            return [reply.body]
+        finally:
+            self.gauge.open_requests -= 1
+
+    def answer(self, environ: Environ) -> replies.Reply:
+        """Return the reply to one request."""
+        method = environ["REQUEST_METHOD"]
+        segments = tuple(environ["PATH_INFO"].strip("/").split("/"))
+        found = self.find(method, segments)
+        if isinstance(found, outcomes.Refusal):
+            status = 405 if found.reason is reasons.Reason.INVALID else 404
+            return replies.build_refusal(found, status)
+        route, places = found
+        caller = self.authenticator.check(
+            environ.get("HTTP_AUTHORIZATION", ""), route.access
+        )
+        if isinstance(caller, outcomes.Refusal):
+            return replies.build_refusal(caller)
+        body = self.read_body(environ)
+        if isinstance(body, replies.Reply):
+            return body
+        query = dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", "")))
+        key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
+        return route.handler(Request(method, places, query, body, caller, key))
+
+    def find(
+        self, method: str, segments: tuple[str, ...]
+    ) -> tuple[Route, tuple[str, ...]] | outcomes.Refusal:
+        """Return the route of a path with its open segments."""
+        known = False
+        for pattern, route in self.by_length.get(len(segments), ()):
+            pairs = list(zip(pattern, segments, strict=True))
+            if any(want not in (WILDCARD, got) for want, got in pairs):
+                continue
+            known = True
+            if route.method == method:
+                places = tuple(got for want, got in pairs if want == WILDCARD)
+                return route, places
+        if known:
+            return outcomes.Refusal(reasons.Reason.INVALID, f"no {method} here")
+        return outcomes.Refusal(reasons.Reason.NOT_FOUND, "no such path")
+
+    def read_body(self, environ: Environ) -> bytes | replies.Reply:
+        """Return the body, or the refusal of one that is too large or too slow."""
+        if "HTTP_TRANSFER_ENCODING" in environ:
+            detail = "a body needs Content-Length"
+            refusal = outcomes.Refusal(reasons.Reason.INVALID, detail)
+            return self.close(replies.build_refusal(refusal, 411))
+        text = environ.get("CONTENT_LENGTH") or "0"
+        if not text.isdecimal() or int(text) > self.bounds.body_bytes:
+            self.bound_unread(environ)
+            detail = f"a body holds at most {self.bounds.body_bytes} bytes"
+            refusal = outcomes.Refusal(reasons.Reason.TOO_LARGE, detail)
+            return self.close(replies.build_refusal(refusal))
+        size = int(text)
+        body = b""
+        if size:
+            with gevent.Timeout(self.bounds.read_timeout_ms / 1_000, False):
+                body = environ["wsgi.input"].read(size)
+        if len(body) < size:
+            detail = f"{size} bytes announced and not sent in time"
+            refusal = outcomes.Refusal(reasons.Reason.INVALID, detail)
+            return self.close(replies.build_refusal(refusal, 408))
+        return body
+
+    def bound_unread(self, environ: Environ) -> None:
+        """Have the server skip no more of a refused body than a body may hold.
+
+        Some of it is skipped, so that a caller gets the reply, not a reset.
+        """
+        stream = environ["wsgi.input"]
+        stream.content_length = self.bounds.body_bytes
+
+    def close(self, reply: replies.Reply) -> replies.Reply:
+        """Have the connection closed: the rest of the body stays unread."""
+        return dataclasses.replace(reply, headers=(("Connection", "close"),))
--- /dev/null
+++ b/packages/server/src/knapweedbeam_server/http/serving.py
@@ -0,0 +1,85 @@
+"""The WSGI server with bounds on connections, headers and time."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import gevent
+import gevent.pool
+import gevent.pywsgi
+
+from knapweedbeam_server.http import router
+
+IDLE_TIMEOUT_S = 75.0
+WsgiServer: typing.TypeAlias = gevent.pywsgi.WSGIServer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerBounds:
+    """What all connections to one port may take."""
+
+    connections: int
+    header_bytes: int
+    read_timeout_ms: int
+
+
+class BoundedHandler(gevent.pywsgi.WSGIHandler):  # type: ignore[misc]
+    """Gives a client a bounded time for each request's line and headers."""
+
+    idle_timeout_s: typing.ClassVar[float] = IDLE_TIMEOUT_S
+    read_timeout_s: typing.ClassVar[float] = 10.0
+    max_header_bytes: typing.ClassVar[int] = 16_384
+
+    def handle(self) -> None:
+        """Serve one connection."""
+        self.socket.settimeout(IDLE_TIMEOUT_S)
+        super().handle()
+
+    def read_requestline(self) -> str:
+        """Read a request's first line; an idle connection is closed."""
+        line = ""
+        with gevent.Timeout(self.idle_timeout_s, False):
+            line = super().read_requestline()
+        return line
+
+    def read_request(self, raw_requestline: str) -> bool | None:
+        """Read the headers within the time and size allowed."""
+        result: bool | None = None
+        with gevent.Timeout(self.read_timeout_s, False):
+            result = super().read_request(raw_requestline)
+            size = sum(len(n) + len(v) for n, v in self.headers.items())
+            if size > self.max_header_bytes:
+                self.log_error("headers of %d bytes", size)
+                return False
+        return result
+
+
+class SilentLog:
+    """Swallows the server's own request log; events are logged instead."""
+
+    def write(self, text: str) -> None:
+        """Drop a line."""
+
+
+def build_server(
+    address: tuple[str, int], app: router.Router, bounds: ServerBounds
+) -> WsgiServer:
+    """Return a server that is not started yet."""
+    handler = type(
+        "Handler",
+        (BoundedHandler,),
+        {
+            "read_timeout_s": bounds.read_timeout_ms / 1_000,
+            "max_header_bytes": bounds.header_bytes,
+        },
+    )
+    return gevent.pywsgi.WSGIServer(
+        address,
+        app,
+        backlog=1_024,
+        spawn=gevent.pool.Pool(bounds.connections),
+        log=SilentLog(),
+        error_log=SilentLog(),
+        handler_class=handler,
+    )
--- /dev/null
+++ b/packages/server/src/knapweedbeam_server/shell.py
@@ -0,0 +1,413 @@
+"""Carry out what the node decides, and bring it events."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import gevent
+import gevent.event
+import gevent.queue
+
+from knapweedbeam_core import clock, effects, ids, jobs, outcomes, rules
+from knapweedbeam_core.entry import node as nodes
+from knapweedbeam_core.entry import parts
+from knapweedbeam_server import histograms, history, job_times, waiters
+from knapweedbeam_server.http import auth, operators
+from knapweedbeam_server.logs import catalogue, emit
+from knapweedbeam_server.tasks import starter
+from knapweedbeam_wire import links as wire_links
+from knapweedbeam_wire import traffic
+
+STALL_MS = 250
+MS_PER_S = 1_000
+
+
+class Disk(typing.Protocol):
+    """The data folder; `save` blocks until all is synced."""
+
+    def save(self, persist: parts.Persist) -> outcomes.Refusal | None:
+        """Write and sync, or say why the replica must stop."""
+
+
+@dataclasses.dataclass(slots=True)
+class Counters:
+    """What the HTTP servers tell the shell."""
+
+    open_requests: int = 0
+    stopping: bool = False
+
+    def is_stopping(self) -> bool:
+        """Say whether connections are to be closed after their reply."""
+        return self.stopping
+
+
+class Shell:
+    """One process: the node, its links, its tasks and those who wait."""
+
+    def __init__(
+        self,
+        me: ids.ProcessId,
+        domain: str,
+        own_clock: clock.Clock,
+        authenticator: auth.Authenticator,
+        record: history.HistoryWriter,
+        series: histograms.Histograms,
+    ) -> None:
+        self.me = me
+        self.domain = domain
+        self.clock = own_clock
+        self.authenticator = authenticator
+        self.history = record
+        self.histograms = series
+        self.times = job_times.TimeKeeper(own_clock, series)
+        self.job_waiters = waiters.JobWaiters()
+        self.proposal_waiters = waiters.ProposalWaiters()
+        self.counters = Counters()
+        self.to_save: gevent.queue.SimpleQueue = gevent.queue.SimpleQueue()
+        self.disk_failed = gevent.event.Event()
+        self.node: nodes.Node
+        self.links: wire_links.Links
+        self.starter: starter.TaskStarter
+        self.ready = False
+        self.alone = False
+
+    def connect(
+        self,
+        node: nodes.Node,
+        links: wire_links.Links,
+        tasks: starter.TaskStarter,
+    ) -> None:
+        """Take the parts that need the shell themselves."""
+        self.node = node
+        self.links = links
+        self.starter = tasks
+
+    # Events from the callers' calls.
+
+    def get_rules(self) -> rules.Rules:
+        """Return the rules in force."""
+        return self.node.rules
+
+    def now_ms(self) -> int:
+        """Return monotonic time."""
+        return self.clock.now_ms()
+
+    def mint(self, member: str, count: int) -> tuple[str, ...] | outcomes.Refusal:
+        """Mint tickets."""
+        tickets = self.node.coordinator.mint(member, count)
+        if not isinstance(tickets, outcomes.Refusal):
+            self.history.write(history.Minted(member, len(tickets)))
+        return tickets
+
+    def submit(self, job: jobs.Job) -> outcomes.Refusal | None:
+        """Take a submission; return a refusal that is for this call alone."""
+        self.history.write(build_submitted(job))
+        return self.carry_out_call(job.ticket, self.node.submit(job))
+
+    def submit_new(self, job: jobs.Job, key: str) -> str | outcomes.Refusal:
+        """Take a submission without a ticket; return what to wait for.
+
+        The effects follow in the next turn, when the call waits already.
+        """
+        taken = self.node.submit_new(job, key)
+        if isinstance(taken, outcomes.Refusal):
+            return taken
+        handle, followed = taken
+        self.history.write(build_submitted(dataclasses.replace(job, ticket=handle)))
+        gevent.spawn(self.carry_out, followed)
+        return handle
+
+    def look_up(self, ticket: str, member: str) -> outcomes.Refusal | None:
+        """Ask for an outcome."""
+        return self.carry_out_call(ticket, self.node.look_up(ticket, member))
+
+    def cancel(self, ticket: str, member: str) -> outcomes.Refusal | None:
+        """Cancel a job."""
+        return self.carry_out_call(ticket, self.node.cancel(ticket, member))
+
+    def carry_out_call(
+        self, ticket: str, found: parts.Effects
+    ) -> outcomes.Refusal | None:
+        """Carry out a call's effects; a refusal at once is for that call alone.
+
+        Others may wait for the same ticket rightfully.
+        """
+        refusal = None
+        others: parts.Effects = []
+        for effect in found:
+            match effect:
+                case effects.Answer(own, outcomes.Refusal() as refused) if (
+                    own == ticket
+                ):
+                    refusal = refused
+                case _:
+                    others.append(effect)
+        self.carry_out(others)
+        return refusal
+
+    # Events from endpoints, the platform and operators.
+
+    def announce(
+        self, announcement: parts.Announcement
+    ) -> parts.EndpointLease | outcomes.Refusal:
+        """Take an endpoint's announcement."""
+        answer, followed = self.node.announce(announcement)
+        self.write_announcement(announcement)
+        self.carry_out(followed)
+        return answer
+
+    def write_announcement(self, announcement: parts.Announcement) -> None:
+        """Write an announcement to the history."""
+        name = announcement.endpoint
+        incarnation, sequence = announcement.incarnation, announcement.sequence
+        if announcement.leaving:
+            self.history.write(history.Leaving(name, incarnation, sequence))
+        else:
+            slots = announcement.slots
+            self.history.write(history.Announced(name, incarnation, sequence, slots))
+
+    def report_usage(self, report: parts.UsageReport) -> None:
+        """Take a worker's usage."""
+        self.carry_out(self.node.report_usage(report))
+
+    def propose(self, call: int, bundle: str) -> None:
+        """Roll a bundle."""
+        self.carry_out(self.node.propose(call, bundle))
+
+    def get_bundle(self, version: int) -> str | outcomes.Refusal:
+        """Return an accepted bundle."""
+        return self.node.control.get_bundle(version)
+
+    def is_ready(self) -> bool:
+        """Say whether callers' work is taken."""
+        if self.counters.stopping or self.disk_failed.is_set():
+            return False
+        if self.alone:
+            return True
+        return self.node.rules.version > 0 and self.node.control.is_ready()
+
+    def get_status(self) -> operators.StatusContent:
+        """Return the status of this process."""
+        status = self.node.control.get_status()
+        live = sorted(process.name for process in self.node.dispatcher.get_live())
+        return operators.StatusContent(
+            process=self.me.name,
+            incarnation=self.me.incarnation,
+            domain=self.domain,
+            ready=self.is_ready(),
+            stopping=self.counters.stopping,
+            version=self.node.rules.version,
+            digest=self.node.rules.digest,
+            leader=status.leader,
+            in_force=dict(status.in_force),
+            unreachable_domains=status.unreachable_domains,
+            live=tuple(live),
+            waiting_calls=self.job_waiters.get_count(),
+            running_tasks=len(self.starter.running),
+            links=build_links_content(self.links),
+        )
+
+    # Events from links.
+
+    def on_message(self, sender: ids.ProcessId, message: effects.Message) -> None:
+        """Take a message from a proved sender."""
+        self.carry_out(self.node.on_message(sender, message))
+
+    def link_up(self, peer: ids.ProcessId) -> None:
+        """Hear that the link to a peer is up."""
+        emit.emit(catalogue.PEER_UP, peer=peer.name, incarnation=peer.incarnation)
+
+    def link_down(self, name: str, detail: str) -> None:
+        """Hear that the link to a peer went down."""
+        emit.emit(catalogue.PEER_DOWN, peer=name, reason=detail)
+
+    def link_refused(self, address: str, detail: str) -> None:
+        """Hear that an incoming link was closed for what it sent."""
+        emit.emit(catalogue.LINK_REFUSED_FRAME, peer=address, detail=detail)
+
+    def task_ended(self, end: effects.TaskEnd) -> None:
+        """Take the end of a task."""
+        self.times.task_ended(end)
+        status = 200 if isinstance(end.result, effects.TaskAnswered) else 0
+        task = end.task
+        self.history.write(
+            history.TaskAnswered(
+                task.ticket, task.index, end.endpoint, status, end.run_ms
+            )
+        )
+        self.carry_out(self.node.task_end(end))
+
+    # Effects.
+
+    def carry_out(self, found: parts.Effects) -> None:
+        """Carry out effects in order."""
+        for effect in found:
+            match effect:
+                case effects.Send(to, message):
+                    self.links.send(to, message)
+                case effects.StartTask():
+                    self.start_task(effect)
+                case effects.StopTask():
+                    self.starter.stop(effect)
+                case effects.Answer(ticket, outcome):
+                    self.answer(ticket, outcome)
+                case parts.Persist():
+                    self.to_save.put(effect)
+                case parts.ProposalAnswered(call, answer):
+                    self.answer_proposal(call, answer)
+
+    def start_task(self, start: effects.StartTask) -> None:
+        """Start a task."""
+        self.times.started(start)
+        task = start.task
+        self.history.write(
+            history.Started(task.ticket, task.index, start.endpoint, start.address)
+        )
+        self.starter.start(start)
+
+    def answer(self, ticket: str, outcome: outcomes.Outcome | outcomes.Refusal) -> None:
+        """Give an answer to those who wait."""
+        if not isinstance(outcome, outcomes.Refusal):
+            self.history.write(history.build_answered(ticket, outcome))
+        self.job_waiters.resolve(ticket, outcome)
+
+    def answer_proposal(self, call: int, answer: waiters.ProposalAnswer) -> None:
+        """Give an operator the answer."""
+        if isinstance(answer, parts.Accepted):
+            self.history.write(history.Accepted(answer.version, answer.digest))
+        self.proposal_waiters.resolve(call, answer)
+
+    def observe(self, effect: parts.Effect) -> None:
+        """Note what the parts tell each other, for history and histograms."""
+        match effect:
+            case effects.Enqueue(job):
+                self.times.queued(job)
+            case effects.JobBegun(ticket):
+                self.history.write(history.Begun(ticket))
+            case effects.JobEnded(ticket, outcome):
+                self.times.ended(ticket, outcome)
+            case effects.JobAbandoned(ticket):
+                self.times.ended(ticket, None)
+            case parts.RulesInForce(new):
+                self.obey(new)
+
+    def obey(self, new: rules.Rules) -> None:
+        """Note that a newer bundle is in force."""
+        self.authenticator.rules = new
+        self.histograms.drop_members(new.members)
+        self.history.write(history.InForce(new.version, new.digest))
+        emit.emit(catalogue.BUNDLE_IN_FORCE, version=new.version, digest=new.digest)
+
+    # Greenlets.
+
+    def run_ticks(self) -> None:
+        """Tick the node; say when the loop stood still."""
+        due_ms = self.clock.now_ms()
+        while True:
+            due_ms += parts.TICK_MS
+            gevent.sleep(max(due_ms - self.clock.now_ms(), 0) / MS_PER_S)
+            late_ms = self.clock.now_ms() - due_ms
+            if late_ms > STALL_MS:
+                emit.emit(catalogue.LOOP_STALLED, stall_ms=late_ms)
+            if late_ms > parts.TICK_MS:
+                due_ms = self.clock.now_ms()
+            self.carry_out(self.node.tick())
+            self.follow_readiness()
+
+    def follow_readiness(self) -> None:
+        """Note when the process becomes ready, or is so no more."""
+        ready = self.is_ready()
+        if ready == self.ready:
+            return
+        self.ready = ready
+        if ready:
+            self.history.write(history.Ready())
+            emit.emit(catalogue.READY, bundle=self.node.rules.version)
+        elif not self.counters.stopping:
+            emit.emit(catalogue.NOT_READY, reason="no bundle or no data folder")
+
+    def run_saves(self, disk: Disk) -> None:
+        """Save what the replica asks for, in order, off the loop's thread."""
+        pool = gevent.get_hub().threadpool
+        while True:
+            persist = self.to_save.get()
+            failure = pool.apply(disk.save, (persist,))
+            if failure is not None:
+                emit.emit(
+                    catalogue.STORE_FAILED,
+                    reason=failure.reason,
+                    detail=failure.detail,
+                )
+                self.disk_failed.set()
+                return
+            self.carry_out(self.node.persisted(persist.batch))
+
+    def flush_history(self) -> None:
+        """Flush the history each second."""
+        while True:
+            gevent.sleep(history.FLUSH_MS / MS_PER_S)
+            self.history.flush()
+
+    # Stopping.
+
+    def stop(self) -> None:
+        """Start a graceful stop."""
+        self.counters.stopping = True
+        self.history.write(history.Stopping())
+        self.carry_out(self.node.stop())
+
+    def is_idle(self) -> bool:
+        """Say whether nothing is left to answer."""
+        return (
+            self.node.dispatcher.is_idle()
+            and not self.starter.running
+            and not self.counters.open_requests
+        )
+
+    def close(self, cut: int) -> None:
+        """End the history."""
+        self.history.write(history.Stopped(cut))
+        self.history.close()
+
+    def get_unanswered(self) -> int:
+        """Return how many requests a stop would cut now."""
+        return max(self.counters.open_requests, len(self.times.jobs))
+
+
+def build_submitted(job: jobs.Job) -> history.Submitted:
+    """Return the event of a submission."""
+    return history.Submitted(
+        job.ticket,
+        job.member,
+        job.service,
+        job.job_class,
+        len(job.tasks),
+        job.repeatable,
+    )
+
+
+def build_links_content(links: wire_links.Links) -> operators.LinksContent:
+    """Return the traffic of all links."""
+    sent = traffic.Traffic()
+    for link in links.outgoing.values():
+        sent.messages.update(link.sent.messages)
+        sent.frames += link.sent.frames
+        sent.frame_bytes += link.sent.frame_bytes
+        sent.dropped += link.sent.dropped
+    connected = tuple(n for n, link in links.outgoing.items() if link.connected)
+    return operators.LinksContent(
+        connected,
+        build_traffic_content(sent),
+        build_traffic_content(links.received),
+    )
+
+
+def build_traffic_content(counted: traffic.Traffic) -> operators.TrafficContent:
+    """Return one direction's traffic as an answer holds it."""
+    return operators.TrafficContent(
+        dict(counted.messages),
+        counted.frames,
+        counted.frame_bytes,
+        counted.dropped,
+    )
--- /dev/null
+++ b/packages/server/src/knapweedbeam_server/tasks/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks on their way to endpoints."""
