Share the forms of histograms between server and command line

The operators' command line merges what several entry VMs report, so reading, bounding and merging move to the core. An empty histogram gave no percentiles and broke a merge; it gives zeros now.

--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/histogram_forms.py
@@ -0,0 +1,142 @@
+"""Histograms as they are shown and merged: one form for each series."""
+
+from __future__ import annotations
+
+import base64
+import collections.abc
+import dataclasses
+import enum
+import struct
+import typing
+import zlib
+
+import hdrh.codec
+import hdrh.histogram
+
+from knapweedbeam_core import clock, outcomes, reasons
+
+LOWEST = 1
+HIGHEST = clock.HOUR_MS
+SIGNIFICANT_DIGITS = 2
+MERGED_WORD_BYTES = 8
+ENCODED_LIMIT_CHARACTERS = 2**16
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+COOKIE_HEADER_BYTES = 8
+PAYLOAD_HEADER = struct.Struct(">IIIIQQd")
+DECODE_ERRORS = (
+    hdrh.codec.HdrCookieException,
+    hdrh.codec.HdrLengthException,
+    hdrh.codec.HdrHistogramSettingsException,
+    ValueError,
+    RuntimeError,
+    ArithmeticError,
+    IndexError,
+    MemoryError,
+    OverflowError,
+    TypeError,
+    struct.error,
+    zlib.error,
+)
+
+
+class Kind(enum.StrEnum):
+    """What a histogram counts; `IDEAL_RATIO` is in thousandths, the others in ms."""
+
+    WAIT = "wait_ms"
+    RUN = "run_ms"
+    RESPONSE = "response_ms"
+    IDEAL_RATIO = "ideal_ratio_thousandths"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Name:
+    """Which series a value belongs to."""
+
+    member: str
+    job_class: str
+    kind: Kind
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Percentile:
+    """The value that `percent` of all values do not pass."""
+
+    percent: float
+    value: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Series:
+    """One histogram; `encoded` is HdrHistogram's compressed form in base64."""
+
+    member: str
+    job_class: str
+    kind: Kind
+    count: int
+    lowest: int
+    highest: int
+    percentiles: tuple[Percentile, ...]
+    encoded: str
+
+
+def build_histogram(word_bytes: int) -> typing.Any:
+    """Return an empty histogram with the bounds that all of them share."""
+    return hdrh.histogram.HdrHistogram(
+        LOWEST, HIGHEST, SIGNIFICANT_DIGITS, word_size=word_bytes
+    )
+
+
+def build_series(name: Name, histogram: typing.Any) -> Series:
+    """Return the form of one histogram that goes to readers."""
+    found = histogram.get_percentile_to_value_dict(list(PERCENTILES))
+    percentiles = tuple(Percentile(at, found.get(at, 0)) for at in PERCENTILES)
+    return Series(
+        name.member,
+        name.job_class,
+        name.kind,
+        histogram.get_total_count(),
+        histogram.get_min_value() if histogram.get_total_count() else 0,
+        histogram.get_max_value(),
+        percentiles,
+        histogram.encode().decode("ascii"),
+    )
+
+
+def has_shared_bounds(encoded: str) -> bool:
+    """Say whether a compressed form has the bounds that all of them share.
+
+    The library would allocate whatever the header asks for. Raises `ValueError`,
+    `zlib.error` or `struct.error` on other bytes.
+    """
+    packed = base64.b64decode(encoded, validate=True)[COOKIE_HEADER_BYTES:]
+    header = zlib.decompressobj().decompress(packed, PAYLOAD_HEADER.size)
+    bounds = PAYLOAD_HEADER.unpack(header)[3:6]
+    return bounds == (SIGNIFICANT_DIGITS, LOWEST, HIGHEST)
+
+
+def decode(encoded: str) -> typing.Any:
+    """Return the histogram that a compressed form holds, or a refusal."""
+    if len(encoded) > ENCODED_LIMIT_CHARACTERS:
+        return outcomes.Refusal(reasons.Reason.TOO_LARGE, "histogram")
+    try:
+        if not has_shared_bounds(encoded):
+            return outcomes.Refusal(reasons.Reason.INVALID, "histogram of other bounds")
+        return hdrh.histogram.HdrHistogram.decode(encoded)
+    except DECODE_ERRORS as error:
+        return outcomes.Refusal(reasons.Reason.INVALID, f"histogram: {error}")
+
+
+def merge(
+    forms: collections.abc.Iterable[Series],
+) -> tuple[Series, ...] | outcomes.Refusal:
+    """Return one series for each name over several processes' series."""
+    merged: dict[Name, typing.Any] = {}
+    for form in forms:
+        histogram = decode(form.encoded)
+        if isinstance(histogram, outcomes.Refusal):
+            return histogram
+        name = Name(form.member, form.job_class, form.kind)
+        if name not in merged:
+            merged[name] = build_histogram(MERGED_WORD_BYTES)
+        merged[name].add(histogram)
+    return tuple(build_series(name, merged[name]) for name in sorted(merged))
--- a/packages/server/src/knapweedbeam_server/commands/exit_codes.py
+++ b/packages/server/src/knapweedbeam_server/commands/exit_codes.py
@@ -1,9 +1,9 @@
-"""Exit statuses of `knapweedbeam`; 2 is a wrong command line."""
+"""Exit statuses of commands; 2 is a wrong command line, `process` has others."""
 
 from __future__ import annotations
 
 import typing
 
 OK: typing.Final = 0
-INVALID_SETTINGS: typing.Final = 3
-CANNOT_WRITE: typing.Final = 4
+INVALID_SETTINGS: typing.Final = 5
+CANNOT_WRITE: typing.Final = 6
