--- a/packages/core/src/knapweedbeam_core/tickets/coordinator.py
+++ b/packages/core/src/knapweedbeam_core/tickets/coordinator.py
@@ -127,8 +127,8 @@
     def on_live(self, live: frozenset[ids.ProcessId]) -> parts.Effects:
         """Take the live entry VMs of this failure domain, this one included."""
         self.witness.live = live
-        lost = self.witnesses.update(live)
-        return self.route(self.owner.on_live(lost))
+        change = self.witnesses.update(live)
+        return self.route(self.owner.on_live(change))
 
     def begin(self, ticket_text: str) -> parts.Effects:
         """Have a job recorded as begun; `JobBegun` or `JobAbandoned` follows."""
--- a/packages/core/src/knapweedbeam_core/tickets/inbox.py
+++ b/packages/core/src/knapweedbeam_core/tickets/inbox.py
@@ -126,10 +126,10 @@
             return []
         if named.owner != self.me:
             return self.resolver.on_wrong_run(message.ticket, sender)
-        witness_id = named.witness
-        if witness_id is None or not resolver.is_successor(sender, witness_id):
+        ended = named.witness
+        if ended is None or not resolver.is_successor(sender, ended):
             return []
-        return self.owner.on_ended(witness_id)
+        return self.owner.on_loss(ended, records.Event.ENDED)
 
     def on_begin(
         self, sender: ids.ProcessId, message: messages.BeginJob
@@ -174,14 +174,18 @@
     ) -> parts.Effects:
         """Start a job that its witness holds as begun."""
         record = self.find_record(sender, message.ticket)
-        return [] if record is None else self.owner.on_recorded(record)
+        if record is None:
+            return []
+        return self.hear(sender) + self.owner.on_recorded(record)
 
     def on_refused(
         self, sender: ids.ProcessId, message: messages.BeginRefused
     ) -> parts.Effects:
         """Give up a job that its witness will not hold as begun."""
         record = self.find_record(sender, message.ticket)
-        return [] if record is None else self.owner.on_refused(record, message.reason)
+        if record is None:
+            return []
+        return self.hear(sender) + self.owner.on_refused(record, message.reason)
 
     def on_settle_recorded(
         self, sender: ids.ProcessId, message: messages.SettleRecorded
@@ -192,14 +196,19 @@
             record = self.find_record(sender, text)
             if record is not None:
                 done += self.owner.on_acknowledged(record)
-        return done
+        return done + self.hear(sender)
+
+    def hear(self, sender: ids.ProcessId) -> parts.Effects:
+        """Take a witness for reachable that was silent until now."""
+        if not self.owner.witnesses.mark_heard(sender, self.clock.now_ms()):
+            return []
+        return self.owner.on_back(sender)
 
     def find_record(self, sender: ids.ProcessId, text: str) -> records.Record | None:
         """Return the record of a ticket whose witness is the sender."""
         record = self.owner.records.by_text.get(text)
         if record is None or record.ticket.witness != sender:
             return None
-        self.owner.witnesses.mark_heard(sender)
         return record
 
     def on_seal_refused(
--- a/packages/core/src/knapweedbeam_core/tickets/owner.py
+++ b/packages/core/src/knapweedbeam_core/tickets/owner.py
@@ -41,7 +41,7 @@
         self.rules = rules.Rules()
         self.records = records.Records()
         self.timers: timers.Timers[str] = timers.Timers()
-        self.recording = recording.Recording(time, self.timers)
+        self.recording = recording.Recording(time, self.timers, chosen)
         self.stopping = False
 
     def submit(
@@ -234,21 +234,31 @@
         record.askers.clear()
         return [self.build_answer(text, name, record.outcome) for name in names]
 
-    def on_live(self, lost: frozenset[ids.ProcessId]) -> parts.Effects:
-        """Go on without the witnesses that are live no longer."""
+    def on_live(self, change: witnesses.Change) -> parts.Effects:
+        """Go on without the witnesses that went, and with those that came back."""
         done: parts.Effects = []
-        for witness in sorted(lost):
+        for witness in sorted(change.lost):
             ended = self.witnesses.is_ended(witness)
             event = records.Event.ENDED if ended else records.Event.SILENT
-            for record in self.records.get_open(witness):
-                done += self.on_witness(record, event)
+            done += self.on_loss(witness, event)
+        for witness in sorted(change.back):
+            done += self.on_back(witness)
         return done
 
-    def on_ended(self, witness: ids.ProcessId) -> parts.Effects:
-        """Go on without a witness that another run has taken the place of."""
+    def on_loss(self, witness: ids.ProcessId, event: records.Event) -> parts.Effects:
+        """Go on without a witness that is silent or has ended."""
+        self.witnesses.mark_silent(witness)
         done: parts.Effects = []
         for record in self.records.get_open(witness):
-            done += self.on_witness(record, records.Event.ENDED)
+            done += self.on_witness(record, event)
+        return done
+
+    def on_back(self, witness: ids.ProcessId) -> parts.Effects:
+        """Tell a witness that is back what it missed."""
+        done: parts.Effects = []
+        for record in self.records.get_open(witness):
+            if record.state is records.State.SETTLING:
+                done += self.recording.resend(record)
         return done
 
     def tick(self) -> parts.Effects:
@@ -267,12 +277,11 @@
         if not self.recording.is_overdue(record):
             return self.recording.resend(record)
         witness = record.ticket.witness
-        if witness is not None:
-            self.witnesses.mark_silent(witness)
-        done = self.on_witness(record, records.Event.SILENT)
-        if record.since_ms != self.clock.now_ms():
-            done += self.recording.resend(record)
-        return done
+        assert witness is not None
+        if not self.witnesses.is_usable(witness):
+            return self.recording.resend(record)
+        self.recording.park(record)
+        return self.on_loss(witness, records.Event.SILENT)
 
     def hold(self, record: records.Record, size: int) -> None:
         """Count `size` bytes as held by a record, in place of what it held."""
--- a/packages/core/src/knapweedbeam_core/tickets/records.py
+++ b/packages/core/src/knapweedbeam_core/tickets/records.py
@@ -57,7 +57,6 @@
     outcome: outcomes.Outcome | None = None
     replied: bool = False
     since_ms: int = 0
-    tries: int = 0
     askers: set[str] = dataclasses.field(default_factory=set)
 
     def apply(self, event: Event) -> bool:
--- a/packages/core/src/knapweedbeam_core/tickets/resolver.py
+++ b/packages/core/src/knapweedbeam_core/tickets/resolver.py
@@ -22,15 +22,21 @@
 
 @dataclasses.dataclass(slots=True)
 class Watch:
-    """One ticket of another owner whose outcome is asked for here."""
+    """One ticket of another owner whose outcome is asked for here.
+
+    `digest` names the submission made here, if any; its `job` is kept until the
+    owner holds it. `sought` says that a look-up or a cancel waits as well.
+    `unanswered_ms` is when the first question without an answer so far was sent.
+    """
 
     ticket: ticket.Ticket
     member: str
-    heard_ms: int
     job: jobs.Job | None = None
     digest: bytes = b""
+    sought: bool = False
     cancelled: bool = False
     asks_witness: bool = False
+    unanswered_ms: int | None = None
     sent: int = 0
     held_bytes: int = 0
 
@@ -51,34 +57,43 @@
         """Forward a submission to the ticket's owner."""
         digest = answers.get_digest(job)
         watch = self.watches.get(wanted.text)
-        if watch is not None and watch.digest not in (b"", digest):
+        if watch is not None and watch.digest == digest:
+            return []
+        if watch is not None and watch.digest:
             refusal = outcomes.Refusal(reasons.Reason.CONFLICT, "body")
             return [effects.Answer(wanted.text, refusal, digest)]
         size = answers.get_job_bytes(job)
         if not self.has_room(job.member, size):
             full = outcomes.Refusal(reasons.Reason.MEMORY, "forwarded jobs")
             return [effects.Answer(wanted.text, full, digest)]
-        fresh = watch is None or watch.job is None
         watch = watch or self.add(wanted, job.member)
-        if not fresh:
-            return []
         watch.job = job
         watch.digest = digest
         self.hold(watch, size)
-        return self.ask(watch)
+        if watch.asks_witness:
+            return self.ask(watch)
+        submit = effects.Send(wanted.owner.name, self.build_submit(job))
+        return [submit, *self.wait(watch)]
 
     def look_up(self, wanted: ticket.Ticket, member: str) -> parts.Effects:
         """Ask the ticket's owner for the outcome."""
-        if wanted.text in self.watches:
+        watch = self.watches.get(wanted.text)
+        if watch is not None:
+            watch.sought = True
             return []
         if not self.has_room(member, answers.RECORD_BYTES):
-            full = outcomes.Refusal(reasons.Reason.OVERLOADED, "look-ups")
-            return [effects.Answer(wanted.text, full)]
-        return self.ask(self.add(wanted, member))
+            return [build_overloaded(wanted.text)]
+        watch = self.add(wanted, member)
+        watch.sought = True
+        return self.ask(watch)
 
     def cancel(self, wanted: ticket.Ticket, member: str) -> parts.Effects:
         """Ask the ticket's owner to cancel the job."""
-        watch = self.watches.get(wanted.text) or self.add(wanted, member)
+        watch = self.watches.get(wanted.text)
+        if watch is None and not self.has_room(member, answers.RECORD_BYTES):
+            return [build_overloaded(wanted.text)]
+        watch = watch or self.add(wanted, member)
+        watch.sought = True
         if watch.cancelled:
             return []
         watch.cancelled = True
@@ -86,39 +101,43 @@
 
     def add(self, wanted: ticket.Ticket, member: str) -> Watch:
         """Start to watch a ticket."""
-        watch = Watch(wanted, member, self.clock.now_ms())
+        watch = Watch(wanted, member)
         watch.asks_witness = wanted.owner.name == self.me.name
         self.watches[wanted.text] = watch
         self.hold(watch, answers.RECORD_BYTES)
         return watch
 
-    def ask(self, watch: Watch) -> parts.Effects:
-        """Ask the owner, or the witness when the owner is silent."""
-        pause_ms = FIRST_POLL_MS if not watch.sent else POLL_MS
+    def wait(self, watch: Watch) -> parts.Effects:
+        """Set when to ask again."""
+        pause_ms = POLL_MS if watch.sent else FIRST_POLL_MS
         watch.sent += 1
-        self.timers.set(watch.ticket.text, self.clock.now_ms() + pause_ms)
-        if watch.asks_witness:
-            return self.ask_witness(watch)
-        return [effects.Send(watch.ticket.owner.name, self.build(watch))]
+        now_ms = self.clock.now_ms()
+        if watch.unanswered_ms is None:
+            watch.unanswered_ms = now_ms
+        self.timers.set(watch.ticket.text, now_ms + pause_ms)
+        return []
 
-    def ask_witness(self, watch: Watch) -> parts.Effects:
-        """Ask the witness; without one nobody else can tell the outcome."""
+    def ask(self, watch: Watch) -> parts.Effects:
+        """Ask the owner, and the witness as well when the owner is silent."""
+        text = watch.ticket.text
+        owner = watch.ticket.owner.name
         witness = watch.ticket.witness
-        if witness is None and watch.ticket.owner.name == self.me.name:
+        if watch.asks_witness and witness is None:
             return self.finish(watch, get_unknown())
-        if witness is None:
-            return [effects.Send(watch.ticket.owner.name, self.build(watch))]
-        seal = messages.SealTicket(watch.ticket.text, watch.member)
-        return [effects.Send(witness.name, seal)]
+        self.wait(watch)
+        asked: parts.Effects = []
+        if owner != self.me.name:
+            asked.append(effects.Send(owner, self.build(watch)))
+        if watch.asks_witness and witness is not None:
+            seal = messages.SealTicket(text, watch.member)
+            asked.append(effects.Send(witness.name, seal))
+        return asked
 
     def build(self, watch: Watch) -> effects.Message:
-        """Return the message for the owner."""
-        text = watch.ticket.text
+        """Return the message that asks the owner."""
         if watch.cancelled:
-            return messages.CancelTicket(text, watch.member)
-        if watch.job is None:
-            return messages.FindOutcome(text, watch.member)
-        return self.build_submit(watch.job)
+            return messages.CancelTicket(watch.ticket.text, watch.member)
+        return messages.FindOutcome(watch.ticket.text, watch.member)
 
     def build_submit(self, job: jobs.Job) -> effects.Message:
         """Return the submission with what is left to its deadline."""
@@ -137,9 +156,10 @@
         watch = self.watches.get(text)
         if watch is None or sender != watch.ticket.owner:
             return []
-        self.hear(watch)
-        # The owner has the body, so that polls need not carry it again.
         watch.job = None
+        watch.asks_witness = False
+        self.hold(watch, answers.RECORD_BYTES)
+        self.hear(watch)
         return []
 
     def on_answered(
@@ -151,8 +171,32 @@
             return []
         if sender not in (watch.ticket.owner, watch.ticket.witness):
             return []
+        if isinstance(message.result, outcomes.Refusal):
+            return self.on_refused(watch, message.result, message.body_digest)
         return self.finish(watch, message.result)
 
+    def on_refused(
+        self, watch: Watch, refusal: outcomes.Refusal, digest: bytes
+    ) -> parts.Effects:
+        """Submit again where the owner has no submission yet; else pass it on."""
+        if refusal.reason is reasons.Reason.NOT_FOUND and watch.job is not None:
+            self.hear(watch)
+            submit = self.build_submit(watch.job)
+            return [effects.Send(watch.ticket.owner.name, submit)]
+        if refusal.reason is reasons.Reason.NOT_FOUND and watch.digest:
+            return []
+        if refusal.reason is not reasons.Reason.CONFLICT:
+            return self.finish(watch, refusal)
+        if digest != watch.digest:
+            return []
+        if not watch.sought:
+            return self.finish(watch, refusal)
+        watch.job = None
+        watch.digest = b""
+        self.hold(watch, answers.RECORD_BYTES)
+        conflict = effects.Answer(watch.ticket.text, refusal, digest)
+        return [conflict, *self.ask(watch)]
+
     def on_seal_refused(
         self, message: messages.SealRefused, sender: ids.ProcessId
     ) -> parts.Effects:
@@ -187,10 +231,10 @@
 
     def hear(self, watch: Watch) -> None:
         """Note that the process which is asked has answered."""
-        watch.heard_ms = self.clock.now_ms()
+        watch.unanswered_ms = None
         doubled = FIRST_POLL_MS << min(watch.sent, 4)
         pause_ms = min(doubled, MAX_POLL_MS)
-        self.timers.set(watch.ticket.text, watch.heard_ms + pause_ms)
+        self.timers.set(watch.ticket.text, self.clock.now_ms() + pause_ms)
 
     def tick(self) -> parts.Effects:
         """Ask again where no answer came, or somebody else."""
@@ -201,7 +245,10 @@
 
     def on_due(self, watch: Watch) -> parts.Effects:
         """Ask again, or give up on who has been silent too long."""
-        silence_ms = self.clock.now_ms() - watch.heard_ms
+        now_ms = self.clock.now_ms()
+        silence_ms = 0
+        if watch.unanswered_ms is not None:
+            silence_ms = now_ms - watch.unanswered_ms
         if watch.asks_witness and silence_ms >= WITNESS_SILENCE_MS:
             return self.finish(watch, get_unknown())
         if not watch.asks_witness and silence_ms >= OWNER_SILENCE_MS:
@@ -234,6 +281,12 @@
     return earlier is not None and sender.name == earlier.name and sender != earlier
 
 
+def build_overloaded(text: str) -> effects.Effect:
+    """Return the refusal of a look-up that there is no room for."""
+    refusal = outcomes.Refusal(reasons.Reason.OVERLOADED, "look-ups")
+    return effects.Answer(text, refusal)
+
+
 def get_unknown() -> outcomes.Failed:
     """Return the outcome of a job of which nobody can tell."""
     return outcomes.Failed(reasons.Reason.OUTCOME_UNKNOWN)
--- a/packages/core/src/knapweedbeam_core/tickets/witnesses.py
+++ b/packages/core/src/knapweedbeam_core/tickets/witnesses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 
 from knapweedbeam_core import ids
@@ -9,6 +10,14 @@
 BLOCK_TICKETS = 64
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """The witnesses that came into reach, and those that are live no longer."""
+
+    back: frozenset[ids.ProcessId]
+    lost: frozenset[ids.ProcessId]
+
+
 class Witnesses:
     """Chooses witnesses and tells which of them are out of reach or gone.
 
@@ -22,22 +31,23 @@
         self.live: frozenset[ids.ProcessId] = frozenset()
         self.by_name: dict[str, ids.ProcessId] = {}
         self.silent: set[ids.ProcessId] = set()
+        self.heard_ms: dict[ids.ProcessId, int] = {}
         self.round: list[ids.ProcessId] = []
         self.current: ids.ProcessId | None = None
         self.left = 0
 
-    def update(self, live: frozenset[ids.ProcessId]) -> frozenset[ids.ProcessId]:
-        """Take the live entry VMs; return those that are live no longer."""
+    def update(self, live: frozenset[ids.ProcessId]) -> Change:
+        """Take the live entry VMs; return which came and which went."""
         others = live - {self.me}
-        lost = self.live - others
-        self.silent -= others - self.live
+        change = Change(others - self.live, self.live - others)
         self.silent &= others
+        self.heard_ms = {p: ms for p, ms in self.heard_ms.items() if p in others}
         self.live = others
         self.by_name = {process.name: process for process in others}
         self.round = []
         if self.current not in self.live:
             self.left = 0
-        return lost
+        return change
 
     def choose(self, count: int) -> ids.ProcessId | None:
         """Return the witness of the next `count` tickets; none when alone."""
@@ -69,6 +79,10 @@
         if witness in self.live:
             self.silent.add(witness)
 
-    def mark_heard(self, witness: ids.ProcessId) -> None:
-        """Trust a witness again that answered."""
-        self.silent.discard(witness)
+    def mark_heard(self, witness: ids.ProcessId, now_ms: int) -> bool:
+        """Note when a witness answered; say whether it was silent until now."""
+        self.heard_ms[witness] = now_ms
+        if witness not in self.silent:
+            return False
+        self.silent.remove(witness)
+        return True
