--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Contract limits: windows, shares and the gate on the dispatch path."""
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/log/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log that the control replicas share."""
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/log/leading.py
@@ -0,0 +1,170 @@
+"""What a leader knows of the other replicas, and what it sends them."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from knapweedbeam_core import effects
+from knapweedbeam_core.log import journal, members, messages, records
+
+HEARTBEAT_MS = 250
+LEASE_MS = 800
+MAX_APPEND_BYTES = 256 * 1024
+CHUNK_BYTES = 256 * 1024
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """How far one replica has the log; `acked_ms` is when what it acked was sent."""
+
+    replica: members.ReplicaId
+    next_index: int
+    acked_ms: int
+    match: int = 0
+    busy_until_ms: int = 0
+    snapshot_index: int = 0
+    snapshot_offset: int = 0
+
+
+class Leading:
+    """One leader's term in office."""
+
+    def __init__(
+        self, me: members.ReplicaId, own: journal.Journal, now_ms: int
+    ) -> None:
+        self.me = me
+        self.journal = own
+        self.since_ms = now_ms
+        self.first_index = own.entries.last_index + 1
+        self.heartbeat_due_ms = now_ms
+        self.progress: dict[members.ReplicaId, Progress] = {}
+
+    def get_progress(self, replica: members.ReplicaId) -> Progress:
+        """Return a replica's progress, from now on if it is new."""
+        progress = self.progress.get(replica)
+        if progress is None:
+            next_index = self.journal.entries.last_index + 1
+            progress = Progress(replica, next_index, self.since_ms)
+            self.progress[replica] = progress
+        return progress
+
+    def has_lease(self, now_ms: int) -> bool:
+        """Say whether a quorum acknowledged lately that this is the leader."""
+        acked = {replica: known.acked_ms for replica, known in self.progress.items()}
+        acked[self.me] = now_ms
+        heard_ms = self.journal.group.get_quorum_value(
+            {v: acked.get(v, self.since_ms) for v in self.journal.group.voters}
+        )
+        return now_ms - heard_ms <= LEASE_MS
+
+    def get_committable(self) -> int:
+        """Return the newest index that a quorum has synced."""
+        matches = {replica: known.match for replica, known in self.progress.items()}
+        matches[self.me] = self.journal.synced_index
+        return self.journal.group.get_quorum_value(matches)
+
+    def get_others(self) -> list[members.ReplicaId]:
+        """Return every other replica of the group."""
+        return [other for other in self.journal.group.everyone if other != self.me]
+
+    def send_all(self, now_ms: int) -> list[effects.Send]:
+        """Send each replica what it lacks, or a heartbeat."""
+        self.heartbeat_due_ms = now_ms + HEARTBEAT_MS
+        self.forget_removed()
+        return [self.send_next(other, now_ms) for other in self.get_others()]
+
+    def send_idle(self, now_ms: int) -> list[effects.Send]:
+        """Send what they lack to the replicas that nothing is under way to."""
+        return [
+            self.send_next(other, now_ms)
+            for other in self.get_others()
+            if now_ms >= self.get_progress(other).busy_until_ms
+        ]
+
+    def forget_removed(self) -> None:
+        """Forget replicas that left the group."""
+        for gone in set(self.progress) - set(self.journal.group.everyone):
+            del self.progress[gone]
+
+    def send_next(self, replica: members.ReplicaId, now_ms: int) -> effects.Send:
+        """Send one replica the next entries or the next part of a snapshot."""
+        progress = self.get_progress(replica)
+        progress.busy_until_ms = now_ms + HEARTBEAT_MS
+        if progress.next_index <= self.journal.entries.base_index:
+            return self.send_chunk(progress, now_ms)
+        return self.send_append(progress, now_ms)
+
+    def send_append(self, progress: Progress, now_ms: int) -> effects.Send:
+        """Send entries, or none as a heartbeat."""
+        held = self.journal.entries
+        prev_index = progress.next_index - 1
+        prev_term = held.get_term(prev_index)
+        assert prev_term is not None
+        chosen = held.get_from(progress.next_index, MAX_APPEND_BYTES)
+        append = messages.AppendEntries(
+            self.me,
+            progress.replica,
+            self.journal.term,
+            prev_index,
+            prev_term,
+            self.journal.synced_committed,
+            now_ms,
+            tuple(records.encode(entry) for entry in chosen),
+        )
+        return effects.Send(progress.replica.name, append)
+
+    def send_chunk(self, progress: Progress, now_ms: int) -> effects.Send:
+        """Send the next part of the newest snapshot."""
+        snapshot = self.journal.snapshot
+        assert snapshot is not None
+        data = self.journal.snapshot_bytes
+        if progress.snapshot_index != snapshot.index:
+            progress.snapshot_index = snapshot.index
+            progress.snapshot_offset = 0
+        offset = progress.snapshot_offset
+        chunk = messages.SnapshotChunk(
+            self.me,
+            progress.replica,
+            self.journal.term,
+            snapshot.index,
+            len(data),
+            offset,
+            data[offset : offset + CHUNK_BYTES],
+            now_ms,
+        )
+        return effects.Send(progress.replica.name, chunk)
+
+    def take_append_reply(
+        self, reply: messages.AppendReply, now_ms: int
+    ) -> list[effects.Send]:
+        """Note how far a replica is; send more where it lacks some."""
+        if reply.sender not in self.progress:
+            return []
+        progress = self.progress[reply.sender]
+        progress.acked_ms = max(progress.acked_ms, reply.sent_ms)
+        progress.busy_until_ms = 0
+        if reply.accepted:
+            progress.match = max(progress.match, reply.match)
+            progress.next_index = progress.match + 1
+        else:
+            lowest = progress.match + 1
+            progress.next_index = max(lowest, min(reply.match + 1, progress.next_index))
+        if not reply.accepted or progress.next_index <= self.journal.entries.last_index:
+            return [self.send_next(reply.sender, now_ms)]
+        return []
+
+    def take_snapshot_reply(
+        self, reply: messages.SnapshotReply, now_ms: int
+    ) -> list[effects.Send]:
+        """Send the next part, or the entries after the snapshot."""
+        if reply.sender not in self.progress:
+            return []
+        progress = self.progress[reply.sender]
+        progress.acked_ms = max(progress.acked_ms, reply.sent_ms)
+        progress.busy_until_ms = 0
+        if reply.done:
+            progress.match = max(progress.match, reply.index)
+            progress.next_index = progress.match + 1
+        elif reply.index == progress.snapshot_index:
+            progress.snapshot_offset = reply.offset
+        return [self.send_next(reply.sender, now_ms)]
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/log/replica.py
@@ -0,0 +1,477 @@
+"""A control replica: elections, and the log that its leader replicates."""
+
+from __future__ import annotations
+
+import enum
+import random
+import typing
+
+import msgspec
+
+from knapweedbeam_core import clock, effects
+from knapweedbeam_core.charts import chart
+from knapweedbeam_core.entry import parts
+from knapweedbeam_core.log import (
+    grouping,
+    journal,
+    leading,
+    members,
+    messages,
+    receiving,
+    records,
+)
+
+ELECTION_MIN_MS = 1_000
+ELECTION_MAX_MS = 2_000
+HELLO_MS = 1_000
+CHART = chart.load_chart("knapweedbeam_core.log", "replica.toml")
+
+
+class Role(enum.StrEnum):
+    """The states of `replica.toml`."""
+
+    STRANGER = "stranger"
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+    STOPPED = "stopped"
+
+
+class Machine(typing.Protocol):
+    """The state that the committed entries build, the same at each replica."""
+
+    def apply(self, index: int, data: bytes) -> None:
+        """Take one committed command."""
+
+    def take_snapshot(self) -> bytes:
+        """Return the whole state."""
+
+    def restore(self, state: bytes) -> None:
+        """Go on from a whole state."""
+
+
+class Replica:
+    """One replica; it counts nothing as written before it is synced."""
+
+    def __init__(
+        self,
+        me: members.ReplicaId,
+        founders: tuple[str, ...],
+        restored: records.RestoredState,
+        machine: Machine,
+        timer: clock.Clock,
+        rng: random.Random,
+        volatile: bool = False,
+    ) -> None:
+        self.me = me
+        self.founders = founders
+        self.targets = founders
+        self.machine = machine
+        self.clock = timer
+        self.rng = rng
+        self.journal = journal.Journal(restored, volatile)
+        self.receiving = receiving.Receiving(me, self.journal)
+        self.role = Role.STRANGER
+        self.leading: leading.Leading | None = None
+        self.leader: members.ReplicaId | None = None
+        self.votes: set[members.ReplicaId] = set()
+        self.hellos: dict[str, tuple[messages.ReplicaHello, int]] = {}
+        self.hello_due_ms = timer.now_ms()
+        self.heard_ms = timer.now_ms()
+        self.due_ms = 0
+        self.applied = 0
+        self.restore()
+
+    def restore(self) -> None:
+        """Apply what is known as committed and take up the old role."""
+        snapshot = self.journal.snapshot
+        if snapshot is not None:
+            self.machine.restore(snapshot.state)
+            self.applied = snapshot.index
+        self.apply_committed()
+        if self.journal.group.everyone:
+            self.move("founded")
+        self.arm_election()
+        if self.journal.group.voters == (self.me,):
+            self.due_ms = self.clock.now_ms()
+
+    @property
+    def is_leader(self) -> bool:
+        """Say whether this replica leads and still has its lease."""
+        return self.leading is not None and self.leading.has_lease(self.clock.now_ms())
+
+    @property
+    def is_settled(self) -> bool:
+        """Say whether this leader applied everything of earlier terms."""
+        return self.leading is not None and self.applied >= self.leading.first_index
+
+    def move(self, event: str) -> None:
+        """Take an event of the chart."""
+        self.role = Role(CHART.advance(self.role, event))
+        if self.role != Role.LEADER:
+            self.leading = None
+
+    def arm_election(self) -> None:
+        """Wait anew before the next election."""
+        wait_ms = self.rng.randint(ELECTION_MIN_MS, ELECTION_MAX_MS)
+        self.due_ms = self.clock.now_ms() + wait_ms
+
+    def stop(self) -> None:
+        """Take no further part: the data folder failed."""
+        self.move("fail")
+        self.leader = None
+
+    def tick(self) -> parts.Effects:
+        """Do what is due."""
+        now_ms = self.clock.now_ms()
+        if self.role == Role.STOPPED:
+            return []
+        if self.leading is not None:
+            return self.tick_leader(self.leading, now_ms)
+        if self.me not in self.journal.group.voters:
+            return self.tick_outsider(now_ms)
+        if now_ms >= self.due_ms:
+            return self.start_pre_vote()
+        return []
+
+    def tick_leader(self, own: leading.Leading, now_ms: int) -> parts.Effects:
+        """Send heartbeats, or step down when nobody answers them."""
+        if not own.has_lease(now_ms):
+            self.move("lapsed")
+            self.leader = None
+            self.arm_election()
+            return []
+        if now_ms < own.heartbeat_due_ms:
+            return []
+        produced = self.change_group(own, now_ms)
+        return produced + own.send_all(now_ms)
+
+    def tick_outsider(self, now_ms: int) -> parts.Effects:
+        """Say hello now and then, so that a leader takes this replica in."""
+        is_learner = self.me in self.journal.group.learners
+        if now_ms < self.hello_due_ms or (is_learner and self.is_led()):
+            return []
+        self.hello_due_ms = now_ms + HELLO_MS
+        hello = messages.ReplicaHello(self.me, self.role != Role.STRANGER)
+        others = [name for name in self.founders if name != self.me.name]
+        sent: parts.Effects = [effects.Send(name, hello) for name in others]
+        return self.found() + sent
+
+    def found(self) -> parts.Effects:
+        """Start the log once all of its first replicas are there and empty."""
+        if self.role != Role.STRANGER or self.me.name not in self.founders:
+            return []
+        oldest_ms = self.clock.now_ms() - grouping.HELLO_FRESH_MS
+        known = {n: hello for n, (hello, at) in self.hellos.items() if at >= oldest_ms}
+        known[self.me.name] = messages.ReplicaHello(self.me, False)
+        first = [known.get(name) for name in sorted(self.founders)]
+        if any(hello is None or hello.founded for hello in first):
+            return []
+        voters = tuple(hello.sender for hello in first if hello is not None)
+        self.journal.founded = members.Members(voters)
+        self.move("founded")
+        self.arm_election()
+        if len(voters) == 1:
+            self.due_ms = self.clock.now_ms()
+        record = records.Founded(self.journal.founded)
+        return self.journal.write([records.encode(record)], [])
+
+    def start_pre_vote(self) -> parts.Effects:
+        """Ask whether an election could be won."""
+        self.move("timeout")
+        self.leader = None
+        self.arm_election()
+        self.votes = {self.me}
+        held = self.journal.entries
+        asked: parts.Effects = [
+            effects.Send(
+                voter.name,
+                messages.PreVote(
+                    self.me,
+                    voter,
+                    self.journal.term + 1,
+                    held.last_index,
+                    held.last_term,
+                ),
+            )
+            for voter in self.journal.group.voters
+            if voter != self.me
+        ]
+        return asked + self.count_pre_votes()
+
+    def count_pre_votes(self) -> parts.Effects:
+        """Stand for election once a quorum would vote for this replica."""
+        won = self.journal.group.is_quorum(self.votes)
+        if self.role != Role.PRE_CANDIDATE or not won:
+            return []
+        self.move("pre_vote_won")
+        self.votes = set()
+        written = [self.journal.set_term(self.journal.term + 1, self.me)]
+        held = self.journal.entries
+        asked: parts.Effects = [
+            effects.Send(
+                voter.name,
+                messages.Vote(
+                    self.me, voter, self.journal.term, held.last_index, held.last_term
+                ),
+            )
+            for voter in self.journal.group.voters
+            if voter != self.me
+        ]
+        return self.journal.write(written, asked) + self.after_sync()
+
+    def count_votes(self) -> parts.Effects:
+        """Lead once a quorum voted, this replica's own synced vote included."""
+        if self.role != Role.CANDIDATE:
+            return []
+        if self.journal.synced_term == self.journal.term:
+            self.votes.add(self.me)
+        if not self.journal.group.is_quorum(self.votes):
+            return []
+        self.move("vote_won")
+        now_ms = self.clock.now_ms()
+        self.leader = self.me
+        self.leading = leading.Leading(self.me, self.journal, now_ms)
+        return self.add_entry(
+            records.EntryKind.MEMBERS, records.encode(self.journal.group)
+        )
+
+    def propose(self, data: bytes) -> parts.Effects:
+        """Add a command to the log; this replica must be the leader."""
+        return self.add_entry(records.EntryKind.COMMAND, data)
+
+    def add_entry(self, kind: records.EntryKind, data: bytes) -> parts.Effects:
+        """Add one entry and send it to the others while it is being synced."""
+        assert self.leading is not None
+        index = self.journal.entries.last_index + 1
+        entry = records.Entry(index, self.journal.term, kind, data)
+        written = self.journal.append([entry])
+        sent: parts.Effects = [*self.leading.send_idle(self.clock.now_ms())]
+        return sent + self.journal.write(written, []) + self.after_sync()
+
+    def change_group(self, own: leading.Leading, now_ms: int) -> parts.Effects:
+        """Make the next change of the group, when the last one is committed."""
+        is_open = self.journal.group_index <= self.applied
+        if not is_open or not self.is_settled:
+            return []
+        applicants = [
+            grouping.Applicant(hello.sender, heard_ms)
+            for hello, heard_ms in self.hellos.values()
+        ]
+        group = grouping.find_change(
+            self.journal.group, self.targets, applicants, own, now_ms
+        )
+        if group is None:
+            return []
+        return self.add_entry(records.EntryKind.MEMBERS, records.encode(group))
+
+    def persisted(self, batch: int) -> parts.Effects:
+        """Go on after records are synced."""
+        return self.journal.finish(batch) + self.after_sync()
+
+    def after_sync(self) -> parts.Effects:
+        """Do what newly synced records allow."""
+        produced = self.count_votes()
+        produced += self.advance_commit()
+        self.apply_committed()
+        produced += self.compact()
+        if self.leading is not None and self.me not in self.journal.group.voters:
+            produced += self.leave_office()
+        return produced
+
+    def leave_office(self) -> parts.Effects:
+        """Stop leading once the group without this replica is committed."""
+        if self.journal.group_index > self.applied or self.leading is None:
+            return []
+        told: parts.Effects = [*self.leading.send_all(self.clock.now_ms())]
+        self.move("lapsed")
+        self.leader = None
+        return told
+
+    def advance_commit(self) -> parts.Effects:
+        """Commit what a quorum has synced in this leader's term."""
+        if self.leading is None:
+            return []
+        index = self.leading.get_committable()
+        is_own = self.journal.entries.get_term(index) == self.journal.term
+        if index <= self.journal.committed or not is_own:
+            return []
+        return self.journal.write(self.receiving.advance(index), [])
+
+    def apply_committed(self) -> None:
+        """Apply what is known as committed, on disk too."""
+        before = self.applied
+        while self.applied < self.journal.synced_committed:
+            self.applied += 1
+            entry = self.journal.entries.get(self.applied)
+            if entry.kind == records.EntryKind.COMMAND:
+                self.machine.apply(entry.index, entry.data)
+        if self.applied > before and self.leading is not None:
+            self.leading.heartbeat_due_ms = self.clock.now_ms()
+
+    def compact(self) -> parts.Effects:
+        """Put a snapshot in place of the log when the log has grown."""
+        if not self.applied or not self.journal.is_compaction_due():
+            return []
+        if self.journal.snapshot and self.journal.snapshot.index == self.applied:
+            return []
+        return self.journal.compact(self.applied, self.machine.take_snapshot())
+
+    def on_message(self, message: messages.Message) -> parts.Effects:
+        """Take a message from another replica."""
+        if self.role == Role.STOPPED:
+            return []
+        if isinstance(message, messages.ReplicaHello):
+            return self.on_hello(message)
+        if message.to != self.me:
+            return []
+        try:
+            return self.on_addressed(message)
+        except msgspec.MsgspecError:
+            return []
+
+    def on_addressed(self, message: messages.Message) -> parts.Effects:
+        """Take a message meant for this data folder."""
+        match message:
+            case messages.PreVote():
+                return self.on_pre_vote(message)
+            case messages.PreVoteReply():
+                return self.on_pre_vote_reply(message)
+            case messages.Vote():
+                return self.on_vote(message)
+            case messages.VoteReply():
+                return self.on_vote_reply(message)
+            case messages.AppendEntries() | messages.SnapshotChunk():
+                return self.on_leader(message)
+            case messages.AppendReply() | messages.SnapshotReply():
+                return self.on_reply(message)
+        return []
+
+    def on_hello(self, hello: messages.ReplicaHello) -> parts.Effects:
+        """Note a replica that is outside the group."""
+        name = hello.sender.name
+        if name in self.founders or name in self.targets:
+            self.hellos[name] = (hello, self.clock.now_ms())
+        return self.found()
+
+    def is_led(self) -> bool:
+        """Say whether a leader was heard so lately that votes are refused."""
+        if self.leading is not None:
+            return self.leading.has_lease(self.clock.now_ms())
+        return self.clock.now_ms() - self.heard_ms < ELECTION_MIN_MS
+
+    def is_up_to_date(self, asked: messages.PreVote | messages.Vote) -> bool:
+        """Say whether a candidate has at least this replica's log."""
+        held = self.journal.entries
+        candidate = (asked.last_term, asked.last_index)
+        return candidate >= (held.last_term, held.last_index)
+
+    def on_pre_vote(self, asked: messages.PreVote) -> parts.Effects:
+        """Say whether this replica would vote."""
+        granted = not self.is_led() and self.is_up_to_date(asked)
+        reply = messages.PreVoteReply(self.me, asked.sender, asked.term, granted)
+        return [effects.Send(asked.sender.name, reply)]
+
+    def on_pre_vote_reply(self, reply: messages.PreVoteReply) -> parts.Effects:
+        """Count an answer for the election that is being tried."""
+        is_current = reply.term == self.journal.term + 1
+        if self.role != Role.PRE_CANDIDATE or not is_current or not reply.granted:
+            return []
+        self.votes.add(reply.sender)
+        return self.count_pre_votes()
+
+    def on_vote(self, asked: messages.Vote) -> parts.Effects:
+        """Vote, once a term, and answer when the vote is synced."""
+        if asked.term < self.journal.term or self.is_led():
+            return [self.build_vote_reply(asked, False)]
+        written = []
+        if asked.term > self.journal.term:
+            written.append(self.enter(asked.term))
+        granted = self.is_up_to_date(asked)
+        granted = granted and self.journal.vote in (None, asked.sender)
+        if granted:
+            self.arm_election()
+            written.append(self.journal.set_term(asked.term, asked.sender))
+        reply = self.build_vote_reply(asked, granted)
+        if written:
+            return self.journal.write(written, [reply])
+        return self.journal.hold(0, [reply])
+
+    def build_vote_reply(self, asked: messages.Vote, granted: bool) -> effects.Send:
+        """Return the answer to a vote request."""
+        reply = messages.VoteReply(self.me, asked.sender, self.journal.term, granted)
+        return effects.Send(asked.sender.name, reply)
+
+    def on_vote_reply(self, reply: messages.VoteReply) -> parts.Effects:
+        """Count a vote."""
+        if reply.term > self.journal.term:
+            return self.journal.write([self.enter(reply.term)], [])
+        is_current = self.role == Role.CANDIDATE and reply.term == self.journal.term
+        if not is_current or not reply.granted:
+            return []
+        self.votes.add(reply.sender)
+        return self.after_sync()
+
+    def enter(self, term: int) -> bytes:
+        """Follow in a newer term; return the record to write."""
+        self.move("follow")
+        self.leader = None
+        return self.journal.set_term(term, None)
+
+    def on_leader(
+        self, message: messages.AppendEntries | messages.SnapshotChunk
+    ) -> parts.Effects:
+        """Take entries or a part of a snapshot from the leader of a term."""
+        if message.term < self.journal.term:
+            return [self.build_refusal(message)]
+        written = []
+        if message.term > self.journal.term:
+            written.append(self.enter(message.term))
+        self.move("follow")
+        self.leader = message.sender
+        self.heard_ms = self.clock.now_ms()
+        self.arm_election()
+        if isinstance(message, messages.AppendEntries):
+            produced = self.receiving.take_append(message, written)
+        else:
+            produced = self.take_chunk(message, written)
+        return produced + self.after_sync()
+
+    def take_chunk(
+        self, chunk: messages.SnapshotChunk, written: list[bytes]
+    ) -> parts.Effects:
+        """Take a part of a snapshot, and start from it when it is whole."""
+        before = self.journal.snapshot
+        produced = self.journal.write(written, []) if written else []
+        produced += self.receiving.take_chunk(chunk)
+        snapshot = self.journal.snapshot
+        if snapshot is not None and snapshot is not before:
+            self.machine.restore(snapshot.state)
+            self.applied = snapshot.index
+        return produced
+
+    def build_refusal(
+        self, message: messages.AppendEntries | messages.SnapshotChunk
+    ) -> effects.Send:
+        """Tell a leader of an older term that there is a newer one."""
+        reply = messages.AppendReply(
+            self.me, message.sender, self.journal.term, False, 0, message.sent_ms
+        )
+        return effects.Send(message.sender.name, reply)
+
+    def on_reply(
+        self, reply: messages.AppendReply | messages.SnapshotReply
+    ) -> parts.Effects:
+        """Take a follower's answer."""
+        if reply.term > self.journal.term:
+            return self.journal.write([self.enter(reply.term)], [])
+        if self.leading is None or reply.term != self.journal.term:
+            return []
+        now_ms = self.clock.now_ms()
+        sent: parts.Effects = []
+        if isinstance(reply, messages.AppendReply):
+            sent += self.leading.take_append_reply(reply, now_ms)
+        else:
+            sent += self.leading.take_snapshot_reply(reply, now_ms)
+        return sent + self.after_sync()
