--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,148 @@
+"""The demo: failures while jobs run, judged by what endpoints and clients saw."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import pathlib
+import tempfile
+import time
+import typing
+
+import gevent
+
+from bench import client, cluster, deployment, progress, trace
+from bench.check import breaches, report
+from knapweedbeam_core import ids
+from knapweedbeam_server import history, system_clock
+
+SECONDS = 20.0
+LOAD = 0.4
+SEED = 11
+RESEND_SHARE = 0.1
+KILL_AT_S = 7.0
+STOP_AT_S = 13.0
+CLASSES = (
+    trace.JobClass(trace.SINGLE, 0.5, 120.0),
+    trace.JobClass("quote", 0.4, 120.0, 20.0, 1.2),
+    trace.JobClass("batch", 0.1, 60.0, 150.0, 0.8),
+)
+PROMISES = (
+    breaches.Promise.SINGLE_START,
+    breaches.Promise.WHOLE_OUTCOME,
+    breaches.Promise.TRUE_NOT_RUN,
+    breaches.Promise.GRACEFUL_STOP,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Summary:
+    """The last line of the demo; breaches count what the fakes recorded."""
+
+    jobs: int
+    complete: int
+    failed: int
+    not_run: int
+    tasks_started: int
+    double_starts: int
+    partial_answers: int
+    false_not_run: int
+    cut_by_shutdown: int
+    seconds: float
+
+
+def run_demo() -> tuple[Summary, int]:
+    """Run the demo and return its summary and the exit status."""
+    started_s = time.monotonic()
+    with tempfile.TemporaryDirectory(prefix="knapweedbeam-demo-") as root:
+        results, stop_status = run_jobs(pathlib.Path(root))
+        seen = report.check_folder(pathlib.Path(root) / "histories")
+    counts = collections.Counter(result.outcome for result in results)
+    summary = Summary(
+        jobs=len(results),
+        complete=counts[history.OutcomeKind.COMPLETE],
+        failed=counts[history.OutcomeKind.FAILED],
+        not_run=counts[history.OutcomeKind.NOT_RUN],
+        tasks_started=seen.tasks_started,
+        double_starts=seen.count(breaches.Promise.SINGLE_START),
+        partial_answers=seen.count(breaches.Promise.WHOLE_OUTCOME),
+        false_not_run=seen.count(breaches.Promise.TRUE_NOT_RUN),
+        cut_by_shutdown=seen.count(breaches.Promise.GRACEFUL_STOP),
+        seconds=round(time.monotonic() - started_s, 1),
+    )
+    return summary, judge(seen, summary, stop_status)
+
+
+def judge(seen: report.Report, summary: Summary, stop_status: int | None) -> int:
+    """Say what was broken and return the exit status."""
+    for breach in seen.found:
+        progress.say(breach.describe())
+    unanswered = summary.jobs - summary.complete - summary.failed - summary.not_run
+    if unanswered:
+        progress.say(f"{unanswered} jobs got no final answer")
+    if stop_status != 0:
+        progress.say(f"the graceful stop ended with status {stop_status}")
+    idle = not summary.complete
+    return int(bool(seen.found or unanswered or stop_status != 0 or idle))
+
+
+def run_jobs(root: pathlib.Path) -> tuple[list[client.JobResult], int | None]:
+    """Start everything, send the jobs and let the failures happen."""
+    block = cluster.reserve_block()
+    plan = deployment.build_deployment(deployment.DEMO, block.number)
+    clock = system_clock.SystemClock()
+    try:
+        with cluster.Cluster(plan, root) as running:
+            domains, vms = len(plan.domains), len(plan.vms)
+            progress.say(f"starting {vms} entry VMs in {domains} failure domains")
+            running.start()
+            progress.say("bundle 1 is in force, every entry VM is ready")
+            process = ids.ProcessId("client", clock.wall_ms())
+            path = running.folder.get_history("client")
+            writer = history.FileHistory(path, process, clock, history.Role.CLIENT)
+            options = client.ClientOptions(
+                plan.services[0].name, resend_share=RESEND_SHARE, seed=SEED
+            )
+            load = client.Client(plan, writer, clock, options)
+            results, status = drive(running, load)
+            writer.close()
+    finally:
+        block.release()
+    return results, status
+
+
+def drive(
+    running: cluster.Cluster, load: client.Client
+) -> tuple[list[client.JobResult], int | None]:
+    """Send the jobs, kill one entry VM and stop another meanwhile."""
+    plan = running.plan
+    spec = trace.TraceSpec(
+        SEED, SECONDS, LOAD, CLASSES, tuple(member.name for member in plan.members)
+    )
+    jobs = trace.build_trace(spec, plan.capacity)
+    load.prepare()
+    progress.say(f"sending {len(jobs)} jobs over {SECONDS:.0f} s")
+    victim, leaver = plan.vms[-1].name, plan.vms[-2].name
+    killing = gevent.spawn_later(KILL_AT_S, kill, running, load, victim)
+    stopping = gevent.spawn_later(STOP_AT_S, stop, running, load, leaver)
+    results = load.run(jobs)
+    gevent.joinall([killing, stopping])
+    progress.say(f"{len(results)} jobs have ended")
+    return results, typing.cast("int | None", stopping.value)
+
+
+def kill(running: cluster.Cluster, load: client.Client, name: str) -> None:
+    """Kill an entry VM; the balancer notices a little later."""
+    progress.say(f"killing {name}")
+    running.kill(name)
+    gevent.sleep(1.0)
+    load.drop_entry(name)
+
+
+def stop(running: cluster.Cluster, load: client.Client, name: str) -> int | None:
+    """Stop an entry VM gracefully; the balancer sends it nothing more."""
+    progress.say(f"stopping {name} gracefully")
+    load.drop_entry(name)
+    status = running.stop(name)
+    progress.say(f"{name} ended with status {status}")
+    return status
