Merge histograms without taking 0 for their lowest value

The library's add compares with an empty histogram's lowest value, 0, so every merge reported 0. Merging starts from the first histogram that has values.

--- a/packages/core/src/knapweedbeam_core/histogram_forms.py
+++ b/packages/core/src/knapweedbeam_core/histogram_forms.py
@@ -18,7 +18,6 @@
 LOWEST = 1
 HIGHEST = clock.HOUR_MS
 SIGNIFICANT_DIGITS = 2
-MERGED_WORD_BYTES = 8
 ENCODED_LIMIT_CHARACTERS = 2**16
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 COOKIE_HEADER_BYTES = 8
@@ -95,7 +94,7 @@
         name.job_class,
         name.kind,
         histogram.get_total_count(),
-        histogram.get_min_value() if histogram.get_total_count() else 0,
+        histogram.get_min_value(),
         histogram.get_max_value(),
         percentiles,
         histogram.encode().decode("ascii"),
@@ -129,14 +128,19 @@
 def merge(
     forms: collections.abc.Iterable[Series],
 ) -> tuple[Series, ...] | outcomes.Refusal:
-    """Return one series for each name over several processes' series."""
+    """Return one series for each name over several processes' series.
+
+    Empty histograms are left out: the library's `add` takes their lowest value as 0.
+    """
     merged: dict[Name, typing.Any] = {}
     for form in forms:
         histogram = decode(form.encoded)
         if isinstance(histogram, outcomes.Refusal):
             return histogram
         name = Name(form.member, form.job_class, form.kind)
-        if name not in merged:
-            merged[name] = build_histogram(MERGED_WORD_BYTES)
-        merged[name].add(histogram)
+        earlier = merged.get(name)
+        if earlier is None or not earlier.get_total_count():
+            merged[name] = histogram
+        elif histogram.get_total_count():
+            earlier.add(histogram)
     return tuple(build_series(name, merged[name]) for name in sorted(merged))
