--- /dev/null
+++ b/packages/wire/src/knapweedbeam_wire/store/__init__.py
@@ -0,0 +1,1 @@
+"""The data folder of a control replica."""
