Post a task with the connection pool and the response parser alone

Cause: the client's own request call builds each head anew, may send a request again by itself, and does not tell a failed connect from a failed send. Change: one exchange module over the library's pool and parser; a connection that was not to be had is the only failure that counts as not sent.

--- a/packages/server/src/knapweedbeam_server/shell.py
+++ b/packages/server/src/knapweedbeam_server/shell.py
@@ -204,7 +204,7 @@
             unreachable_domains=status.unreachable_domains,
             live=tuple(live),
             waiting_calls=self.job_waiters.get_count(),
-            running_tasks=len(self.starter.running),
+            running_tasks=self.starter.running,
             links=build_links_content(self.links),
         )
 
--- /dev/null
+++ b/packages/server/src/knapweedbeam_server/tasks/exchange.py
@@ -0,0 +1,124 @@
+"""One exchange with an endpoint, and whether its request may have been seen.
+
+The library's `HTTPClient.request` sends a request again by itself in some cases,
+and does not tell a failed connect from a failed send. A task is sent once, so
+this takes the library's connection pool and response parser only.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import urllib.parse
+
+import geventhttpclient.connectionpool
+import geventhttpclient.response
+
+CONNECT_TIMEOUT_S = 2.0
+MAX_ADDRESSES = 4_096
+MAX_CONNECTIONS = 4_096
+DEFAULT_PORT = 80
+RECEIVE_BYTES = 64 * 1024
+
+
+class NotSentError(Exception):
+    """No connection was to be had: the endpoint saw nothing."""
+
+
+class BrokenError(Exception):
+    """The request may have been seen, and no whole answer came."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer; `headers` are by lower-case name."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+
+
+@dataclasses.dataclass(slots=True)
+class Target:
+    """One endpoint's address with its connections."""
+
+    pool: geventhttpclient.connectionpool.ConnectionPool
+    prefix: str
+    head: str
+
+
+def build_target(address: str) -> Target:
+    """Return the target of a base URL; raises `ValueError` on a bad one."""
+    url = urllib.parse.urlsplit(address)
+    if url.scheme != "http" or not url.hostname:
+        raise ValueError(f"not an http address: {address[:100]}")
+    port = url.port or DEFAULT_PORT
+    pool = geventhttpclient.connectionpool.ConnectionPool(
+        url.hostname,
+        port,
+        url.hostname,
+        port,
+        size=MAX_CONNECTIONS,
+        connection_timeout=CONNECT_TIMEOUT_S,
+        network_timeout=None,
+    )
+    head = f" HTTP/1.1\r\nHost: {url.netloc}\r\nContent-Type: application/json\r\n"
+    return Target(pool, url.path.rstrip("/"), head)
+
+
+class Targets:
+    """The targets in use; the longest unused makes room."""
+
+    def __init__(self) -> None:
+        self.targets: collections.OrderedDict[str, Target] = collections.OrderedDict()
+
+    def get(self, address: str) -> Target:
+        """Return the target of an address; raises `ValueError` on a bad one."""
+        target = self.targets.get(address)
+        if target is None:
+            target = self.targets[address] = build_target(address)
+            if len(self.targets) > MAX_ADDRESSES:
+                _, oldest = self.targets.popitem(last=False)
+                oldest.pool.close()
+        else:
+            self.targets.move_to_end(address)
+        return target
+
+
+def post(target: Target, path: str, body: bytes, max_answer_bytes: int) -> Answer:
+    """Post once and return the whole answer; the caller bounds the time.
+
+    Raises `NotSentError` or `BrokenError`. A connection whose exchange was not
+    finished is closed, never used again.
+    """
+    request = f"POST {target.prefix}{path}{target.head}Content-Length: {len(body)}"
+    try:
+        sock = target.pool.get_socket()
+    except OSError as error:
+        raise NotSentError(str(error)) from error
+    try:
+        sock.sendall(request.encode("ascii") + b"\r\n\r\n" + body)
+    except BaseException as error:
+        target.pool.release_socket(sock)
+        if isinstance(error, OSError):
+            raise BrokenError(str(error)) from error
+        raise
+    try:
+        response = geventhttpclient.response.HTTPSocketPoolResponse(
+            sock, target.pool, block_size=RECEIVE_BYTES, method="POST"
+        )
+        with response:
+            return read_answer(response, max_answer_bytes)
+    except (OSError, geventhttpclient.response.HTTPParseError) as error:
+        raise BrokenError(str(error)) from error
+
+
+def read_answer(
+    response: geventhttpclient.response.HTTPSocketPoolResponse, max_bytes: int
+) -> Answer:
+    """Return the whole answer; raises `BrokenError` on a part or too much of it."""
+    body = response.read(max_bytes + 1)
+    if not response.message_complete or len(body) > max_bytes:
+        raise BrokenError("no whole answer")
+    headers = {name.lower(): value for name, value in response.items()}
+    return Answer(response.status_code, body, headers)
--- a/packages/server/tests/tasks/test_starter.py
+++ b/packages/server/tests/tasks/test_starter.py
@@ -107,6 +107,8 @@
             task = ids.TaskId("t1", index)
             address = endpoint.address
             tasks.start(effects.StartTask(task, "e1", address, b"{}", 2_000))
-            tasks.running.join(timeout=WAIT_S)
+            with gevent.Timeout(WAIT_S):
+                while tasks.running:
+                    gevent.sleep(0.01)
         answers = [end.result for end in ends]
         self.assertNotIn(effects.TaskAnswered(b"66"), answers)
