--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Queue, admission, placement and health."""
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/dispatch/admission.py
@@ -0,0 +1,74 @@
+"""Whether a job is taken, or refused at once because it could not end in time."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from knapweedbeam_core import jobs, outcomes, reasons
+from knapweedbeam_core.dispatch import usage
+from knapweedbeam_core.slots import directory
+
+MIN_RETRY_MS = 100
+MAX_RETRY_MS = 30_000
+NO_ENDPOINT_RETRY_MS = 1_000
+MAX_QUEUED_TASKS = 200_000
+MAX_QUEUED_BYTES = 64 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outlook:
+    """What a job of this member has to expect; times in milliseconds.
+
+    `slots` is what the member may have at once, `known` says that run times
+    were measured.
+    """
+
+    total: directory.Total
+    slots: float
+    queued_ms: float
+    longest_ms: float
+    work_ms: float
+    known: bool
+    queued_tasks: int
+    queued_bytes: int
+
+
+def judge(
+    job: jobs.Job, need: usage.Need, outlook: Outlook, now_ms: int
+) -> outcomes.NotRun | None:
+    """Return why a job is not taken, none when it is."""
+    total = outlook.total
+    if not total.endpoints:
+        return outcomes.NotRun(reasons.Reason.NO_ENDPOINT, NO_ENDPOINT_RETRY_MS)
+    if 0 < total.cpu_millis < need.cpu_millis:
+        return outcomes.NotRun(reasons.Reason.NEVER_FITS)
+    if 0 < total.memory_mib < need.memory_mib:
+        return outcomes.NotRun(reasons.Reason.NEVER_FITS)
+    if outlook.queued_tasks + len(job.tasks) > MAX_QUEUED_TASKS:
+        return outcomes.NotRun(reasons.Reason.OVERLOADED, get_retry_ms(outlook))
+    if outlook.queued_bytes + job.size_bytes > MAX_QUEUED_BYTES:
+        return outcomes.NotRun(reasons.Reason.MEMORY, get_retry_ms(outlook))
+    left_ms = job.due_ms - now_ms
+    if left_ms <= 0:
+        return outcomes.NotRun(reasons.Reason.DEADLINE)
+    if not outlook.known:
+        return None
+    expected_ms = get_wait_ms(outlook) + get_run_ms(outlook)
+    if expected_ms > left_ms:
+        return outcomes.NotRun(reasons.Reason.DEADLINE, get_retry_ms(outlook))
+    return None
+
+
+def get_wait_ms(outlook: Outlook) -> float:
+    """Return the expected wait until the job's first task starts."""
+    return outlook.queued_ms / max(1.0, outlook.slots)
+
+
+def get_run_ms(outlook: Outlook) -> float:
+    """Return the expected time from the first start to the last end."""
+    return max(outlook.longest_ms, outlook.work_ms / max(1.0, outlook.slots))
+
+
+def get_retry_ms(outlook: Outlook) -> int:
+    """Return when to come again: after half of what waits now."""
+    return int(min(MAX_RETRY_MS, max(MIN_RETRY_MS, get_wait_ms(outlook) / 2)))
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/dispatch/dispatcher.py
@@ -0,0 +1,228 @@
+"""The dispatcher of an entry VM, composed of its modules."""
+
+from __future__ import annotations
+
+import collections.abc
+import random
+import typing
+
+from knapweedbeam_core import clock, effects, ids, jobs, outcomes, rules
+from knapweedbeam_core.dispatch import ending, intake, placement, starting, state, usage
+from knapweedbeam_core.dispatch import health as endpoint_health
+from knapweedbeam_core.dispatch.policies import catalogue
+from knapweedbeam_core.entry import parts
+from knapweedbeam_core.membership import messages as roster_messages
+from knapweedbeam_core.slots import exchange, held, messages
+
+MAX_ROUNDS = 8
+MIN_WEIGHT = 0.25
+
+Take = collections.abc.Callable[[ids.ProcessId, typing.Any], exchange.Sends]
+
+
+class Dispatcher:
+    """Membership, endpoints, slots, queue and placement of one process."""
+
+    def __init__(
+        self,
+        me: ids.ProcessId,
+        domain: str,
+        peers: tuple[parts.Peer, ...],
+        gate: parts.LimitGate,
+        clock: clock.Clock,
+        rng: random.Random,
+        policy: str = catalogue.Policy.LEAST_FINISH,
+    ) -> None:
+        self.me = me
+        place = exchange.Place(me, domain, peers, clock, rng)
+        self.exchange = exchange.Exchange(place, self, self.get_wants)
+        self.state = state.State(clock, gate, self.exchange.usage)
+        self.state.holder = self.exchange.holder
+        tools = placement.Tools(rng, self.state.times, self.fits)
+        self.state.placement = catalogue.build_policy(policy, tools)
+        self.intake = intake.Intake(
+            self.state, self.exchange.asking, self.exchange.directory
+        )
+        self.starting = starting.Starting(self.state)
+        self.ending = ending.Ending(self.state)
+        self.takers = self.build_takers()
+
+    def build_takers(self) -> dict[type, Take]:
+        """Return who takes which message."""
+        slots = self.exchange
+        return {
+            roster_messages.Heartbeat: slots.take_beat,
+            roster_messages.Stopping: slots.take_stopping,
+            messages.EndpointsSeen: slots.take_seen,
+            messages.EndpointLeft: slots.take_left,
+            messages.HolderDelta: slots.take_holder_delta,
+            messages.KeeperDelta: slots.take_keeper_delta,
+            messages.SlotsShown: slots.take_shown,
+            messages.Capacity: slots.take_capacity,
+            messages.UsageSeen: slots.take_usage,
+        }
+
+    # What every part can do.
+
+    def get_message_classes(self) -> tuple[type, ...]:
+        """Return the message classes that `on_message` takes."""
+        return roster_messages.CLASSES + messages.CLASSES
+
+    def on_message(
+        self, sender: ids.ProcessId, message: effects.Message
+    ) -> parts.Effects:
+        """Take a message of another entry VM."""
+        if not self.exchange.hear(sender):
+            return []
+        self.state.out += self.takers[type(message)](sender, message)
+        return self.finish()
+
+    def on_rules(self, new: rules.Rules) -> parts.Effects:
+        """Obey a newer bundle: the members' standing and the services."""
+        self.state.rules = new
+        standing = {name: float(m.standing) for name, m in new.members.items()}
+        self.exchange.keeper.standing = standing
+        for account in self.state.accounts.values():
+            account.standing = self.state.get_standing(account.member)
+        for service in self.state.queues:
+            self.shares_changed(service)
+        return self.finish()
+
+    def tick(self) -> parts.Effects:
+        """Do what is due."""
+        for due in self.state.timers.pop_due(self.state.clock.now_ms()):
+            self.take_due(due)
+        self.state.out += self.exchange.tick()
+        return self.finish()
+
+    def take_due(self, due: state.Due) -> None:
+        """Act on one timer."""
+        if due.kind is state.DueKind.DEADLINE:
+            self.ending.deadline(due.ticket)
+        elif due.kind is state.DueKind.TASK_LEASE:
+            self.ending.lease_over(due.ticket, due.index)
+        elif due.line is not None:
+            queue = self.state.queues[due.line.service]
+            if due.line.ready_tasks:
+                queue.join(due.line)
+            self.state.touched.add(due.line.service)
+
+    # Jobs.
+
+    def enqueue(self, job: jobs.Job) -> parts.Effects:
+        """Queue a job, or end it at once as not run."""
+        self.intake.enqueue(job)
+        return self.finish()
+
+    def begun(self, ticket: str) -> parts.Effects:
+        """Start a job's tasks as slots allow; it is recorded as begun."""
+        self.intake.begun(ticket)
+        return self.finish()
+
+    def abandon(self, ticket: str) -> parts.Effects:
+        """Drop a job that was not begun."""
+        self.intake.abandon(ticket)
+        return self.finish()
+
+    def cancel(self, ticket: str) -> parts.Effects:
+        """Stop what is left of a job; `JobEnded` follows."""
+        self.intake.cancel(ticket)
+        return self.finish()
+
+    def task_end(self, end: effects.TaskEnd) -> parts.Effects:
+        """Take the end of a task started here."""
+        self.ending.task_end(end)
+        return self.finish()
+
+    def stop(self) -> parts.Effects:
+        """Start a graceful stop: end queued jobs as not run, keep begun ones."""
+        self.intake.stop()
+        self.state.out += self.exchange.stop()
+        return self.finish()
+
+    def is_idle(self) -> bool:
+        """Say whether no job is left."""
+        return not self.state.jobs
+
+    # Endpoints.
+
+    def get_live(self) -> frozenset[ids.ProcessId]:
+        """Return the live entry VMs of this failure domain, this one included."""
+        return self.exchange.roster.get_live()
+
+    def announce(
+        self, announcement: parts.Announcement
+    ) -> tuple[parts.EndpointLease | outcomes.Refusal, parts.Effects]:
+        """Take an endpoint's announcement, whoever keeps it."""
+        answer, sends = self.exchange.announce(announcement)
+        self.state.out += sends
+        return answer, self.finish()
+
+    def report_usage(self, report: parts.UsageReport) -> parts.Effects:
+        """Take a worker's usage."""
+        self.exchange.take_report(report)
+        return self.finish()
+
+    # What the holder tells.
+
+    def endpoint_changed(self, pool: held.Pool, endpoint: held.HeldEndpoint) -> None:
+        """Act on a change of an endpoint's free slots."""
+        self.state.placement.changed(pool, endpoint)
+        self.state.touched.add(pool.service)
+
+    def granted(self, endpoint: held.HeldEndpoint, grant: messages.Grant) -> None:
+        """Take what a keeper says of an endpoint's health and speed."""
+        record = grant.announcement
+        times = self.state.times
+        times.set_speed(record.endpoint, grant.speed_percent / 100.0)
+        endpoint.speed = times.get_speed(record.endpoint)
+        known = self.state.health.get(record.endpoint, record.incarnation)
+        if not grant.revoked:
+            self.state.health.take_told(known, record.service, grant.trial)
+        endpoint.limit = endpoint_health.LIMITS[known.state]
+
+    def shares_changed(self, service: str) -> None:
+        """Weigh the members by their parts where slots are scarce."""
+        queue = self.state.queues.get(service)
+        if queue is None:
+            return
+        parts_of: dict[str, int] = {}
+        for link in self.exchange.holder.links.values():
+            bound = link.bounds.get(service)
+            for share in bound.shares if bound is not None else ():
+                parts_of[share.member] = parts_of.get(share.member, 0) + share.slots
+        for member, line in queue.lines.items():
+            weight = float(parts_of.get(member, 0))
+            standing = line.account.standing
+            line.weight = max(MIN_WEIGHT, weight) if parts_of else standing
+
+    # Helpers.
+
+    def get_wants(self, service: str) -> dict[str, int]:
+        """Return how many slots each member's tasks could use here."""
+        return self.state.get_wants(service)
+
+    def fits(self, endpoint: held.HeldEndpoint, need: usage.Need) -> bool:
+        """Say whether a worker has room for a task."""
+        return self.state.usage.fits(endpoint.record.worker, need)
+
+    def finish(self) -> parts.Effects:
+        """Start, begin and ask what this turn made possible."""
+        state = self.state
+        for _ in range(MAX_ROUNDS):
+            touched, state.touched = state.touched, set()
+            for service in touched:
+                self.starting.fill(service)
+                self.intake.begin_ahead(service)
+                self.ask(service)
+            state.out += self.exchange.collect()
+            if not state.touched:
+                break
+        out, state.out = state.out, []
+        return typing.cast(parts.Effects, out)
+
+    def ask(self, service: str) -> None:
+        """Ask for slots where tasks wait and none is free."""
+        queue = self.state.queues.get(service)
+        if queue is not None and queue.get_backlog():
+            self.exchange.ask(service, self.state.get_wants(service))
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/dispatch/placement.py
@@ -0,0 +1,48 @@
+"""Where a task goes: the interface of policies, and the choice by name."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import typing
+
+from knapweedbeam_core import jobs
+from knapweedbeam_core.dispatch import service_times, usage
+from knapweedbeam_core.slots import held
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """A task to place; `slots` is what each endpoint must have free."""
+
+    job: jobs.Job
+    need: usage.Need
+
+
+class Fits(typing.Protocol):
+    """Says whether a task may go to an endpoint now."""
+
+    def __call__(self, endpoint: held.HeldEndpoint, need: usage.Need) -> bool:
+        """Return whether the endpoint's worker has room for the task."""
+
+
+class Placement(typing.Protocol):
+    """A policy that chooses among the endpoints with a free slot."""
+
+    def choose(self, pool: held.Pool, request: Request) -> held.HeldEndpoint | None:
+        """Return an endpoint for the task, or none when it fits nowhere now."""
+
+    def changed(self, pool: held.Pool, endpoint: held.HeldEndpoint) -> None:
+        """Take note that an endpoint's free slots or speed changed."""
+
+
+@dataclasses.dataclass(slots=True)
+class Tools:
+    """What a policy may use."""
+
+    rng: random.Random
+    times: service_times.ServiceTimes
+    fits: Fits
+
+
+Build = typing.Callable[[Tools], Placement]
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/dispatch/policies/__init__.py
@@ -0,0 +1,1 @@
+"""Placement policies: one that uses measured times, and plain baselines."""
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/dispatch/policies/least_finish.py
@@ -0,0 +1,84 @@
+"""Place each task where it is expected to finish first."""
+
+from __future__ import annotations
+
+import heapq
+
+from knapweedbeam_core.dispatch import placement
+from knapweedbeam_core.slots import held
+
+LOOK_AT = 4
+SLACK = 4
+
+Entry = tuple[float, int, held.HeldEndpoint]
+
+
+class LeastFinish:
+    """Least expected finish over the endpoints with a free slot.
+
+    A heap per service is ordered by measured speed and load; a change adds an
+    entry and makes the endpoint's earlier ones void. Among the first few that
+    fit, the class's own times decide.
+    """
+
+    def __init__(self, tools: placement.Tools) -> None:
+        self.tools = tools
+        self.heaps: dict[str, list[Entry]] = {}
+        self.count = 0
+
+    def changed(self, pool: held.Pool, endpoint: held.HeldEndpoint) -> None:
+        """Enter the endpoint anew when it has a free slot."""
+        endpoint.stamp = 0
+        if endpoint.place < 0:
+            return
+        heap = self.heaps.setdefault(pool.service, [])
+        if len(heap) > SLACK * len(pool.endpoints) + LOOK_AT:
+            heap[:] = [entry for entry in heap if entry[2].stamp == entry[1]]
+            heapq.heapify(heap)
+        self.count += 1
+        endpoint.stamp = self.count
+        heapq.heappush(heap, (self.get_score(endpoint), self.count, endpoint))
+
+    def choose(
+        self, pool: held.Pool, request: placement.Request
+    ) -> held.HeldEndpoint | None:
+        """Return the endpoint with the least expected finish that fits."""
+        heap = self.heaps.get(pool.service, [])
+        best = None
+        best_finish = 0.0
+        passed: list[Entry] = []
+        while heap and len(passed) < LOOK_AT:
+            entry = heapq.heappop(heap)
+            endpoint = entry[2]
+            if endpoint.stamp != entry[1]:
+                continue
+            passed.append(entry)
+            if not self.tools.fits(endpoint, request.need):
+                continue
+            finish = entry[0] * self.get_ratio(endpoint, request)
+            if best is None or finish < best_finish:
+                best = endpoint
+                best_finish = finish
+        for entry in passed:
+            heapq.heappush(heap, entry)
+        if best is None and len(passed) == LOOK_AT:
+            return self.find_fitting(pool, request)
+        return best
+
+    def find_fitting(
+        self, pool: held.Pool, request: placement.Request
+    ) -> held.HeldEndpoint | None:
+        """Return the best of all free endpoints, when the first have no room."""
+        fitting = [e for e in pool.free if self.tools.fits(e, request.need)]
+        return min(fitting, key=self.get_score, default=None)
+
+    def get_score(self, endpoint: held.HeldEndpoint) -> float:
+        """Return the endpoint's place in the order of expected finish."""
+        return endpoint.speed * (endpoint.running + 1) / endpoint.record.slots
+
+    def get_ratio(
+        self, endpoint: held.HeldEndpoint, request: placement.Request
+    ) -> float:
+        """Return how the task's class runs there beside the endpoint's speed."""
+        name = endpoint.record.endpoint
+        return self.tools.times.get_ratio(name, request.job.job_class)
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/dispatch/policies/round_robin.py
@@ -0,0 +1,29 @@
+"""Baseline: one endpoint after the other."""
+
+from __future__ import annotations
+
+from knapweedbeam_core.dispatch import placement
+from knapweedbeam_core.slots import held
+
+
+class RoundRobin:
+    """Choose in turn among the endpoints with a free slot."""
+
+    def __init__(self, tools: placement.Tools) -> None:
+        self.tools = tools
+        self.turn = 0
+
+    def changed(self, pool: held.Pool, endpoint: held.HeldEndpoint) -> None:
+        """Keep no state."""
+
+    def choose(
+        self, pool: held.Pool, request: placement.Request
+    ) -> held.HeldEndpoint | None:
+        """Return the next endpoint that fits."""
+        count = len(pool.free)
+        for _ in range(count):
+            self.turn += 1
+            endpoint = pool.free[self.turn % count]
+            if self.tools.fits(endpoint, request.need):
+                return endpoint
+        return None
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/dispatch/sizes.py
@@ -0,0 +1,86 @@
+"""Learned sizes: what the tasks of a class really take of a worker.
+
+Declared sizes may be far off either way. Where this entry VM holds all slots of
+a worker, a usage report shows what its tasks take together; the ratio to what
+they declared corrects the class.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from knapweedbeam_core import jobs, rules
+from knapweedbeam_core.dispatch import service_times, usage
+
+GAIN = 0.1
+MAX_CLASSES = 4_096
+MIN_RATIO = 1.0 / 64.0
+MAX_RATIO = 64.0
+TRUSTED_SAMPLES = 4
+
+
+@dataclasses.dataclass(slots=True)
+class SizeRatios:
+    """Actual over declared, for one class."""
+
+    cpu: service_times.Mean
+    memory: service_times.Mean
+
+
+class Sizes:
+    """Corrections of declared sizes, per service and class."""
+
+    def __init__(self) -> None:
+        self.classes: dict[tuple[str, str], SizeRatios] = {}
+
+    def get_ratios(self, service: str, job_class: str) -> SizeRatios:
+        """Return the corrections of a class; the oldest class gives way."""
+        key = (service, job_class)
+        ratios = self.classes.get(key)
+        if ratios is None:
+            if len(self.classes) >= MAX_CLASSES:
+                del self.classes[next(iter(self.classes))]
+            one = service_times.Mean
+            ratios = self.classes[key] = SizeRatios(one(1.0), one(1.0))
+        return ratios
+
+    def get_need(
+        self,
+        job: jobs.Job,
+        task: jobs.TaskSpec,
+        service: rules.ServiceRules | None,
+    ) -> usage.Need:
+        """Return what a task is expected to take; the service has defaults."""
+        cpu_millis = task.cpu_millis
+        memory_mib = task.memory_mib
+        if service is not None:
+            cpu_millis = cpu_millis or service.cpu_millis
+            memory_mib = memory_mib or service.memory_mib
+        if not cpu_millis and not memory_mib:
+            return usage.NOTHING
+        ratios = self.classes.get((job.service, job.job_class))
+        if ratios is None:
+            return usage.Need(cpu_millis, memory_mib)
+        return usage.Need(
+            int(cpu_millis * ratios.cpu.value),
+            int(memory_mib * ratios.memory.value),
+        )
+
+    def learn(self, service: str, job_class: str, ratio: SizeSample) -> None:
+        """Take one observation of a class."""
+        ratios = self.get_ratios(service, job_class)
+        ratios.cpu.add(clamp(ratio.cpu), GAIN)
+        ratios.memory.add(clamp(ratio.memory), GAIN)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SizeSample:
+    """Actual over declared, as seen once."""
+
+    cpu: float
+    memory: float
+
+
+def clamp(ratio: float) -> float:
+    """Return the ratio within the bounds of belief."""
+    return min(MAX_RATIO, max(MIN_RATIO, ratio))
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/dispatch/starting.py
@@ -0,0 +1,89 @@
+"""Starting tasks on held slots."""
+
+from __future__ import annotations
+
+from knapweedbeam_core import effects, ids
+from knapweedbeam_core.dispatch import fair_queue, job_run, placement, state
+from knapweedbeam_core.slots import held
+
+HOLD_MS = 40
+
+
+class Starting:
+    """Puts the next tasks on free slots."""
+
+    def __init__(self, state: state.State) -> None:
+        self.state = state
+
+    def fill(self, service: str) -> None:
+        """Start tasks until slots or tasks run out."""
+        state = self.state
+        queue = state.queues.get(service)
+        pool = state.holder.pools.get(service)
+        if queue is None or pool is None:
+            return
+        now_ms = state.clock.now_ms()
+        while pool.free:
+            line = queue.get_next()
+            if line is None:
+                return
+            run = queue.get_ready(line)
+            if run is None:
+                line.ready_tasks = 0
+                continue
+            if not self.start_next(pool, run, now_ms):
+                queue.set_aside(line)
+                due = make_line_due(line)
+                state.timers.add(now_ms + HOLD_MS, due)
+
+    def start_next(self, pool: held.Pool, run: job_run.JobRun, now_ms: int) -> bool:
+        """Start a job's next task; false when it must wait."""
+        state = self.state
+        job = run.job
+        index = run.order[-1]
+        spec = job.tasks[index]
+        need = state.get_size(job, spec)
+        endpoint = state.placement.choose(pool, placement.Request(job, need))
+        if endpoint is None:
+            return False
+        lease = endpoint.lease
+        if lease.until_ms <= now_ms:
+            state.holder.lapse_now(lease)
+            return True
+        task = ids.TaskId(job.ticket, index)
+        if not state.gate.start_task(task, spec):
+            return False
+        run.order.pop()
+        line = run.line
+        line.ready_tasks -= 1
+        line.running_slots += 1
+        run.ran += 1
+        state.queued_tasks -= 1
+        queue = state.queues[line.service]
+        queue.forget_work(run, 1)
+        record = endpoint.record
+        base_ms = state.times.get_base_ms(job, spec.run_ms)
+        expected_ms = base_ms * endpoint.speed
+        load = state.usage.start(record.worker, need, state.clock.wall_ms())
+        run.running[index] = job_run.RunningTask(endpoint, now_ms, expected_ms, load)
+        fair_queue.charge(line, expected_ms)
+        state.budget.earn()
+        state.out.append(
+            effects.StartTask(
+                task,
+                record.endpoint,
+                record.address,
+                spec.payload,
+                max(1, job.due_ms - now_ms),
+            )
+        )
+        endpoint.running += 1
+        pool.running += 1
+        pool.update(endpoint)
+        state.placement.changed(pool, endpoint)
+        return True
+
+
+def make_line_due(line: fair_queue.Line) -> state.Due:
+    """Return the timer of a member's line that was set aside."""
+    return state.Due(state.DueKind.LINE, line=line)
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/dispatch/state.py
@@ -0,0 +1,141 @@
+"""What the dispatch modules share: queues, estimates and what is due."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from knapweedbeam_core import clock, effects, ids, jobs, outcomes, rules
+from knapweedbeam_core.dispatch import (
+    fair_queue,
+    health,
+    job_run,
+    placement,
+    retry_budget,
+    service_times,
+    sizes,
+    timers,
+    usage,
+)
+from knapweedbeam_core.entry import parts
+from knapweedbeam_core.slots import holder
+
+WORKER_LEASE_MS = 10_000
+
+
+class DueKind(enum.Enum):
+    """What a timer is for."""
+
+    DEADLINE = enum.auto()
+    LINE = enum.auto()
+    TASK_LEASE = enum.auto()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Due:
+    """Something due: a job's deadline, a line set aside or a task's lease."""
+
+    kind: DueKind
+    ticket: str = ""
+    index: int = 0
+    line: fair_queue.Line | None = None
+
+
+class State:
+    """The dispatcher's own state, changed by its modules in one turn each."""
+
+    def __init__(
+        self, clock: clock.Clock, gate: parts.LimitGate, use: usage.Usage
+    ) -> None:
+        self.clock = clock
+        self.gate = gate
+        self.usage = use
+        self.jobs: dict[str, job_run.JobRun] = {}
+        self.queues: dict[str, fair_queue.FairQueue] = {}
+        self.accounts: dict[str, fair_queue.Account] = {}
+        self.rules = rules.Rules()
+        self.times = service_times.ServiceTimes()
+        self.sizes = sizes.Sizes()
+        self.health = health.Health()
+        self.budget = retry_budget.RetryBudget()
+        self.timers: timers.Timers[Due] = timers.Timers()
+        self.touched: set[str] = set()
+        self.out: list[effects.Effect] = []
+        self.open_jobs = 0
+        self.queued_tasks = 0
+        self.queued_bytes = 0
+        self.stopping = False
+        self.placement: placement.Placement
+        self.holder: holder.Holder
+
+    def get_queue(self, service: str) -> fair_queue.FairQueue:
+        """Return the queue of a service."""
+        queue = self.queues.get(service)
+        if queue is None:
+            queue = self.queues[service] = fair_queue.FairQueue(service)
+        return queue
+
+    def get_account(self, member: str) -> fair_queue.Account:
+        """Return the account of a member."""
+        account = self.accounts.get(member)
+        if account is None:
+            account = fair_queue.Account(member, self.get_standing(member))
+            self.accounts[member] = account
+        return account
+
+    def get_standing(self, member: str) -> float:
+        """Return a member's weight beside the others."""
+        known = self.rules.members.get(member)
+        return float(known.standing) if known is not None else 1.0
+
+    def get_size(self, job: jobs.Job, task: jobs.TaskSpec) -> usage.Need:
+        """Return what a task is expected to take, defaults included."""
+        service = self.rules.services.get(job.service)
+        return self.sizes.get_need(job, task, service)
+
+    def get_wants(self, service: str) -> dict[str, int]:
+        """Return how many slots each member's tasks could use here."""
+        queue = self.queues.get(service)
+        if queue is None:
+            return {}
+        return {
+            member: wanted
+            for member, line in queue.lines.items()
+            if (wanted := line.running_slots + line.get_backlog())
+        }
+
+    def end_job(self, run: job_run.JobRun, outcome: outcomes.Outcome | None) -> None:
+        """End a job, whatever state it is in, and tell unless it was abandoned."""
+        state = run.state
+        if not run.take("end"):
+            return
+        line = run.line
+        left = len(run.order)
+        if state == job_run.WAITING:
+            line.waiting_tasks -= left
+        elif state == job_run.ASKED:
+            line.asked_tasks -= left
+        else:
+            line.ready_tasks -= left
+        self.queues[line.service].forget_work(run, left)
+        self.queued_tasks -= left
+        self.queued_bytes -= run.bytes
+        run.order.clear()
+        self.open_jobs -= 1
+        if state != job_run.WAITING:
+            self.gate.end_job(run.job.ticket)
+        if outcome is not None:
+            self.out.append(effects.JobEnded(run.job.ticket, outcome))
+        if run.running:
+            self.stop_running(run)
+        else:
+            del self.jobs[run.job.ticket]
+
+    def stop_running(self, run: job_run.JobRun) -> None:
+        """Ask for a stop of what runs; slots stay charged until that ends."""
+        run.answers = []
+        due_ms = self.clock.now_ms() + WORKER_LEASE_MS
+        for index in run.running:
+            self.out.append(effects.StopTask(ids.TaskId(run.job.ticket, index)))
+            due = Due(DueKind.TASK_LEASE, run.job.ticket, index)
+            self.timers.add(due_ms, due)
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/dispatch/usage.py
@@ -0,0 +1,143 @@
+"""Room on the workers, from usage reports that lag behind.
+
+A report says what was in use at its as-of time. Tasks started here since then
+are added, those that it counted and that have ended since are taken off.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from knapweedbeam_core.entry import parts
+
+MAX_WORKERS = 4_096
+KEEP_ENDED_MS = 10_000
+MAX_ENDED = 256
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Need:
+    """What a task takes; zero means that nothing is known."""
+
+    cpu_millis: int = 0
+    memory_mib: int = 0
+
+
+NOTHING = Need()
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Load:
+    """One task on a worker; `ended_ms` is 0 while it runs."""
+
+    need: Need
+    started_ms: int
+    ended_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class WorkerUse:
+    """A worker's latest report and what changed here since its as-of time."""
+
+    report: parts.UsageReport
+    loads: list[Load] = dataclasses.field(default_factory=list)
+    cpu_millis: int = 0
+    memory_mib: int = 0
+
+    def has_room(self, need: Need) -> bool:
+        """Say whether a task fits beside what is in use."""
+        report = self.report
+        return (
+            self.cpu_millis + need.cpu_millis <= report.cpu_millis
+            and self.memory_mib + need.memory_mib <= report.memory_mib
+        )
+
+    def can_ever(self, need: Need) -> bool:
+        """Say whether a task fits on the empty worker."""
+        report = self.report
+        return (
+            need.cpu_millis <= report.cpu_millis
+            and need.memory_mib <= report.memory_mib
+        )
+
+    def add(self, need: Need, sign: int) -> None:
+        """Add a task's need, or take it off."""
+        self.cpu_millis += sign * need.cpu_millis
+        self.memory_mib += sign * need.memory_mib
+
+    def rebuild(self) -> None:
+        """Work out what is in use from the report and the tasks since."""
+        as_of_ms = self.report.as_of_ms
+        self.cpu_millis = self.report.cpu_millis_in_use
+        self.memory_mib = self.report.memory_mib_in_use
+        oldest_ms = as_of_ms - KEEP_ENDED_MS
+        self.loads = [load for load in self.loads if not 0 < load.ended_ms < oldest_ms]
+        for load in self.loads:
+            if load.started_ms > as_of_ms and not load.ended_ms:
+                self.add(load.need, 1)
+            elif load.started_ms <= as_of_ms < load.ended_ms:
+                self.add(load.need, -1)
+
+    def get_at(self, as_of_ms: int) -> list[Load]:
+        """Return the tasks from here that ran at the as-of time."""
+        return [
+            load
+            for load in self.loads
+            if load.started_ms <= as_of_ms
+            and (not load.ended_ms or load.ended_ms > as_of_ms)
+        ]
+
+
+class Usage:
+    """What is in use on every worker that reported."""
+
+    def __init__(self) -> None:
+        self.workers: dict[str, WorkerUse] = {}
+
+    def get_report(self, worker: str) -> parts.UsageReport | None:
+        """Return a worker's latest report."""
+        use = self.workers.get(worker)
+        return use.report if use is not None else None
+
+    def take_report(self, report: parts.UsageReport) -> bool:
+        """Take a report; false when it is older than the one known."""
+        use = self.workers.get(report.worker)
+        if use is None:
+            if len(self.workers) >= MAX_WORKERS:
+                return False
+            use = self.workers[report.worker] = WorkerUse(report)
+        elif report.as_of_ms <= use.report.as_of_ms:
+            return False
+        use.report = report
+        use.rebuild()
+        return True
+
+    def fits(self, worker: str, need: Need) -> bool:
+        """Say whether a task fits on a worker now; unknown workers take all."""
+        use = self.workers.get(worker)
+        return use is None or use.has_room(need)
+
+    def can_ever(self, worker: str, need: Need) -> bool:
+        """Say whether a task fits on the empty worker."""
+        use = self.workers.get(worker)
+        return use is None or use.can_ever(need)
+
+    def start(self, worker: str, need: Need, wall_ms: int) -> Load | None:
+        """Count a task that starts; none where the worker never reported."""
+        use = self.workers.get(worker)
+        if use is None:
+            return None
+        load = Load(need, wall_ms)
+        use.loads.append(load)
+        use.add(need, 1)
+        if len(use.loads) > MAX_ENDED:
+            use.rebuild()
+            use.loads = use.loads[-MAX_ENDED:]
+        return load
+
+    def end(self, worker: str, load: Load, wall_ms: int) -> None:
+        """Count a task that ended."""
+        load.ended_ms = wall_ms
+        use = self.workers.get(worker)
+        if use is not None:
+            use.add(load.need, -1)
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which entry VMs are live."""
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/slots/__init__.py
@@ -0,0 +1,1 @@
+"""Endpoints, their keepers and the slots that entry VMs hold."""
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/slots/directory.py
@@ -0,0 +1,90 @@
+"""What every entry VM keeps, as it told the others."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from knapweedbeam_core import ids
+from knapweedbeam_core.slots import messages
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Total:
+    """What all keepers have of one service.
+
+    The sizes are those of the largest worker, 0 while any is unknown.
+    """
+
+    endpoints: int
+    slots: int
+    cpu_millis: int
+    memory_mib: int
+
+
+NO_TOTAL = Total(0, 0, 0, 0)
+
+
+class Directory:
+    """The capacity of each keeper, and of all of them by service."""
+
+    def __init__(self) -> None:
+        self.versions: dict[ids.ProcessId, int] = {}
+        self.services: dict[ids.ProcessId, dict[str, messages.ServiceCapacity]] = {}
+        self.near: set[ids.ProcessId] = set()
+        self.totals: dict[str, Total] = {}
+
+    def take(
+        self, keeper: ids.ProcessId, capacity: messages.Capacity, near: bool
+    ) -> None:
+        """Take a keeper's capacity; an older one changes nothing."""
+        if capacity.version <= self.versions.get(keeper, 0):
+            return
+        self.versions[keeper] = capacity.version
+        self.services[keeper] = {part.service: part for part in capacity.services}
+        if near:
+            self.near.add(keeper)
+        self.rebuild()
+
+    def drop(self, keeper: ids.ProcessId) -> None:
+        """Forget a keeper that is gone."""
+        if self.versions.pop(keeper, None) is None:
+            return
+        del self.services[keeper]
+        self.near.discard(keeper)
+        self.rebuild()
+
+    def rebuild(self) -> None:
+        """Add up the keepers' capacities after a change."""
+        by_service: dict[str, list[messages.ServiceCapacity]] = {}
+        for services in self.services.values():
+            for part in services.values():
+                by_service.setdefault(part.service, []).append(part)
+        self.totals = {name: add_up(parts) for name, parts in by_service.items()}
+
+    def get_total(self, service: str) -> Total:
+        """Return what all keepers have of a service."""
+        return self.totals.get(service, NO_TOTAL)
+
+    def get_capacity(self, keeper: ids.ProcessId, service: str) -> int:
+        """Return how many slots of a service a keeper keeps."""
+        part = self.services.get(keeper, {}).get(service)
+        return part.slots if part is not None else 0
+
+    def is_near(self, keeper: ids.ProcessId) -> bool:
+        """Say whether a keeper is in this failure domain."""
+        return keeper in self.near
+
+
+def add_up(parts: list[messages.ServiceCapacity]) -> Total:
+    """Return the sum of several keepers' capacities of one service."""
+    return Total(
+        sum(part.endpoints for part in parts),
+        sum(part.slots for part in parts),
+        get_largest([part.cpu_millis for part in parts]),
+        get_largest([part.memory_mib for part in parts]),
+    )
+
+
+def get_largest(sizes: list[int]) -> int:
+    """Return the largest size, 0 while any is unknown."""
+    return max(sizes) if all(sizes) else 0
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/slots/exchange.py
@@ -0,0 +1,389 @@
+"""Endpoints and slots of one process: keeper, holder and what they exchange."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import random
+
+from knapweedbeam_core import clock, effects, ids, outcomes, reasons
+from knapweedbeam_core.dispatch import usage
+from knapweedbeam_core.entry import parts
+from knapweedbeam_core.membership import messages as roster_messages
+from knapweedbeam_core.membership import rendezvous, roster
+from knapweedbeam_core.slots import (
+    announcing,
+    asking,
+    book,
+    directory,
+    holder,
+    keeper,
+    kept,
+    lease_times,
+    links,
+    messages,
+    moving,
+)
+
+Sends = list[effects.Send]
+GetWants = collections.abc.Callable[[str], dict[str, int]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Which process this is, and who else there is."""
+
+    me: ids.ProcessId
+    domain: str
+    peers: tuple[parts.Peer, ...]
+    clock: clock.Clock
+    rng: random.Random
+
+
+class Exchange:
+    """Turns announcements, heartbeats and demand into held slots."""
+
+    def __init__(
+        self, place: Place, watcher: holder.Watcher, get_wants: GetWants
+    ) -> None:
+        self.me = place.me
+        self.domain = place.domain
+        self.clock = place.clock
+        self.get_wants = get_wants
+        self.roster = roster.Roster(place.me, place.domain, place.peers, place.clock)
+        self.leavers = book.Leavers(place.clock)
+        settings = keeper.Settings(place.me, place.clock)
+        self.keeper = keeper.Keeper(settings, self.leavers)
+        self.holder = holder.Holder(place.me, place.clock, watcher, self.leavers)
+        self.directory = directory.Directory()
+        self.asking = asking.Asking(place.clock, self.holder, self.directory)
+        self.announcing = announcing.Announcing()
+        self.moving = moving.Moving(self.roster, self.keeper, self.holder)
+        self.usage = usage.Usage()
+        self.capacity_sent = 0
+        self.stopping = False
+        session = self.keeper.renew(self.me)
+        self.holder.open_link(self.me, session.number)
+
+    # From outside.
+
+    def announce(
+        self, record: parts.Announcement
+    ) -> tuple[parts.EndpointLease | outcomes.Refusal, Sends]:
+        """Take an endpoint's announcement and bring it to its keeper."""
+        refusal = check_announcement(record)
+        if refusal is not None:
+            return refusal, []
+        name = record.endpoint
+        version = book.Version(record.incarnation, record.sequence)
+        if record.leaving:
+            return self.get_lease(), self.tell_left(name, version)
+        if self.leavers.has_left(name, version):
+            return outcomes.Refusal(reasons.Reason.STALE, f"{name} has left"), []
+        chosen = self.choose_keeper(record)
+        if not chosen:
+            detail = f"no entry VM of {record.domain} is reachable"
+            return outcomes.Refusal(reasons.Reason.NOT_READY, detail), []
+        if chosen != self.me.name:
+            now_ms = self.clock.now_ms()
+            return self.get_lease(), self.announcing.forward(chosen, record, now_ms)
+        refusal = self.keep(record, 0)
+        return refusal or self.get_lease(), []
+
+    def choose_keeper(self, record: parts.Announcement) -> str:
+        """Return the name of an endpoint's keeper, empty when none is live."""
+        names = self.roster.get_names(record.domain)
+        if self.stopping:
+            names = tuple(name for name in names if name != self.me.name)
+        return rendezvous.choose(record.endpoint, names)
+
+    def get_lease(self) -> parts.EndpointLease:
+        """Return how long an announcement holds."""
+        return parts.EndpointLease(
+            lease_times.ENDPOINT_LEASE_MS, lease_times.ANNOUNCE_MS
+        )
+
+    def tell_left(self, name: str, version: book.Version) -> Sends:
+        """Tell every live entry VM of a leaver, the first time it says so."""
+        if not self.leavers.add(name, version):
+            return []
+        self.keeper.leave(name, version)
+        self.holder.leave(name, version.incarnation)
+        left = messages.EndpointLeft(name, version.incarnation, version.sequence)
+        return [
+            effects.Send(contact.peer.name, left)
+            for contact in self.roster.contacts.values()
+            if contact.known is not None
+        ]
+
+    def keep(self, record: parts.Announcement, age_ms: int) -> outcomes.Refusal | None:
+        """Take an announcement as its endpoint's keeper."""
+        open_ms = self.moving.get_open_ms(record)
+        return self.keeper.take_announcement(record, age_ms, open_ms)
+
+    def take_report(self, report: parts.UsageReport) -> None:
+        """Take a usage report; near entry VMs learn of it with the heartbeat."""
+        if not self.learn_usage(report):
+            return
+        for contact in self.roster.contacts.values():
+            if contact.live and contact.is_frequent:
+                contact.reports[report.worker] = report
+
+    def learn_usage(self, report: parts.UsageReport) -> bool:
+        """Take a report; false when it is older than the one known."""
+        sizes = self.get_sizes(report.worker)
+        if not self.usage.take_report(report):
+            return False
+        if sizes != self.get_sizes(report.worker):
+            self.keeper.worker_changed()
+        return True
+
+    def get_sizes(self, worker: str) -> tuple[int, int]:
+        """Return a worker's sizes, zero while they are unknown."""
+        report = self.usage.get_report(worker)
+        return (report.cpu_millis, report.memory_mib) if report else (0, 0)
+
+    # From other entry VMs.
+
+    def take_seen(self, sender: ids.ProcessId, seen: messages.EndpointsSeen) -> Sends:
+        """Take announcements as keeper; those kept elsewhere are left out."""
+        for taken in seen.seen:
+            record = taken.announcement
+            if self.choose_keeper(record) == self.me.name:
+                self.keep(record, taken.age_ms)
+        for refresh in seen.refreshes:
+            self.keeper.take_refresh(refresh)
+        return []
+
+    def hear(self, sender: ids.ProcessId) -> bool:
+        """Take a sign of life; false when an ended run or a stranger spoke."""
+        change = self.roster.hear(sender)
+        if change is None:
+            return False
+        if change.gone is not None:
+            self.directory.drop(change.gone)
+        return True
+
+    def take_stopping(
+        self, sender: ids.ProcessId, message: roster_messages.Stopping
+    ) -> Sends:
+        """Take that a peer keeps nothing new from now on."""
+        self.roster.stop(sender)
+        self.directory.drop(sender)
+        return []
+
+    def take_holder_delta(
+        self, sender: ids.ProcessId, delta: messages.HolderDelta
+    ) -> Sends:
+        """Take what a holder gives back and could use."""
+        if delta.receiver_incarnation == self.me.incarnation:
+            self.keeper.take_delta(sender, delta)
+        return []
+
+    def take_keeper_delta(
+        self, sender: ids.ProcessId, delta: messages.KeeperDelta
+    ) -> Sends:
+        """Take what a keeper grants and wants back."""
+        if delta.receiver_incarnation == self.me.incarnation:
+            self.holder.take_delta(sender, delta)
+        return []
+
+    def take_capacity(
+        self, sender: ids.ProcessId, capacity: messages.Capacity
+    ) -> Sends:
+        """Take what another entry VM keeps."""
+        self.directory.take(sender, capacity, self.roster.is_near(sender))
+        return []
+
+    def take_left(self, sender: ids.ProcessId, left: messages.EndpointLeft) -> Sends:
+        """Take that an endpoint leaves."""
+        version = book.Version(left.incarnation, left.sequence)
+        if self.leavers.add(left.endpoint, version):
+            self.keeper.leave(left.endpoint, version)
+            self.holder.leave(left.endpoint, version.incarnation)
+        return []
+
+    def take_usage(self, sender: ids.ProcessId, seen: messages.UsageSeen) -> Sends:
+        """Take usage reports that another entry VM took."""
+        for report in seen.reports:
+            self.learn_usage(report)
+        return []
+
+    def take_shown(self, sender: ids.ProcessId, shown: messages.SlotsShown) -> Sends:
+        """Take leases that an earlier keeper granted."""
+        if shown.receiver_incarnation != self.me.incarnation:
+            return []
+        for slots in shown.shown:
+            record = slots.announcement
+            if record.endpoint in self.keeper.endpoints:
+                continue
+            if self.choose_keeper(record) == self.me.name:
+                self.keep(record, lease_times.ANNOUNCE_MS)
+        self.keeper.take_shown(sender, shown.shown)
+        return []
+
+    def take_beat(
+        self, sender: ids.ProcessId, beat: roster_messages.Heartbeat
+    ) -> Sends:
+        """Take a heartbeat: renew leases both ways and repeat what got lost."""
+        contact = self.roster.take_beat(sender, beat)
+        if contact is None:
+            return []
+        session = self.keeper.renew(sender)
+        session.echo_ms = max(session.echo_ms, beat.sent_ms)
+        if beat.receiver_incarnation != self.me.incarnation:
+            return []
+        sends: Sends = []
+        if beat.held_session == session.number:
+            sends += self.keeper.resend(session, beat.grants_applied)
+        contact.capacity_known = beat.capacity_known
+        if beat.session:
+            renewal = holder.Renewal(
+                beat.session,
+                beat.echo_ms,
+                beat.required,
+                beat.stalest_ms,
+                beat.returns_applied,
+            )
+            self.holder.renew(sender, renewal)
+        self.asking.take_free(sender, beat.free)
+        return sends
+
+    # To other entry VMs.
+
+    def tick(self) -> Sends:
+        """Do what is due: leases, graces, silent peers and heartbeats."""
+        now_ms = self.clock.now_ms()
+        self.keeper.tick()
+        self.holder.tick()
+        for gone in self.roster.find_silent(now_ms):
+            self.directory.drop(gone)
+        sends = self.moving.tick(now_ms)
+        sends += self.tell_capacity()
+        own = self.holder.links[self.me]
+        self.holder.return_idle(own, now_ms)
+        self.settle(own)
+        for contact in self.roster.get_due(now_ms):
+            sends += self.beat(contact, now_ms)
+        return sends
+
+    def beat(self, contact: roster.Contact, now_ms: int) -> Sends:
+        """Return a heartbeat and all that rides with it."""
+        name = contact.peer.name
+        link = self.holder.links.get(contact.known) if contact.known else None
+        session = self.keeper.sessions.get(contact.known) if contact.known else None
+        sends: Sends = []
+        if link is not None:
+            self.holder.return_idle(link, now_ms)
+            self.settle(link)
+            delta = self.holder.get_beat_delta(link)
+            sends += [delta] if delta is not None else []
+        sends += self.announcing.take_waiting(name, now_ms)
+        sends += self.get_reports(contact)
+        if contact.live and contact.capacity_known < self.keeper.capacity_version:
+            sends.append(effects.Send(name, self.build_capacity()))
+        in_use = link is not None and any(link.held.values())
+        granted = session is not None and any(session.held.values())
+        self.roster.engage(name, in_use or granted)
+        return [effects.Send(name, self.build_beat(contact, link, session)), *sends]
+
+    def build_beat(
+        self,
+        contact: roster.Contact,
+        link: links.KeeperLink | None,
+        session: kept.HolderSession | None,
+    ) -> roster_messages.Heartbeat:
+        """Build the heartbeat for one peer."""
+        known = contact.known
+        capacity_known = self.directory.versions.get(known, 0) if known else 0
+        return roster_messages.Heartbeat(
+            sequence=self.roster.number_beat(contact),
+            sent_ms=self.clock.now_ms(),
+            receiver_incarnation=known.incarnation if known else 0,
+            echo_ms=contact.echo_ms,
+            session=session.number if session else 0,
+            required=session.required if session else 0,
+            stalest_ms=self.keeper.stalest_ms,
+            returns_applied=session.applied.version if session else 0,
+            held_session=link.lease.session if link else 0,
+            grants_applied=link.applied.version if link else 0,
+            capacity_known=capacity_known,
+            free=self.keeper.get_free(),
+        )
+
+    def get_reports(self, contact: roster.Contact) -> Sends:
+        """Return the usage reports that a peer has not been sent."""
+        if not contact.reports:
+            return []
+        fresh = tuple(contact.reports.values())
+        contact.reports.clear()
+        return [effects.Send(contact.peer.name, messages.UsageSeen(fresh))]
+
+    def ask(self, service: str, wants: asking.Wants) -> None:
+        """Ask for the slots that a backlog lacks."""
+        kept_here = self.keeper.services.get(service)
+        if kept_here is not None:
+            self.holder.links[self.me].free[service] = kept_here.free
+        self.asking.ask(service, wants)
+
+    def settle(self, link: links.KeeperLink) -> None:
+        """Bring down the demand that a keeper knows."""
+        for service in [name for name, told in link.told.items() if told]:
+            self.asking.settle(link, service, self.get_wants(service))
+
+    def tell_capacity(self) -> Sends:
+        """Tell everyone what is kept here, after it changed."""
+        version = self.keeper.capacity_version
+        if version == self.capacity_sent:
+            return []
+        self.capacity_sent = version
+        capacity = self.build_capacity()
+        self.directory.take(self.me, capacity, near=True)
+        return [
+            effects.Send(contact.peer.name, capacity)
+            for contact in self.roster.contacts.values()
+            if contact.live
+        ]
+
+    def build_capacity(self) -> messages.Capacity:
+        """Build what is kept here, by service."""
+        services = self.keeper.get_capacities(self.usage)
+        return messages.Capacity(self.keeper.capacity_version, services)
+
+    def collect(self) -> Sends:
+        """Return the deltas of this turn, own ones taken at once."""
+        sends: Sends = []
+        for _ in range(MAX_OWN_ROUNDS):
+            found = [*self.holder.collect(), *self.keeper.collect()]
+            if not found:
+                break
+            for send in found:
+                if send.to != self.me.name:
+                    sends.append(send)
+                elif isinstance(send.message, messages.HolderDelta):
+                    self.keeper.take_delta(self.me, send.message)
+                elif isinstance(send.message, messages.KeeperDelta):
+                    self.holder.take_delta(self.me, send.message)
+        return sends
+
+    def stop(self) -> Sends:
+        """Stop keeping: the others take over while leases here go on."""
+        self.stopping = True
+        self.moving.stop()
+        return [
+            effects.Send(contact.peer.name, roster_messages.Stopping())
+            for contact in self.roster.contacts.values()
+        ]
+
+
+MAX_OWN_ROUNDS = 8
+
+
+def check_announcement(record: parts.Announcement) -> outcomes.Refusal | None:
+    """Return why an announcement makes no sense, none when it does."""
+    for name in ("endpoint", "service", "address", "domain"):
+        if not getattr(record, name):
+            return outcomes.Refusal(reasons.Reason.INVALID, f"{name} is empty")
+    if record.slots < 1 or record.connections < 0 or record.sequence < 0:
+        return outcomes.Refusal(reasons.Reason.INVALID, "a count is out of range")
+    return None
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/slots/held.py
@@ -0,0 +1,83 @@
+"""The endpoints whose slots this entry VM holds."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from knapweedbeam_core import ids
+from knapweedbeam_core.entry import parts
+
+FOREVER_MS = 1 << 60
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Lease:
+    """The slots of one keeper: what this process may use, and until when."""
+
+    keeper: ids.ProcessId
+    session: int
+    until_ms: int
+    lapsed: bool = False
+    endpoints: dict[str, HeldEndpoint] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class HeldEndpoint:
+    """One run of an endpoint with slots held, or tasks running, here.
+
+    `granted` and `returned` only grow within one lease. `limit` bounds the
+    tasks that may run at once while the endpoint's health is in doubt. `speed`
+    is its expected run time beside that of an average endpoint.
+    """
+
+    record: parts.Announcement
+    lease: Lease
+    granted: int = 0
+    returned: int = 0
+    running: int = 0
+    revoked: bool = False
+    limit: int = FOREVER_MS
+    speed: float = 1.0
+    place: int = -1
+    stamp: int = 0
+    idle_since_ms: int = 0
+
+    @property
+    def held(self) -> int:
+        """Return how many slots are held, used or not."""
+        return self.granted - self.returned
+
+    @property
+    def free(self) -> int:
+        """Return how many tasks may be started here now."""
+        if self.revoked or self.lease.lapsed:
+            return 0
+        return min(self.granted - self.returned, self.limit) - self.running
+
+
+class Pool:
+    """The held endpoints of one service; `free` lists those with a free slot."""
+
+    def __init__(self, service: str) -> None:
+        self.service = service
+        self.endpoints: dict[str, HeldEndpoint] = {}
+        self.free: list[HeldEndpoint] = []
+        self.held = 0
+        self.running = 0
+
+    def update(self, endpoint: HeldEndpoint) -> None:
+        """Put the endpoint in or out of the free list after a change."""
+        if endpoint.free > 0:
+            if endpoint.place < 0:
+                endpoint.place = len(self.free)
+                self.free.append(endpoint)
+        elif endpoint.place >= 0:
+            self.take_out(endpoint)
+
+    def take_out(self, endpoint: HeldEndpoint) -> None:
+        """Take an endpoint out of the free list."""
+        last = self.free.pop()
+        if last is not endpoint:
+            self.free[endpoint.place] = last
+            last.place = endpoint.place
+        endpoint.place = -1
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/slots/keeper.py
@@ -0,0 +1,468 @@
+"""The keeper: it holds endpoints' leases and leases their slots out."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+
+from knapweedbeam_core import clock, effects, ids, outcomes, reasons
+from knapweedbeam_core.dispatch import timers, usage
+from knapweedbeam_core.entry import parts
+from knapweedbeam_core.membership import messages as roster_messages
+from knapweedbeam_core.slots import balance, book, kept, lease_times, messages
+
+MAX_ENDPOINTS = 8_192
+RESEND_MS = 200
+EXPIRE_MS = 100
+MAX_SHARE = 0.5
+LINGER_MS = 60_000
+IDLE_SESSION_MS = 30_000
+
+
+@dataclasses.dataclass(slots=True)
+class Settings:
+    """What a keeper needs to know of its process."""
+
+    me: ids.ProcessId
+    clock: clock.Clock
+
+
+class Keeper:
+    """Keeps the endpoints that rendezvous hashing gives to this process."""
+
+    def __init__(self, settings: Settings, leavers: book.Leavers) -> None:
+        self.me = settings.me
+        self.clock = settings.clock
+        self.leavers = leavers
+        self.endpoints: dict[str, kept.KeptEndpoint] = {}
+        self.services: dict[str, kept.KeptService] = {}
+        self.sessions: dict[ids.ProcessId, kept.HolderSession] = {}
+        self.last_session = 0
+        self.standing: dict[str, float] = {}
+        self.hungry: set[str] = set()
+        self.dirty: dict[ids.ProcessId, kept.HolderSession] = {}
+        self.opening: timers.Timers[str] = timers.Timers()
+        self.expire_ms = 0
+        self.stalest_ms = 0
+        self.capacity_version = 1
+
+    def get_now_ms(self) -> int:
+        """Return the time."""
+        return self.clock.now_ms()
+
+    # Endpoints.
+
+    def take_announcement(
+        self, record: parts.Announcement, age_ms: int, open_ms: int
+    ) -> outcomes.Refusal | None:
+        """Take what an endpoint says; nothing late or repeated changes anything.
+
+        A new endpoint's slots are granted to all from `open_ms` on.
+        """
+        version = book.Version(record.incarnation, record.sequence)
+        name = record.endpoint
+        if self.leavers.has_left(name, version) and not record.leaving:
+            return outcomes.Refusal(reasons.Reason.STALE, f"{name} has left")
+        known = self.endpoints.get(name)
+        if known is None:
+            return self.add(record, age_ms, open_ms)
+        old = known.record
+        if version < book.Version(old.incarnation, old.sequence):
+            return outcomes.Refusal(reasons.Reason.STALE, f"{name} said more since")
+        now_ms = self.clock.now_ms()
+        known.seen_ms = max(known.seen_ms, now_ms - age_ms)
+        if version.incarnation > old.incarnation or record.service != old.service:
+            self.drop(name)
+            return self.add(record, age_ms, open_ms)
+        silent = now_ms - known.seen_ms > lease_times.SILENT_MS
+        if is_alike(record, old) and silent == known.silent:
+            known.record = record
+            return None
+        known.record = record
+        known.silent = silent
+        self.changed(known)
+        return None
+
+    def add(
+        self, record: parts.Announcement, age_ms: int, open_ms: int
+    ) -> outcomes.Refusal | None:
+        """Keep an endpoint that was not kept here."""
+        if record.leaving:
+            return None
+        if len(self.endpoints) >= MAX_ENDPOINTS:
+            return outcomes.Refusal(reasons.Reason.OVERLOADED, "too many endpoints")
+        now_ms = self.clock.now_ms()
+        if open_ms > now_ms:
+            self.opening.add(open_ms, record.endpoint)
+        known = kept.KeptEndpoint(record, now_ms - age_ms, open_ms)
+        self.endpoints[record.endpoint] = known
+        service = self.services.get(record.service)
+        if service is None:
+            service = kept.KeptService(record.service)
+            self.services[record.service] = service
+        service.endpoints[record.endpoint] = known
+        for session in self.sessions.values():
+            self.charge_again(session, known)
+        self.capacity_version += 1
+        self.refresh(known)
+        return None
+
+    def charge_again(
+        self, session: kept.HolderSession, known: kept.KeptEndpoint
+    ) -> None:
+        """Charge what a holder still has of an endpoint that was away."""
+        charge = session.charges.get(known.key)
+        if charge is None or not charge.held:
+            return
+        known.charged[session.holder] = charge.held
+        known.used += charge.held
+        session.add_held(known.record.service, charge.held)
+        self.mark(session, known.key)
+
+    def take_refresh(self, refresh: messages.Refresh) -> None:
+        """Take an announcement that repeats the one kept."""
+        known = self.endpoints.get(refresh.endpoint)
+        if known is None or known.record.incarnation != refresh.incarnation:
+            return
+        if refresh.sequence < known.record.sequence or known.record.leaving:
+            return
+        record = dataclasses.replace(known.record, sequence=refresh.sequence)
+        self.take_announcement(record, refresh.age_ms, known.open_ms)
+
+    def leave(self, endpoint: str, version: book.Version) -> None:
+        """Stop an endpoint that left, if it is kept here."""
+        known = self.endpoints.get(endpoint)
+        if known is None or known.record.incarnation > version.incarnation:
+            return
+        if not known.record.leaving:
+            known.record = dataclasses.replace(known.record, leaving=True)
+            self.changed(known)
+
+    def drop(self, endpoint: str) -> None:
+        """Keep an endpoint no longer; its holders are told to stop."""
+        known = self.endpoints.pop(endpoint)
+        service = self.services[known.record.service]
+        del service.endpoints[endpoint]
+        self.capacity_version += 1
+        service.update(known, self.clock.now_ms())
+        for holder, count in known.charged.items():
+            self.sessions[holder].add_held(service.service, -count)
+        self.tell_holders(known)
+        if not service.endpoints:
+            del self.services[service.service]
+
+    def changed(self, known: kept.KeptEndpoint) -> None:
+        """Act on a change of an endpoint's state or size."""
+        self.capacity_version += 1
+        self.refresh(known)
+        self.tell_holders(known)
+        self.hungry.add(known.record.service)
+
+    def tell_holders(self, known: kept.KeptEndpoint) -> None:
+        """Have the holders learn an endpoint's state before leases renew."""
+        for holder in known.charged:
+            session = self.sessions[holder]
+            self.mark(session, known.key)
+            session.required = session.stream.version
+
+    def refresh(self, known: kept.KeptEndpoint) -> None:
+        """Bring an endpoint's place among the free ones up to date."""
+        service = self.services[known.record.service]
+        service.update(known, self.clock.now_ms())
+        if service.free:
+            self.hungry.add(service.service)
+
+    # Holders.
+
+    def renew(self, holder: ids.ProcessId) -> kept.HolderSession:
+        """Renew a holder's lease, or begin a session with it."""
+        until_ms = self.clock.now_ms() + lease_times.SLOT_LEASE_MS
+        session = self.sessions.get(holder)
+        if session is None:
+            self.last_session += 1
+            session = kept.HolderSession(holder, self.last_session, until_ms)
+            self.sessions[holder] = session
+        session.until_ms = until_ms
+        return session
+
+    def end_session(self, holder: ids.ProcessId) -> None:
+        """Take back what a holder held, once its lease has ended."""
+        session = self.sessions.pop(holder, None)
+        if session is None:
+            return
+        self.dirty.pop(holder, None)
+        for key in session.charges:
+            known = self.endpoints.get(key.endpoint)
+            if known is not None:
+                known.used -= known.charged.pop(holder, 0)
+                self.refresh(known)
+
+    def take_delta(self, holder: ids.ProcessId, delta: messages.HolderDelta) -> None:
+        """Take what a holder gives back, could use and saw."""
+        session = self.sessions.get(holder)
+        if session is None or delta.session != session.number:
+            return
+        session.echo_ms = max(session.echo_ms, delta.sent_ms)
+        session.until_ms = self.clock.now_ms() + lease_times.SLOT_LEASE_MS
+        session.applied.take(delta.since, delta.version)
+        for returned in delta.returned:
+            self.take_return(session, returned)
+        for demand in delta.demands:
+            members = session.demands.setdefault(demand.service, {})
+            if demand.slots:
+                members[demand.member] = demand.slots
+            else:
+                members.pop(demand.member, None)
+            self.hungry.add(demand.service)
+        for note in delta.notes:
+            self.take_note(session, note)
+
+    def take_return(
+        self, session: kept.HolderSession, returned: messages.Returned
+    ) -> None:
+        """Free the slots that a holder gave back."""
+        key = kept.EndpointKey(returned.endpoint, returned.incarnation)
+        charge = session.charges.get(key)
+        if charge is None or returned.total <= charge.returned:
+            return
+        count = min(returned.total, charge.granted) - charge.returned
+        charge.returned += count
+        known = self.endpoints.get(returned.endpoint)
+        if known is None or known.key != key:
+            self.forget_charge(session, key)
+            return
+        session.add_held(known.record.service, -count)
+        left = known.charged[session.holder] - count
+        known.charged[session.holder] = left
+        if not left:
+            del known.charged[session.holder]
+        known.used -= count
+        self.refresh(known)
+
+    def forget_charge(self, session: kept.HolderSession, key: kept.EndpointKey) -> None:
+        """Drop the totals of an endpoint's run that cannot come back."""
+        version = book.Version(key.incarnation, 0)
+        left = self.leavers.has_left(key.endpoint, version)
+        if left and not session.charges[key].held:
+            del session.charges[key]
+
+    def take_note(self, session: kept.HolderSession, note: messages.HealthNote) -> None:
+        """Take what a holder saw of an endpoint."""
+        known = self.endpoints.get(note.endpoint)
+        if known is None or known.record.incarnation != note.incarnation:
+            return
+        known.speed = note.speed_percent / 100.0
+        if note.health is messages.Health.EJECTED:
+            self.doubt(known)
+        elif known.doubtful and note.health is messages.Health.HEALTHY:
+            known.doubtful = False
+            known.pause_ms = max(kept.FIRST_PAUSE_MS, known.pause_ms // 2)
+            self.changed(known)
+        else:
+            self.refresh(known)
+
+    def doubt(self, known: kept.KeptEndpoint) -> None:
+        """Stop an endpoint that failed, until a pause before one trial is over."""
+        service = self.services[known.record.service]
+        doubtful = sum(other.doubtful for other in service.endpoints.values())
+        if not known.doubtful and doubtful + 1 > MAX_SHARE * len(service.endpoints):
+            return
+        known.doubtful = True
+        known.open_ms = max(known.open_ms, self.clock.now_ms() + known.pause_ms)
+        known.pause_ms = min(kept.MAX_PAUSE_MS, known.pause_ms * 2)
+        self.opening.add(known.open_ms, known.record.endpoint)
+        self.changed(known)
+
+    def take_shown(
+        self, holder: ids.ProcessId, shown: collections.abc.Iterable[messages.HeldSlots]
+    ) -> None:
+        """Honour leases that an earlier keeper of the endpoints granted."""
+        session = self.renew(holder)
+        for slots in shown:
+            record = slots.announcement
+            known = self.endpoints.get(record.endpoint)
+            if known is None or self.clock.now_ms() >= known.open_ms:
+                continue
+            if known.record.incarnation != record.incarnation:
+                continue
+            if holder in known.charged:
+                continue
+            room = max(0, known.record.slots - known.used)
+            self.grant(session, known, min(slots.slots, room))
+
+    # Slots.
+
+    def grant(
+        self, session: kept.HolderSession, known: kept.KeptEndpoint, count: int
+    ) -> None:
+        """Charge slots to a holder, before it learns of them."""
+        if count <= 0:
+            return
+        record = known.record
+        charge = session.charges.get(known.key)
+        if charge is None:
+            charge = session.charges[known.key] = kept.Charge(record)
+        charge.granted += count
+        known.charged[session.holder] = known.charged.get(session.holder, 0) + count
+        known.used += count
+        session.add_held(record.service, count)
+        self.mark(session, known.key)
+        self.refresh(known)
+
+    def mark(self, session: kept.HolderSession, key: kept.Key) -> None:
+        """Have a holder learn of a change."""
+        session.stream.mark(key)
+        self.dirty[session.holder] = session
+
+    # What is due, and what is sent.
+
+    def tick(self) -> None:
+        """End leases and graces that ran out, and look again at who waits."""
+        now_ms = self.clock.now_ms()
+        for endpoint in self.opening.pop_due(now_ms):
+            known = self.endpoints.get(endpoint)
+            if known is not None:
+                self.refresh(known)
+        if now_ms >= self.expire_ms:
+            self.expire_ms = now_ms + EXPIRE_MS
+            self.expire(now_ms)
+        for service in self.services.values():
+            if service.bounded:
+                self.hungry.add(service.service)
+
+    def expire(self, now_ms: int) -> None:
+        """Drop endpoints and holders that were not heard of in time."""
+        ended = [s.holder for s in self.sessions.values() if self.is_over(s, now_ms)]
+        for holder in ended:
+            self.end_session(holder)
+        self.stalest_ms = 0
+        for known in list(self.endpoints.values()):
+            self.age(known, now_ms - known.seen_ms)
+
+    def is_over(self, session: kept.HolderSession, now_ms: int) -> bool:
+        """Say whether a holder's lease has ended with slots under it.
+
+        This process's own lease never does.
+        """
+        if session.until_ms > now_ms or session.holder == self.me:
+            return False
+        idle_ms = now_ms - session.until_ms
+        return idle_ms > IDLE_SESSION_MS or any(session.held.values())
+
+    def age(self, known: kept.KeptEndpoint, age_ms: int) -> None:
+        """Stop an endpoint that is silent, and drop one that is gone."""
+        if age_ms > lease_times.ENDPOINT_LEASE_MS:
+            if known.record.leaving and known.used and age_ms < LINGER_MS:
+                return
+            self.drop(known.record.endpoint)
+        elif known.record.leaving or known.silent:
+            return
+        elif age_ms > lease_times.SILENT_MS:
+            known.silent = True
+            self.changed(known)
+        else:
+            self.stalest_ms = max(self.stalest_ms, age_ms)
+
+    def collect(self) -> list[effects.Send]:
+        """Grant what can be granted and return the deltas to send."""
+        hungry, self.hungry = self.hungry, set()
+        for name in hungry:
+            service = self.services.get(name)
+            if service is not None:
+                balance.serve(self, service)
+        dirty, self.dirty = self.dirty, {}
+        return [self.build_delta(session, resend=False) for session in dirty.values()]
+
+    def build_delta(self, session: kept.HolderSession, resend: bool) -> effects.Send:
+        """Build the message that brings a holder up to date."""
+        stream = session.stream
+        batch = stream.take_unacked() if resend else stream.take_unsent()
+        session.sent_ms = self.clock.now_ms()
+        grants = []
+        allotments = []
+        for key in batch.keys:
+            if isinstance(key, kept.EndpointKey):
+                if key in session.charges:
+                    grants.append(self.build_grant(session.charges[key], key))
+            else:
+                allotments.append(session.bounds[key.service])
+        delta = messages.KeeperDelta(
+            session.holder.incarnation,
+            session.number,
+            session.echo_ms,
+            self.stalest_ms,
+            batch.since,
+            batch.version,
+            tuple(grants),
+            tuple(allotments),
+        )
+        return effects.Send(session.holder.name, delta)
+
+    def build_grant(self, charge: kept.Charge, key: kept.EndpointKey) -> messages.Grant:
+        """Build what a holder must know of one endpoint."""
+        known = self.endpoints.get(key.endpoint)
+        if known is None or known.key != key:
+            return messages.Grant(charge.record, charge.granted, True, False, 100)
+        charge.record = known.record
+        return messages.Grant(
+            known.record,
+            charge.granted,
+            self.is_stopped(known),
+            known.doubtful,
+            round(known.speed * 100),
+        )
+
+    def is_stopped(self, known: kept.KeptEndpoint) -> bool:
+        """Say whether holders must start nothing at an endpoint now."""
+        if not known.capacity:
+            return True
+        return known.doubtful and self.clock.now_ms() < known.open_ms
+
+    def resend(self, session: kept.HolderSession, applied: int) -> list[effects.Send]:
+        """Take a holder's acknowledgement and repeat what it lacks."""
+        session.stream.ack(applied)
+        lacking = session.stream.acked < session.stream.sent
+        if lacking and self.clock.now_ms() - session.sent_ms >= RESEND_MS:
+            return [self.build_delta(session, resend=True)]
+        return []
+
+    def worker_changed(self) -> None:
+        """Have the capacity told anew, since sizes of workers became known."""
+        self.capacity_version += 1
+
+    def get_capacities(
+        self, sizes: usage.Usage
+    ) -> tuple[messages.ServiceCapacity, ...]:
+        """Return what is kept here, by service."""
+        return tuple(
+            build_capacity(service, sizes) for service in self.services.values()
+        )
+
+    def get_free(self) -> tuple[roster_messages.FreeSlots, ...]:
+        """Return how many slots of each service could be granted now."""
+        return tuple(
+            roster_messages.FreeSlots(service.service, service.free)
+            for service in self.services.values()
+        )
+
+
+def is_alike(new: parts.Announcement, old: parts.Announcement) -> bool:
+    """Say whether two announcements differ in nothing but their sequence."""
+    return dataclasses.replace(new, sequence=old.sequence) == old
+
+
+def build_capacity(
+    service: kept.KeptService, sizes: usage.Usage
+) -> messages.ServiceCapacity:
+    """Return what is kept of one service, with its largest worker."""
+    live = [known for known in service.endpoints.values() if known.capacity]
+    reports = [sizes.get_report(known.record.worker) for known in live]
+    known_sizes = [report for report in reports if report is not None]
+    complete = bool(live) and len(known_sizes) == len(live)
+    return messages.ServiceCapacity(
+        service.service,
+        len(live),
+        sum(known.capacity for known in live),
+        max(report.cpu_millis for report in known_sizes) if complete else 0,
+        max(report.memory_mib for report in known_sizes) if complete else 0,
+    )
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/slots/kept.py
@@ -0,0 +1,166 @@
+"""What a keeper knows of its endpoints and of those who hold their slots."""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+import typing
+
+from knapweedbeam_core import ids
+from knapweedbeam_core.entry import parts
+from knapweedbeam_core.slots import deltas, messages
+
+SLACK = 4
+FIRST_PAUSE_MS = 1_000
+MAX_PAUSE_MS = 60_000
+
+
+class EndpointKey(typing.NamedTuple):
+    """One run of one endpoint, as something that a holder must know of."""
+
+    endpoint: str
+    incarnation: int
+
+
+class ServiceKey(typing.NamedTuple):
+    """A service whose allotment a holder must know of."""
+
+    service: str
+
+
+Key = EndpointKey | ServiceKey
+
+
+@dataclasses.dataclass(slots=True)
+class Charge:
+    """The slots of one endpoint that one holder has; both totals only grow."""
+
+    record: parts.Announcement
+    granted: int = 0
+    returned: int = 0
+
+    @property
+    def held(self) -> int:
+        """Return how many slots the holder may be using."""
+        return self.granted - self.returned
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class HolderSession:
+    """One holder's lease as its keeper sees it."""
+
+    holder: ids.ProcessId
+    number: int
+    until_ms: int
+    stream: deltas.DeltaStream[Key] = dataclasses.field(
+        default_factory=deltas.DeltaStream
+    )
+    applied: deltas.Applied = dataclasses.field(default_factory=deltas.Applied)
+    required: int = 0
+    charges: dict[EndpointKey, Charge] = dataclasses.field(default_factory=dict)
+    held: dict[str, int] = dataclasses.field(default_factory=dict)
+    demands: dict[str, dict[str, int]] = dataclasses.field(default_factory=dict)
+    bounds: dict[str, messages.Allotment] = dataclasses.field(default_factory=dict)
+    sent_ms: int = 0
+    echo_ms: int = 0
+
+    def add_held(self, service: str, count: int) -> None:
+        """Count slots of a service that the holder got or gave back."""
+        self.held[service] = self.held.get(service, 0) + count
+
+    def get_wanted(self, service: str) -> int:
+        """Return how many slots of a service the holder could use."""
+        return sum(self.demands.get(service, {}).values())
+
+    def get_missing(self, service: str) -> int:
+        """Return how many more slots the holder could use."""
+        return max(0, self.get_wanted(service) - self.held.get(service, 0))
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class KeptEndpoint:
+    """An endpoint that is kept here.
+
+    `open_ms` is when slots that no holder has shown may be granted; nothing
+    more is once it is `moved` to another keeper. While it is
+    doubtful, one task at a time goes there, through one holder.
+    """
+
+    record: parts.Announcement
+    seen_ms: int
+    open_ms: int
+    silent: bool = False
+    doubtful: bool = False
+    pause_ms: int = FIRST_PAUSE_MS
+    moved: bool = False
+    speed: float = 1.0
+    charged: dict[ids.ProcessId, int] = dataclasses.field(default_factory=dict)
+    used: int = 0
+    stamp: int = 0
+
+    @property
+    def key(self) -> EndpointKey:
+        """Return which run of the endpoint this is."""
+        return EndpointKey(self.record.endpoint, self.record.incarnation)
+
+    @property
+    def capacity(self) -> int:
+        """Return how many tasks may run there at once."""
+        record = self.record
+        if self.silent or record.leaving:
+            return 0
+        if self.doubtful:
+            return 1
+        if record.connections > 0:
+            return min(record.slots, record.connections)
+        return record.slots
+
+    def get_free(self, now_ms: int) -> int:
+        """Return how many slots may be granted now."""
+        if self.moved or now_ms < self.open_ms:
+            return 0
+        return max(0, self.capacity - self.used)
+
+
+class KeptService:
+    """The kept endpoints of one service, those with free slots by speed."""
+
+    def __init__(self, service: str) -> None:
+        self.service = service
+        self.endpoints: dict[str, KeptEndpoint] = {}
+        self.heap: list[tuple[float, int, KeptEndpoint]] = []
+        self.count = 0
+        self.free = 0
+        self.counted: dict[str, int] = {}
+        self.balanced_ms = -(1 << 40)
+        self.bounded = False
+
+    def update(self, kept: KeptEndpoint, now_ms: int) -> None:
+        """Enter an endpoint anew after a change of its slots or speed."""
+        name = kept.record.endpoint
+        free = kept.get_free(now_ms) if name in self.endpoints else 0
+        self.free += free - self.counted.get(name, 0)
+        kept.stamp = 0
+        if not free:
+            self.counted.pop(name, None)
+            return
+        self.counted[name] = free
+        if len(self.heap) > SLACK * len(self.endpoints) + SLACK:
+            self.heap = [entry for entry in self.heap if entry[2].stamp == entry[1]]
+            heapq.heapify(self.heap)
+        self.count += 1
+        kept.stamp = self.count
+        heapq.heappush(self.heap, (kept.speed, self.count, kept))
+
+    def get_best(self) -> KeptEndpoint | None:
+        """Return the fastest endpoint with a free slot."""
+        while self.heap:
+            _, stamp, kept = self.heap[0]
+            if kept.stamp == stamp:
+                return kept
+            heapq.heappop(self.heap)
+        return None
+
+    def get_capacity(self) -> int:
+        """Return how many slots there are in all."""
+        return sum(kept.capacity for kept in self.endpoints.values())
