Submit, look up and operate from the command line

Callers need a client that keeps the promise of tickets: knapweedctl mints one, sends the same bytes under it to each server in turn and reports a refusal only where no earlier try may have been taken. Exit statuses tell outcomes apart; tokens and keys come from closed files only.

--- /dev/null
+++ b/packages/ctl/src/knapweedbeam_ctl/commands/__init__.py
@@ -0,0 +1,1 @@
+"""What each command of `knapweedctl` does."""
--- /dev/null
+++ b/packages/ctl/src/knapweedbeam_ctl/exit_codes.py
@@ -0,0 +1,23 @@
+"""Exit statuses of `knapweedctl`, for scripts; 2 is a wrong command line."""
+
+from __future__ import annotations
+
+import enum
+
+
+class ExitCode(enum.IntEnum):
+    """What a command ended with."""
+
+    OK = 0
+    BAD_FILE = 3
+    UNREACHABLE = 4
+    REFUSED = 5
+    NOT_RUN = 10
+    FAILED = 11
+    UNKNOWN = 12
+    PENDING = 13
+    INVALID = 20
+    CONFLICT = 21
+    SIGNATURES = 22
+    NO_QUORUM = 23
+    DIFFERS = 24
--- /dev/null
+++ b/packages/ctl/tests/commands/test_calls.py
@@ -0,0 +1,106 @@
+from __future__ import annotations
+
+import json
+import pathlib
+import tempfile
+import unittest
+
+import fakes
+import msgspec
+import typer.testing
+
+from knapweedbeam_core import histogram_forms
+from knapweedbeam_ctl import __main__ as main
+
+CLOSED_SERVER = "127.0.0.1:1"
+ANSWERS: dict[str, fakes.Answer] = {
+    "complete": (200, {"outcome": "complete", "answers": [{"cut": 1}, 2]}),
+    "not_run": (429, {"outcome": "not_run", "reason": "limit", "retry_after_ms": 9}),
+    "failed": (502, {"outcome": "failed", "reason": "task_failed"}),
+    "unknown": (504, {"outcome": "failed", "reason": "outcome_unknown"}),
+    "refused": (400, {"error": "refused", "reason": "invalid", "detail": "tasks"}),
+}
+CODES = {"complete": 0, "not_run": 10, "failed": 11, "unknown": 12, "refused": 5}
+
+
+def build_handler(answer: fakes.Answer) -> fakes.Handler:
+    def handle(method: str, path: str, body: bytes) -> fakes.Answer:
+        if path == "/v1/tickets":
+            return 201, {"tickets": ["t1"], "retention_ms": 1}
+        return answer
+
+    return handle
+
+
+class CallsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.token_file = pathlib.Path(folder.name) / "token"
+        self.token_file.write_text("secret\n")
+        self.token_file.chmod(0o600)
+
+    def run_command(self, *words: str) -> typer.testing.Result:
+        token = ["--token-file", str(self.token_file)]
+        runner = typer.testing.CliRunner()
+        return runner.invoke(main.app, [*words, *token, "--json"])
+
+    def submit(self, *servers: str) -> typer.testing.Result:
+        words = [word for server in servers for word in ("--server", server)]
+        job = ["--service", "quotes", "--payload", '{"band":7}', "--payload", "2"]
+        return self.run_command("submit", *job, *words)
+
+    def test_each_outcome_has_its_exit_status(self) -> None:
+        for name, answer in ANSWERS.items():
+            with fakes.serve(build_handler(answer)) as (server, fake):
+                result = self.submit(server)
+            self.assertEqual(CODES[name], result.exit_code, name)
+            self.assertEqual("Bearer secret", fake.tokens[-1])
+            body = json.loads(fake.calls[-1][2])
+            self.assertEqual([{"payload": {"band": 7}}, {"payload": 2}], body["tasks"])
+
+    def test_lost_connections_are_followed_under_the_same_ticket(self) -> None:
+        handler = build_handler(ANSWERS["complete"])
+        with fakes.serve(handler) as (server, fake), fakes.serve_silence() as silent:
+            result = self.submit(CLOSED_SERVER, silent, server)
+        self.assertEqual(0, result.exit_code, result.output)
+        methods = [call[:2] for call in fake.calls]
+        self.assertEqual([("POST", "/v1/tickets"), ("PUT", "/v1/jobs/t1")], methods)
+
+    def test_nobody_answers(self) -> None:
+        self.assertEqual(4, self.submit(CLOSED_SERVER).exit_code)
+
+    def test_an_open_token_file_is_refused_and_not_shown(self) -> None:
+        self.token_file.chmod(0o644)
+        result = self.submit(CLOSED_SERVER)
+        self.assertEqual(3, result.exit_code)
+        self.assertIn("0644", result.output)
+        self.assertNotIn("secret", result.output)
+
+    def test_histograms_of_several_servers_are_merged(self) -> None:
+        histogram = histogram_forms.build_histogram(4)
+        histogram.record_value(7)
+        name = histogram_forms.Name("north", "quote", histogram_forms.Kind.WAIT)
+        form = json.loads(
+            msgspec.json.encode(histogram_forms.build_series(name, histogram))
+        )
+        handler = build_handler((200, {"series": [form]}))
+        with fakes.serve(handler) as (one, _), fakes.serve(handler) as (two, _):
+            result = self.run_command("histograms", "--server", one, "--server", two)
+        self.assertEqual(0, result.exit_code, result.output)
+        found = json.loads(result.stdout)["series"]
+        self.assertEqual([2], [series["count"] for series in found])
+
+    def test_a_conflict_has_its_exit_status(self) -> None:
+        bundle = self.token_file.with_name("bundle.toml")
+        bundle.write_text("version = 1\n")
+        refusals = {"conflict": 21, "signatures": 22, "no_quorum": 23, "invalid": 5}
+        for reason, code in refusals.items():
+            answer = (409, {"error": "refused", "reason": reason, "detail": ""})
+            with fakes.serve(build_handler(answer)) as (server, _):
+                words = ("bundle", "roll", str(bundle), "--server", server)
+                self.assertEqual(code, self.run_command(*words).exit_code)
+
+
+if __name__ == "__main__":
+    unittest.main()
