--- a/packages/ctl/src/knapweedbeam_ctl/__main__.py
+++ b/packages/ctl/src/knapweedbeam_ctl/__main__.py
@@ -19,7 +19,12 @@
     "24 bundles differ."
 )
 
-app = typer.Typer(no_args_is_help=True, add_completion=False, epilog=EXIT_CODES_HELP)
+app = typer.Typer(
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+    epilog=EXIT_CODES_HELP,
+)
 job_app = typer.Typer(no_args_is_help=True)
 app.add_typer(job_app, name="job", help="Show or cancel a job by its ticket.")
 app.add_typer(bundle_app.app, name="bundle", help="Make, sign, roll and read bundles.")
--- a/packages/ctl/src/knapweedbeam_ctl/submitting.py
+++ b/packages/ctl/src/knapweedbeam_ctl/submitting.py
@@ -19,7 +19,7 @@
 PAUSE_LIMIT_MS = 2_000
 PENDING_STATUS = 202
 FINAL_OUTCOMES = frozenset({"complete", "not_run", "failed"})
-ELSEWHERE = frozenset({"not_ready", "stopping", "no_reason"})
+ELSEWHERE = frozenset({"not_ready", "stopping", "memory", "overloaded", "no_reason"})
 
 Pause = collections.abc.Callable[[int], None]
 
--- a/packages/server/src/knapweedbeam_server/config/schema.py
+++ b/packages/server/src/knapweedbeam_server/config/schema.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from knapweedbeam_core.dispatch.policies import catalogue
 from knapweedbeam_server.config import options, settings
 
 KIB = 2**10
@@ -11,13 +12,7 @@
 GIB = 2**30
 MINUTE_MS = 60_000
 HOUR_MS = 60 * MINUTE_MS
-POLICIES = (
-    "least_finish",
-    "least_outstanding",
-    "two_choices",
-    "round_robin",
-    "random",
-)
+POLICIES = tuple(policy.value for policy in catalogue.Policy)
 LEVELS = ("debug", "info", "warning", "error")
 
 
@@ -166,8 +161,7 @@
 
     title = "member_limits"
     build = settings.MemberLimits
-    jobs = options.Integer("jobs without an outcome", "20000", 1, 1_000_000)
-    memory_bytes = options.ByteSize("of payloads and answers", "64 MiB", KIB, 64 * GIB)
+    memory_bytes = options.ByteSize("of payloads and answers", "128 MiB", KIB, 64 * GIB)
 
 
 SECTIONS: tuple[type[Section], ...] = (
--- a/packages/server/src/knapweedbeam_server/config/settings.py
+++ b/packages/server/src/knapweedbeam_server/config/settings.py
@@ -125,7 +125,6 @@
 class MemberLimits:
     """Bounds on what this process holds for one member."""
 
-    jobs: int
     memory_bytes: int
 
 
