--- a/packages/core/src/knapweedbeam_core/entry/parts.py
+++ b/packages/core/src/knapweedbeam_core/entry/parts.py
@@ -272,5 +272,8 @@
     def persisted(self, batch: int) -> Effects:
         """Go on after a `Persist` that is synced."""
 
+    def persist_failed(self) -> Effects:
+        """Stop this node's replica: its data folder failed."""
+
     def is_ready(self) -> bool:
         """Say whether this node asked all it can reach and holds a bundle."""
--- a/packages/server/src/knapweedbeam_server/http/serving.py
+++ b/packages/server/src/knapweedbeam_server/http/serving.py
@@ -40,7 +40,7 @@
         """Read a request's first line; an idle connection is closed."""
         line = ""
         with gevent.Timeout(self.idle_timeout_s, False):
-            line = super().read_requestline()
+            line = str(super().read_requestline())
         return line
 
     def read_request(self, raw_requestline: str) -> bool | None:
--- a/packages/server/src/knapweedbeam_server/shell.py
+++ b/packages/server/src/knapweedbeam_server/shell.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import dataclasses
-import typing
 
 import gevent
-import gevent.event
 import gevent.queue
 
 from knapweedbeam_core import clock, effects, ids, jobs, outcomes, rules
@@ -17,19 +15,12 @@
 from knapweedbeam_server.logs import catalogue, emit
 from knapweedbeam_server.tasks import starter
 from knapweedbeam_wire import links as wire_links
-from knapweedbeam_wire import traffic
+from knapweedbeam_wire import store, traffic
 
 STALL_MS = 250
 MS_PER_S = 1_000
 
 
-class Disk(typing.Protocol):
-    """The data folder; `save` blocks until all is synced."""
-
-    def save(self, persist: parts.Persist) -> outcomes.Refusal | None:
-        """Write and sync, or say why the replica must stop."""
-
-
 @dataclasses.dataclass(slots=True)
 class Counters:
     """What the HTTP servers tell the shell."""
@@ -65,7 +56,6 @@
         self.proposal_waiters = waiters.ProposalWaiters()
         self.counters = Counters()
         self.to_save: gevent.queue.SimpleQueue = gevent.queue.SimpleQueue()
-        self.disk_failed = gevent.event.Event()
         self.node: nodes.Node
         self.links: wire_links.Links
         self.starter: starter.TaskStarter
@@ -181,7 +171,7 @@
 
     def is_ready(self) -> bool:
         """Say whether callers' work is taken."""
-        if self.counters.stopping or self.disk_failed.is_set():
+        if self.counters.stopping:
             return False
         if self.alone:
             return True
@@ -327,22 +317,21 @@
         elif not self.counters.stopping:
             emit.emit(catalogue.NOT_READY, reason="no bundle or no data folder")
 
-    def run_saves(self, disk: Disk) -> None:
-        """Save what the replica asks for, in order, off the loop's thread."""
-        pool = gevent.get_hub().threadpool
+    def run_saves(self, disk: store.Store) -> None:
+        """Save what the replica asks for, in order."""
         while True:
             persist = self.to_save.get()
-            failure = pool.apply(disk.save, (persist,))
+            failure = disk.apply(persist)
             if failure is not None:
-                emit.emit(
-                    catalogue.STORE_FAILED,
-                    reason=failure.reason,
-                    detail=failure.detail,
-                )
-                self.disk_failed.set()
+                self.fail_disk(failure)
                 return
             self.carry_out(self.node.persisted(persist.batch))
 
+    def fail_disk(self, failure: store.StoreFailure) -> None:
+        """Stop the replica; the process goes on without it."""
+        emit.emit(catalogue.STORE_FAILED, reason=failure.fault, detail=failure.detail)
+        self.carry_out(self.node.control.persist_failed())
+
     def flush_history(self) -> None:
         """Flush the history each second."""
         while True:
