--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,16 +4,21 @@
 
 import pathlib
 import signal
+import sys
 import typing
 
 import gevent
 import msgspec
 import typer
 
+from bench import cluster, relay, results
 from bench import demo as demos
 from bench import host as hosts
-from bench import relay
+from bench import probe as probes
+from bench import run as runs
+from bench import soak as soaks
 from bench.check import report
+from bench.scenarios import model, registry
 
 app = typer.Typer(help="Load tool, history checker and demo.", no_args_is_help=True)
 Folder = typing.Annotated[
@@ -35,7 +40,11 @@
 @app.command()
 def demo() -> None:
     """Run jobs while entry VMs are killed and stopped; JSON on the last line."""
-    summary, status = demos.run_demo()
+    try:
+        summary, status = demos.run_demo()
+    except cluster.ClusterError as error:
+        print(error, file=sys.stderr)
+        raise typer.Exit(1) from error
     print_json(summary)
     raise typer.Exit(status)
 
@@ -58,6 +67,61 @@
     raise typer.Exit(1 if seen.found else 0)
 
 
+@app.command()
+def run(
+    scenario: typing.Annotated[str, typer.Argument(help="See `scenarios`.")],
+    seed: int = 1,
+    seconds: typing.Annotated[float, typer.Option(help="0: as declared.")] = 0.0,
+    deployment: typing.Annotated[list[str] | None, typer.Option()] = None,
+    policy: typing.Annotated[list[str] | None, typer.Option()] = None,
+    load: typing.Annotated[list[float] | None, typer.Option()] = None,
+) -> None:
+    """Run a scenario; prints a table and JSON on the last line."""
+    if scenario not in registry.SCENARIOS:
+        raise typer.BadParameter(f"one of {', '.join(registry.SCENARIOS)}")
+    options = model.Options(
+        seed, seconds, tuple(deployment or ()), tuple(policy or ()), tuple(load or ())
+    )
+    result = runs.run_scenario(scenario, options)
+    print(runs.format_table(result.figures))
+    print_json(result.figures)
+    counted = result.figures["breaches"]
+    raise typer.Exit(1 if isinstance(counted, dict) and any(counted.values()) else 0)
+
+
+@app.command()
+def scenarios() -> None:
+    """List the scenarios."""
+    for each in registry.ALL:
+        print(f"{each.name:<12} {each.summary}")
+
+
+@app.command()
+def compare(old: pathlib.Path, new: pathlib.Path) -> None:
+    """Show two results side by side."""
+    for name, before, after, ratio in results.compare(
+        results.load(old), results.load(new)
+    ):
+        factor = f"{ratio:.3f}" if ratio is not None else ""
+        print(f"{name:<48} {before!s:>14} {after!s:>14} {factor:>8}")
+
+
+@app.command()
+def soak(seconds: float = 60.0, seed: int = 1) -> None:
+    """Run the cores' histories with other seeds; a failure prints its case."""
+    raise typer.Exit(soaks.soak(seconds, seed))
+
+
+@app.command(hidden=True)
+def probe(spec: SpecFile) -> None:
+    """Probe entry VMs' health and keep the slowest answers."""
+    running = probes.Probe(
+        msgspec.json.decode(spec.read_bytes(), type=probes.ProbeSpec)
+    )
+    running.run()
+    running.save()
+
+
 @app.command(hidden=True)
 def host(spec: SpecFile) -> None:
     """Host fake endpoints and the fake platform."""
--- a/bench/announcer.py
+++ b/bench/announcer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 
 import gevent
@@ -46,7 +47,7 @@
         target: endpoint.FakeEndpoint,
         entries: tuple[str, ...],
         token: str,
-        writer: history.HistoryWriter,
+        writer: history.FileHistory,
         rng: random.Random,
     ) -> None:
         self.target = target
@@ -75,6 +76,17 @@
         self.target.leaving = True
         self.wake.set()
 
+    def come_back(self) -> None:
+        """Announce the endpoint again, as a new run of it."""
+        self.target.incarnation += 1
+        process = self.history.process
+        self.history.process = dataclasses.replace(
+            process, incarnation=self.target.incarnation
+        )
+        self.target.leaving = False
+        self.sequence = 0
+        self.wake.set()
+
     def announce(self) -> float:
         """Send one announcement and return the pause until the next."""
         spec, leaving = self.target.spec, self.target.leaving
--- a/bench/calls.py
+++ b/bench/calls.py
@@ -4,16 +4,14 @@
 
 import dataclasses
 import enum
-import errno
 import typing
 
-import geventhttpclient
 import msgspec
 from gevent import socket
-from geventhttpclient import response
+from geventhttpclient import connectionpool, response
 
 CONNECT_TIMEOUT_S = 3.0
-REFUSED_ERRNOS = frozenset({errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ENETUNREACH})
+READ_BYTES = 65_536
 
 
 class LostKind(enum.StrEnum):
@@ -48,7 +46,11 @@
 
 
 class Caller:
-    """Keeps connections to one server and sends it calls with a bearer token."""
+    """Keeps connections to one server and sends it calls with a bearer token.
+
+    A call is sent once. The library's own client sends some again by itself,
+    which would hide that a server cut them.
+    """
 
     def __init__(
         self, address: str, token: str, timeout_s: float, connections: int = 64
@@ -56,12 +58,14 @@
         self.address = address
         self.token = token
         host, _, port = address.rpartition(":")
-        self.http = geventhttpclient.HTTPClient(
+        self.pool = connectionpool.ConnectionPool(
+            host,
+            int(port),
             host,
             int(port),
+            size=connections,
             connection_timeout=CONNECT_TIMEOUT_S,
             network_timeout=timeout_s,
-            concurrency=connections,
             disable_ipv6=True,
         )
 
@@ -69,22 +73,40 @@
         self, method: str, path: str, body: bytes = b"", token: str = ""
     ) -> Reply | Lost:
         """Send one call; `token` replaces the caller's own."""
-        headers = {
-            "Authorization": f"Bearer {token or self.token}",
-            "Content-Type": "application/json",
-        }
+        head = (
+            f"{method} {path} HTTP/1.1\r\nHost: {self.address}\r\n"
+            f"Authorization: Bearer {token or self.token}\r\n"
+            f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
         try:
-            answer = self.http.request(method, path, body=body, headers=headers)
-            return Reply(answer.status_code, bytes(answer.read()))
+            connection = self.pool.get_socket()
+        except OSError as error:
+            return Lost(LostKind.REFUSED, str(error))
+        try:
+            connection.sendall(head.encode() + body)
+        except BaseException as error:
+            self.pool.release_socket(connection)
+            if isinstance(error, OSError):
+                return Lost(LostKind.BROKEN, str(error))
+            raise
+        return self.receive(connection, method)
+
+    def receive(self, connection: typing.Any, method: str) -> Reply | Lost:
+        """Return the answer to what was sent."""
+        try:
+            answer = response.HTTPSocketPoolResponse(
+                connection, self.pool, block_size=READ_BYTES, method=method
+            )
+            with answer:
+                body = bytes(answer.read())
+                if answer.message_complete:
+                    return Reply(answer.status_code, body)
+            return Lost(LostKind.BROKEN, "half an answer")
         except socket.timeout as error:
             return Lost(LostKind.TIMEOUT, str(error))
-        except OSError as error:
-            refused = error.errno in REFUSED_ERRNOS
-            kind = LostKind.REFUSED if refused else LostKind.BROKEN
-            return Lost(kind, str(error))
-        except response.HTTPParseError as error:
+        except (OSError, response.HTTPParseError) as error:
             return Lost(LostKind.BROKEN, str(error))
 
     def close(self) -> None:
         """Close the connections that are kept."""
-        self.http.close()
+        self.pool.close()
--- a/bench/children.py
+++ b/bench/children.py
@@ -15,6 +15,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 POLL_S = 0.02
 KILL_WAIT_S = 2.0
+LOG_TAIL_LINES = 12
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
@@ -31,6 +32,7 @@
     """One process; its output goes to a log file."""
 
     def __init__(self, arguments: list[str], log: pathlib.Path) -> None:
+        self.log = log
         with log.open("ab") as output:
             self.process = subprocess.Popen(
                 [sys.executable, *arguments],
@@ -45,6 +47,11 @@
         """Say whether the process has not ended yet."""
         return self.process.poll() is None
 
+    def get_log_tail(self) -> str:
+        """Return the last lines of the process's output."""
+        lines = self.log.read_text(errors="replace").splitlines()
+        return "\n".join(lines[-LOG_TAIL_LINES:])
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal when the process still runs."""
         if self.is_running:
--- a/bench/client.py
+++ b/bench/client.py
@@ -69,7 +69,7 @@
 class ClientOptions:
     """How the client behaves."""
 
-    service: str
+    service: str = ""
     deadline_ms: int = 30_000
     resend_share: float = 0.0
     declare: collections.abc.Callable[[trace.TraceJob, float], Declared] | None = None
@@ -85,6 +85,15 @@
     run_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenJob:
+    """A job that has no final answer yet."""
+
+    job: trace.TraceJob
+    ticket: str
+    entry: str
+
+
 class Client:
     """Sends jobs of all members to the entry VMs that are in `entries`."""
 
@@ -110,6 +119,7 @@
         self.tickets: dict[tuple[str, str], collections.deque[str]] = {}
         self.minting: set[tuple[str, str]] = set()
         self.results: list[JobResult] = []
+        self.open: dict[int, OpenJob] = {}
         self.pool = gevent.pool.Pool(MAX_OPEN)
         self.started_ms = 0
         self.late_ms = 0.0
@@ -131,6 +141,8 @@
 
     def run(self, jobs: collections.abc.Sequence[trace.TraceJob]) -> list[JobResult]:
         """Send every job at its time and wait for all answers."""
+        self.results = []
+        self.late_ms = 0.0
         self.started_ms = self.clock.now_ms()
         for job in jobs:
             wait_ms = self.started_ms + job.at_ms - self.clock.now_ms()
@@ -184,12 +196,14 @@
             self.add_result(job, FinalBody(reason="no ticket"), "")
             return
         entry, ticket = taken
+        self.open[job.number] = OpenJob(job, ticket, entry)
         body = self.build_body(job)
         again = None
         if self.rng.random() < self.options.resend_share:
             other = self.pick_other(entry)
             again = gevent.spawn(self.send, job, ticket, other, body)
         final, last = self.send(job, ticket, entry, body)
+        del self.open[job.number]
         self.add_result(job, final, last)
         if again is not None:
             again.join()
@@ -283,6 +297,12 @@
             self.history.write(events.ConnectionLost(ticket, entry, sent_ms, refused))
         return answer
 
+    def cancel(self, open_job: OpenJob) -> None:
+        """Cancel a job; its own call gets the outcome."""
+        token = self.tokens[open_job.job.member]
+        path = f"/v1/jobs/{open_job.ticket}"
+        self.callers[open_job.entry].call("DELETE", path, token=token)
+
     def delay(self) -> None:
         """Wait for the one way to the entry VM; the way back is added later."""
         if self.plan.client_delay_ms:
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -106,7 +106,7 @@
         for vm in self.plan.vms:
             self.start_entry(vm)
         for vm in self.plan.vms:
-            self.wait_for_listener(vm.operators)
+            self.wait_for_listener(vm.operators, self.entries[vm.name])
         self.roll(1)
         self.start_host()
         for vm in self.plan.vms:
@@ -130,7 +130,7 @@
         if specs:
             spec = relay.RelaysSpec(plan.relays, specs, LIFE_S)
             self.relays = self.start_fake("relays", spec)
-            self.wait_for_listener(plan.relays)
+            self.wait_for_listener(plan.relays, self.relays)
 
     def start_fake(self, command: str, spec: msgspec.Struct) -> children.Child:
         """Start a process of the bench with its specification in a file."""
@@ -161,24 +161,25 @@
             life_s=LIFE_S,
         )
         self.host = self.start_fake("host", spec)
-        self.wait_for_listener(self.plan.platform)
+        self.wait_for_listener(self.plan.platform, self.host)
 
-    def wait_for_listener(self, address: str) -> None:
+    def wait_for_listener(self, address: str, child: children.Child) -> None:
         """Wait until a process accepts connections."""
         end_s = time.monotonic() + LISTEN_TIMEOUT_S
-        while time.monotonic() < end_s:
+        while time.monotonic() < end_s and child.is_running:
             try:
                 socket.create_connection(relay.parse_address(address), 1.0).close()
                 return
             except OSError:
                 gevent.sleep(POLL_S)
-        raise ClusterError(f"nothing listens at {address}")
+        raise ClusterError(f"nothing listens at {address}:\n{child.get_log_tail()}")
 
     def wait_until_ready(self, vm: deployment.EntryVm) -> None:
         """Wait until an entry VM says that it is ready."""
         answer = self.poll(vm.callers, "GET", "/readyz", READY_TIMEOUT_S)
         if answer is None:
-            raise ClusterError(f"{vm.name} is not ready")
+            tail = self.entries[vm.name].get_log_tail()
+            raise ClusterError(f"{vm.name} is not ready:\n{tail}")
 
     def poll(
         self, address: str, method: str, path: str, timeout_s: float, body: bytes = b""
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -5,13 +5,12 @@
 import collections
 import dataclasses
 import pathlib
-import tempfile
 import time
 import typing
 
 import gevent
 
-from bench import client, cluster, deployment, progress, trace
+from bench import client, cluster, deployment, progress, results, trace
 from bench.check import breaches, report
 from knapweedbeam_core import ids
 from knapweedbeam_server import history, system_clock
@@ -54,12 +53,12 @@
 def run_demo() -> tuple[Summary, int]:
     """Run the demo and return its summary and the exit status."""
     started_s = time.monotonic()
-    with tempfile.TemporaryDirectory(prefix="knapweedbeam-demo-") as root:
-        results, stop_status = run_jobs(pathlib.Path(root))
-        seen = report.check_folder(pathlib.Path(root) / "histories")
-    counts = collections.Counter(result.outcome for result in results)
+    root = results.make_folder("demo")
+    ended, stop_status = run_jobs(root)
+    seen = report.check_folder(root / "histories")
+    counts = collections.Counter(result.outcome for result in ended)
     summary = Summary(
-        jobs=len(results),
+        jobs=len(ended),
         complete=counts[history.OutcomeKind.COMPLETE],
         failed=counts[history.OutcomeKind.FAILED],
         not_run=counts[history.OutcomeKind.NOT_RUN],
@@ -104,11 +103,11 @@
                 plan.services[0].name, resend_share=RESEND_SHARE, seed=SEED
             )
             load = client.Client(plan, writer, clock, options)
-            results, status = drive(running, load)
+            ended, status = drive(running, load)
             writer.close()
     finally:
         block.release()
-    return results, status
+    return ended, status
 
 
 def drive(
@@ -125,10 +124,10 @@
     victim, leaver = plan.vms[-1].name, plan.vms[-2].name
     killing = gevent.spawn_later(KILL_AT_S, kill, running, load, victim)
     stopping = gevent.spawn_later(STOP_AT_S, stop, running, load, leaver)
-    results = load.run(jobs)
+    ended = load.run(jobs)
     gevent.joinall([killing, stopping])
-    progress.say(f"{len(results)} jobs have ended")
-    return results, typing.cast("int | None", stopping.value)
+    progress.say(f"{len(ended)} jobs have ended")
+    return ended, typing.cast("int | None", stopping.value)
 
 
 def kill(running: cluster.Cluster, load: client.Client, name: str) -> None:
--- /dev/null
+++ b/bench/dispatch_world.py
@@ -0,0 +1,417 @@
+"""Dispatchers, endpoints and links in virtual time, for tests and experiments.
+
+A heap of events drives real dispatchers; nothing else of the system is there.
+An endpoint runs a task for its work over its pace. The world checks what must
+always hold as it goes.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import heapq
+import itertools
+import random
+import typing
+
+from knapweedbeam_core import clock, effects, ids, jobs, outcomes, reasons, rules
+from knapweedbeam_core.dispatch import dispatcher
+from knapweedbeam_core.entry import parts
+
+SERVICE = "order-desk"
+JOB_CLASS = "quote"
+WALL_MS = 1_700_000_000_000
+FOREVER_MS = 1 << 50
+
+
+class DriftClock:
+    """A process's clock: its own rate and origin over the world's time."""
+
+    def __init__(self, base: clock.ManualClock, origin_ms: int, rate: float) -> None:
+        self.base = base
+        self.origin_ms = origin_ms
+        self.rate = rate
+
+    def now_ms(self) -> int:
+        """Return monotonic time in milliseconds."""
+        return self.origin_ms + int(self.base.monotonic_ms * self.rate)
+
+    def wall_ms(self) -> int:
+        """Return milliseconds since the Unix epoch."""
+        return WALL_MS + self.base.monotonic_ms
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Endpoint:
+    """A fake endpoint: it starts what it is given, whether that fits or not."""
+
+    name: str
+    domain: str
+    slots: int
+    pace: float
+    incarnation: int = 1
+    sequence: int = 0
+    running: int = 0
+    starts: int = 0
+    failures: int = 0
+    over: int = 0
+    most: int = 0
+    failing: bool = False
+    silent: bool = False
+    leaving_ms: int = FOREVER_MS
+    last_start_ms: int = -1
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Process:
+    """One run of an entry VM."""
+
+    process: ids.ProcessId
+    domain: str
+    dispatcher: dispatcher.Dispatcher
+    clock: DriftClock
+    alive: bool = True
+
+
+@dataclasses.dataclass(slots=True)
+class JobRecord:
+    """What happened to one job; `work_ms` are its tasks' times at pace 1."""
+
+    job: jobs.Job
+    owner: str
+    asked_ms: float
+    work_ms: tuple[float, ...]
+    ended_ms: float = -1.0
+    outcome: outcomes.Outcome | None = None
+    starts: set[int] = dataclasses.field(default_factory=set)
+    not_started: set[int] = dataclasses.field(default_factory=set)
+    bad: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Settings:
+    """The size of a world; link delays in milliseconds, one way."""
+
+    domains: int = 3
+    per_domain: int = 2
+    endpoints: int = 24
+    slots: int = 8
+    near_ms: float = 0.2
+    far_ms: float = 1.0
+    task_hop_ms: float = 0.5
+    begin_ms: float = 0.6
+    paces: tuple[float, ...] = (1.0, 2.0, 3.0, 4.0)
+    home_share: float = 1.0
+    policy: str = "least_finish"
+    members: int = 2
+    drift: float = 0.0
+    loss: float = 0.0
+    disorder_ms: float = 0.0
+    build: collections.abc.Callable[..., dispatcher.Dispatcher] = dispatcher.Dispatcher
+
+
+Action = collections.abc.Callable[[], None]
+
+
+class World:
+    """Everything that happens, in order of virtual time."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings = settings
+        self.rng = random.Random(seed)
+        self.base = clock.ManualClock(0, WALL_MS)
+        self.now = 0.0
+        self.events: list[tuple[float, int, Action]] = []
+        self.counter = itertools.count()
+        self.processes: dict[str, Process] = {}
+        self.endpoints: dict[str, Endpoint] = {}
+        self.records: dict[str, JobRecord] = {}
+        self.messages: dict[str, int] = {}
+        self.frames = 0
+        self.cut: set[frozenset[str]] = set()
+        self.breaches: list[str] = []
+        self.task_starts = 0
+        self.incarnations = itertools.count(1)
+        self.rules = rules.Rules(
+            version=1,
+            members={f"m{i}": rules.MemberRules(f"m{i}") for i in range(60)},
+            services={SERVICE: rules.ServiceRules(SERVICE)},
+        )
+        self.tickets = itertools.count()
+        self.used_ms: dict[str, float] = {}
+        self.names = [
+            (f"d{d}v{v}", f"d{d}")
+            for d in range(settings.domains)
+            for v in range(settings.per_domain)
+        ]
+        for name, domain in self.names:
+            self.start_process(name, domain)
+        for index in range(settings.endpoints):
+            pace = settings.paces[index % len(settings.paces)]
+            domain = f"d{index % settings.domains}"
+            name = f"e{index}"
+            self.endpoints[name] = Endpoint(name, domain, settings.slots, pace)
+            self.at(self.rng.random() * 500, self.make_announce(name))
+
+    # Events.
+
+    def at(self, time_ms: float, action: Action) -> None:
+        """Do something at a time."""
+        heapq.heappush(self.events, (time_ms, next(self.counter), action))
+
+    def run(self, until_ms: float) -> None:
+        """Do everything due until a time."""
+        while self.events and self.events[0][0] <= until_ms:
+            time_ms, _, action = heapq.heappop(self.events)
+            self.set_now(time_ms)
+            action()
+        self.set_now(until_ms)
+
+    def set_now(self, time_ms: float) -> None:
+        """Move the clocks."""
+        self.now = max(self.now, time_ms)
+        self.base.monotonic_ms = int(self.now)
+        self.base.epoch_ms = WALL_MS + int(self.now)
+
+    # Processes.
+
+    def start_process(self, name: str, domain: str) -> None:
+        """Start a new run of an entry VM."""
+        peers = tuple(parts.Peer(n, d) for n, d in self.names if n != name)
+        process = ids.ProcessId(name, next(self.incarnations))
+        rate = 1.0 + self.settings.drift * self.rng.uniform(-1, 1)
+        own_clock = DriftClock(self.base, self.rng.randrange(10_000), rate)
+        built = self.settings.build(
+            process,
+            domain,
+            peers,
+            parts.UnlimitedGate(),
+            own_clock,
+            random.Random(self.rng.random()),
+            self.settings.policy,
+        )
+        run = Process(process, domain, built, own_clock)
+        self.processes[name] = run
+        self.carry(run, built.on_rules(self.rules))
+        self.at(self.now + self.rng.random() * parts.TICK_MS, self.make_tick(run))
+
+    def make_tick(self, run: Process) -> Action:
+        """Return the repeated tick of a process."""
+
+        def tick() -> None:
+            if run.alive:
+                self.carry(run, run.dispatcher.tick())
+                self.at(self.now + parts.TICK_MS, tick)
+
+        return tick
+
+    def kill(self, name: str) -> None:
+        """Kill an entry VM; its jobs are lost, its running tasks run on."""
+        self.processes[name].alive = False
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Say whether two places are cut off from each other."""
+        return frozenset((one, other)) in self.cut
+
+    def carry(self, run: Process, found: collections.abc.Sequence[typing.Any]) -> None:
+        """Carry a process's effects out."""
+        targets = set()
+        for effect in found:
+            if isinstance(effect, effects.Send):
+                targets.add(effect.to)
+                self.send(run, effect)
+            elif isinstance(effect, effects.StartTask):
+                self.post_task(run, effect)
+            elif isinstance(effect, effects.RequestBegin):
+                self.begin(run, effect.ticket)
+            elif isinstance(effect, effects.JobEnded):
+                self.end_job(effect)
+        self.frames += len(targets)
+
+    def send(self, run: Process, effect: effects.Send) -> None:
+        """Deliver a message after the link's delay, or lose it."""
+        kind = type(effect.message).__name__
+        self.messages[kind] = self.messages.get(kind, 0) + 1
+        target = self.processes[effect.to]
+        near = target.domain == run.domain
+        delay_ms = self.settings.near_ms if near else self.settings.far_ms
+        delay_ms += self.rng.random() * self.settings.disorder_ms
+        sender = run.process
+        for _ in range(2 if self.rng.random() < self.settings.loss else 1):
+            if self.rng.random() >= self.settings.loss:
+                self.at(
+                    self.now + delay_ms,
+                    lambda: self.deliver(sender, effect, run.domain),
+                )
+
+    def deliver(self, sender: ids.ProcessId, effect: effects.Send, domain: str) -> None:
+        """Hand a message over, unless its way is cut."""
+        target = self.processes[effect.to]
+        cut = self.is_cut(domain, target.domain) or self.is_cut(sender.name, effect.to)
+        if target.alive and not cut:
+            found = target.dispatcher.on_message(sender, effect.message)
+            self.carry(target, found)
+
+    def begin(self, run: Process, ticket: str) -> None:
+        """Record a job as begun, a round trip later."""
+
+        def begun() -> None:
+            if run.alive:
+                self.carry(run, run.dispatcher.begun(ticket))
+
+        self.at(self.now + self.settings.begin_ms, begun)
+
+    # Endpoints.
+
+    def make_announce(self, name: str) -> Action:
+        """Return the repeated announcement of an endpoint."""
+        endpoint = self.endpoints[name]
+
+        def announce() -> None:
+            if not endpoint.silent:
+                self.announce(endpoint)
+            self.at(self.now + 500, announce)
+
+        return announce
+
+    def announce(self, endpoint: Endpoint) -> None:
+        """Announce at a random entry VM that the endpoint can reach."""
+        endpoint.sequence += 1
+        reachable = [
+            run
+            for run in self.processes.values()
+            if run.alive and not self.is_cut(run.domain, endpoint.domain)
+        ]
+        if not reachable:
+            return
+        home = [run for run in reachable if run.domain == endpoint.domain]
+        if home and self.rng.random() < self.settings.home_share:
+            reachable = home
+        run = self.rng.choice(reachable)
+        record = parts.Announcement(
+            endpoint.name,
+            SERVICE,
+            f"http://{endpoint.name}",
+            endpoint.domain,
+            f"w-{endpoint.name}",
+            endpoint.incarnation,
+            endpoint.sequence,
+            endpoint.slots,
+            64,
+            endpoint.leaving_ms <= self.now,
+        )
+        self.carry(run, run.dispatcher.announce(record)[1])
+
+    def leave(self, name: str) -> None:
+        """Have an endpoint say that it leaves."""
+        endpoint = self.endpoints[name]
+        endpoint.leaving_ms = int(self.now)
+        self.announce(endpoint)
+
+    def post_task(self, run: Process, start: effects.StartTask) -> None:
+        """Bring a task to its endpoint."""
+        record = self.records[start.task.ticket]
+        index = start.task.index
+        if index in record.starts:
+            self.breaches.append(f"{start.task} started twice")
+        record.starts.add(index)
+        endpoint = self.endpoints[start.endpoint]
+        endpoint.last_start_ms = max(endpoint.last_start_ms, int(self.now))
+        self.task_starts += 1
+        hop_ms = self.settings.task_hop_ms
+        if self.is_cut(run.domain, endpoint.domain):
+            result = effects.TaskNotStarted(reasons.Reason.ENDPOINT_LOST)
+            self.at(self.now + hop_ms, self.make_end(run, start, result, 1))
+            return
+        self.at(self.now + hop_ms, lambda: self.run_task(run, start, endpoint))
+
+    def run_task(
+        self, run: Process, start: effects.StartTask, endpoint: Endpoint
+    ) -> None:
+        """Run a task at its endpoint."""
+        endpoint.starts += 1
+        endpoint.running += 1
+        endpoint.most = max(endpoint.most, endpoint.running)
+        if endpoint.running > endpoint.slots:
+            endpoint.over += 1
+        record = self.records[start.task.ticket]
+        result: effects.TaskResult = effects.TaskAnswered(
+            str(start.task.index).encode()
+        )
+        run_ms = max(1, round(record.work_ms[start.task.index] / endpoint.pace))
+        if endpoint.failing or record.bad:
+            result = effects.TaskFailed(reasons.Reason.TASK_FAILED)
+            run_ms = 1
+            endpoint.failures += 1
+        self.used_ms[record.job.member] = (
+            self.used_ms.get(record.job.member, 0.0) + run_ms
+        )
+
+        def done() -> None:
+            endpoint.running -= 1
+            hop_ms = self.settings.task_hop_ms
+            self.at(self.now + hop_ms, self.make_end(run, start, result, run_ms))
+
+        self.at(self.now + run_ms, done)
+
+    def make_end(
+        self,
+        run: Process,
+        start: effects.StartTask,
+        result: effects.TaskResult,
+        run_ms: int,
+    ) -> Action:
+        """Return the arrival of a task's end."""
+
+        def end() -> None:
+            if isinstance(result, effects.TaskNotStarted):
+                self.records[start.task.ticket].starts.discard(start.task.index)
+            if run.alive:
+                found = effects.TaskEnd(start.task, start.endpoint, result, run_ms)
+                self.carry(run, run.dispatcher.task_end(found))
+
+        return end
+
+    # Jobs.
+
+    def submit(
+        self,
+        owner: str,
+        member: str,
+        work_ms: tuple[float, ...],
+        job_class: str = JOB_CLASS,
+        due_in_ms: int = 60_000,
+        declared: bool = False,
+        repeatable: bool = False,
+    ) -> JobRecord:
+        """Submit a job now at one entry VM."""
+        run = self.processes[owner]
+        ticket = f"t{next(self.tickets)}"
+        specs = tuple(
+            jobs.TaskSpec(b"{}", run_ms=round(ms) if declared else 0) for ms in work_ms
+        )
+        due_ms = run.clock.now_ms() + due_in_ms
+        job = jobs.Job(ticket, member, SERVICE, job_class, due_ms, specs, repeatable)
+        record = JobRecord(job, owner, self.now, work_ms)
+        self.records[ticket] = record
+        if run.alive:
+            self.carry(run, run.dispatcher.enqueue(job))
+        return record
+
+    def end_job(self, ended: effects.JobEnded) -> None:
+        """Note a job's outcome and check it."""
+        record = self.records[ended.ticket]
+        if record.outcome is not None:
+            self.breaches.append(f"{ended.ticket} ended twice")
+        record.outcome = ended.outcome
+        record.ended_ms = self.now
+        if isinstance(ended.outcome, outcomes.NotRun) and record.starts:
+            self.breaches.append(f"{ended.ticket} not run, yet started")
+        if isinstance(ended.outcome, outcomes.Complete):
+            wanted = tuple(str(i).encode() for i in range(len(record.work_ms)))
+            if ended.outcome.answers != wanted:
+                self.breaches.append(f"{ended.ticket} has wrong answers")
+
+    def get_over(self) -> int:
+        """Return the starts over slots at all endpoints."""
+        return sum(endpoint.over for endpoint in self.endpoints.values())
--- a/bench/host.py
+++ b/bench/host.py
@@ -103,6 +103,8 @@
             fake.slowdown = change.slowdown
         if change.leaving:
             self.announcers[name].leave()
+        elif change.leaving is False:
+            self.announcers[name].come_back()
 
     def run(self) -> None:
         """Serve until the parent ends or the time is over."""
--- /dev/null
+++ b/bench/measure.py
@@ -0,0 +1,173 @@
+"""What one phase of load measured: responses against the ideal, messages, cost."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import dataclasses
+import statistics
+import typing
+
+from bench import children, client, ideal, trace
+from knapweedbeam_core import clock
+from knapweedbeam_server import history
+
+CARRYING_KINDS = frozenset({"SubmitJob", "TicketAnswered"})
+P99 = 0.99
+MIB = 2**20
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Traffic:
+    """What the links of all entry VMs sent."""
+
+    messages: dict[str, int]
+    frames: int
+    frame_bytes: int
+
+    def minus(self, earlier: Traffic) -> Traffic:
+        """Return what was sent since `earlier`."""
+        messages = collections.Counter(self.messages)
+        messages.subtract(earlier.messages)
+        return Traffic(
+            dict(messages),
+            self.frames - earlier.frames,
+            self.frame_bytes - earlier.frame_bytes,
+        )
+
+
+def add_traffic(
+    statuses: collections.abc.Iterable[dict[str, typing.Any]],
+) -> Traffic:
+    """Return the traffic of several entry VMs from their status."""
+    messages: collections.Counter[str] = collections.Counter()
+    frames = frame_bytes = 0
+    for status in statuses:
+        sent = status.get("links", {}).get("sent", {})
+        messages.update(sent.get("messages", {}))
+        frames += sent.get("frames", 0)
+        frame_bytes += sent.get("frame_bytes", 0)
+    return Traffic(dict(messages), frames, frame_bytes)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Measured:
+    """One phase: the jobs' results, their ideal responses, traffic and cost."""
+
+    name: str
+    seconds: float
+    results: tuple[client.JobResult, ...]
+    ideal: ideal.Responses
+    traffic: Traffic
+    usage: tuple[children.Usage, ...]
+    host_cpu_s: float
+    late_ms: float
+
+    def get_complete(self, job_class: str = "") -> list[client.JobResult]:
+        """Return the jobs that were answered whole, of one class or of all."""
+        return [
+            result
+            for result in self.results
+            if result.outcome == history.OutcomeKind.COMPLETE
+            and job_class in ("", result.job_class)
+        ]
+
+    @property
+    def tasks(self) -> int:
+        """Return how many tasks the complete jobs had."""
+        return sum(result.tasks for result in self.get_complete())
+
+    def get_mean(self, members: frozenset[str] = frozenset()) -> float:
+        """Return the mean response, of some members' jobs or of all."""
+        return mean(
+            result.response_ms
+            for result in self.get_complete()
+            if not members or result.member in members
+        )
+
+    def get_slowdown(self) -> float:
+        """Return the mean response over the mean ideal response."""
+        complete = self.get_complete()
+        return divide(
+            mean(result.response_ms for result in complete),
+            mean(self.ideal[result.number] for result in complete),
+        )
+
+    def get_p99_ratio(self, job_class: str) -> float:
+        """Return the 99th percentile of a class's response over its ideal's."""
+        complete = self.get_complete(job_class)
+        return divide(
+            get_percentile([result.response_ms for result in complete], P99),
+            get_percentile([self.ideal[result.number] for result in complete], P99),
+        )
+
+    def count(self, outcome: str) -> int:
+        """Return how many jobs ended with an outcome; empty: gave up."""
+        return sum(result.outcome == outcome for result in self.results)
+
+    def get_messages(self) -> int:
+        """Return the messages that carry neither a task nor its answer."""
+        return sum(
+            count
+            for kind, count in self.traffic.messages.items()
+            if kind not in CARRYING_KINDS
+        )
+
+    def get_messages_per_task(self) -> float:
+        """Return messages without a task or answer, over tasks."""
+        return divide(self.get_messages(), self.tasks)
+
+    def get_goodput(self) -> float:
+        """Return the complete tasks per second of the phase."""
+        end_s = max(
+            ((r.at_ms + r.response_ms) / clock.SECOND_MS for r in self.get_complete()),
+            default=self.seconds,
+        )
+        return divide(self.tasks, max(self.seconds, end_s))
+
+    def get_figures(self, prefix: str = "") -> dict[str, float]:
+        """Return the usual figures by name."""
+        completes = [result.response_ms for result in self.get_complete()]
+        figures = {
+            "jobs": float(len(self.results)),
+            "tasks": float(self.tasks),
+            "complete": float(self.count(history.OutcomeKind.COMPLETE)),
+            "failed": float(self.count(history.OutcomeKind.FAILED)),
+            "not_run": float(self.count(history.OutcomeKind.NOT_RUN)),
+            "gave_up": float(self.count("")),
+            "mean_ms": self.get_mean(),
+            "p99_ms": get_percentile(completes, P99),
+            "slowdown_mean": self.get_slowdown(),
+            "slowdown_p99_single": self.get_p99_ratio(trace.SINGLE),
+            "messages_per_task": self.get_messages_per_task(),
+            "frames_per_task": divide(self.traffic.frames, self.tasks),
+            "goodput": self.get_goodput(),
+            "entry_cpu_ms_per_task": divide(
+                sum(use.cpu_s for use in self.usage) * clock.SECOND_MS, self.tasks
+            ),
+            "entry_memory_mib": max(
+                (use.memory_bytes / MIB for use in self.usage), default=0.0
+            ),
+            "host_core_share": divide(self.host_cpu_s, self.seconds),
+            "client_late_ms": self.late_ms,
+        }
+        return {prefix + name: round(value, 4) for name, value in figures.items()}
+
+
+def mean(values: collections.abc.Iterable[float]) -> float:
+    """Return the mean, 0 of nothing."""
+    kept = list(values)
+    return statistics.fmean(kept) if kept else 0.0
+
+
+def divide(above: float, below: float) -> float:
+    """Return the quotient, 0 where the divisor is 0."""
+    return above / below if below else 0.0
+
+
+def get_percentile(values: collections.abc.Sequence[float], share: float) -> float:
+    """Return the value below which `share` of the values lie, 0 of nothing."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(int(len(ordered) * share), len(ordered) - 1)]
--- /dev/null
+++ b/bench/policy_runs.py
@@ -0,0 +1,194 @@
+"""Policies in virtual time: real dispatchers, a delay per link, no sockets.
+
+Run `python -m bench.policy_runs steady|flood|black-hole|straggler` with
+`--policy`, `--load`, `--deployment`, `--seed`. Each line of output is one run.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import random
+import statistics
+import sys
+import time
+import typing
+
+import typer
+
+from bench import dispatch_world, ideal, trace
+from knapweedbeam_core import outcomes
+from knapweedbeam_core.dispatch.policies import catalogue
+
+app = typer.Typer(help=__doc__, no_args_is_help=True)
+
+WARM_MS = 6_000
+DRAIN_MS = 30_000
+PACES = tuple(1.0 + 3.0 * index / 23 for index in range(24))
+MEMBERS = ("m0", "m1", "m2", "m3")
+SHAPES = {
+    "cotopaxi": dispatch_world.Settings(domains=4, per_domain=2, far_ms=1.0),
+    "hielo": dispatch_world.Settings(domains=3, per_domain=3, far_ms=0.5),
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """One run."""
+
+    deployment: str
+    policy: str
+    load: float
+    seed: int
+    seconds: float = 12.0
+
+
+@dataclasses.dataclass(slots=True)
+class Figures:
+    """What a run gave."""
+
+    plan: Plan
+    jobs: int
+    complete: int
+    slowdown: float
+    p99_single: float
+    messages_per_task: float
+    over: int
+    breaches: int
+    processor_s: float
+    kinds: dict[str, float]
+    extra: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def show(self) -> None:
+        """Print the run in one line."""
+        kinds = " ".join(f"{name}={rate:.3f}" for name, rate in self.kinds.items())
+        extra = " ".join(f"{name}={value:.3f}" for name, value in self.extra.items())
+        plan = self.plan
+        print(
+            f"{plan.deployment:9}{plan.policy:18}{plan.load:5.2f} seed {plan.seed}"
+            f" jobs {self.complete}/{self.jobs} slowdown {self.slowdown:.3f}"
+            f" p99single {self.p99_single:.3f} msgs/task {self.messages_per_task:.3f}"
+            f" over {self.over} breaches {self.breaches} cpu {self.processor_s:.1f}"
+            f" [{kinds}] {extra}"
+        )
+        sys.stdout.flush()
+
+
+def build_world(plan: Plan) -> dispatch_world.World:
+    """Build a warm world."""
+    settings = dataclasses.replace(
+        SHAPES[plan.deployment], policy=plan.policy, paces=spread_paces()
+    )
+    world = dispatch_world.World(settings, plan.seed)
+    world.run(WARM_MS)
+    return world
+
+
+def spread_paces() -> tuple[float, ...]:
+    """Return the endpoints' paces, mixed over the failure domains."""
+    paces = list(PACES)
+    random.Random(1).shuffle(paces)
+    return tuple(paces)
+
+
+def get_capacity(world: dispatch_world.World) -> float:
+    """Return the work that all endpoints do in a millisecond."""
+    return sum(each.slots * each.pace for each in world.endpoints.values())
+
+
+def feed(
+    world: dispatch_world.World, jobs: typing.Sequence[trace.TraceJob], seed: int
+) -> dict[int, dispatch_world.JobRecord]:
+    """Submit a trace's jobs at random entry VMs; return their records."""
+    rng = random.Random(seed)
+    names = [name for name, _ in world.names]
+    records: dict[int, dispatch_world.JobRecord] = {}
+
+    def submit(job: trace.TraceJob, owner: str) -> None:
+        records[job.number] = world.submit(
+            owner, job.member, job.work_ms, job.job_class
+        )
+
+    for job in jobs:
+        action = functools.partial(submit, job, rng.choice(names))
+        world.at(WARM_MS + job.at_ms, action)
+    return records
+
+
+def run_trace(
+    plan: Plan, world: dispatch_world.World, jobs: typing.Sequence[trace.TraceJob]
+) -> Figures:
+    """Run a trace and measure it against its ideal."""
+    records = feed(world, jobs, plan.seed)
+    world.messages.clear()
+    starts = world.task_starts
+    over = world.get_over()
+    began = time.process_time()
+    world.run(WARM_MS + plan.seconds * 1_000)
+    messages = dict(world.messages)
+    tasks = max(1, world.task_starts - starts)
+    world.run(WARM_MS + plan.seconds * 1_000 + DRAIN_MS)
+    processor_s = time.process_time() - began
+    stations = [
+        ideal.Station(each.slots, each.pace) for each in world.endpoints.values()
+    ]
+    best = ideal.get_ideal(jobs, stations)
+    done = [j for j in jobs if isinstance(records[j.number].outcome, outcomes.Complete)]
+    responses = {j.number: get_response(records[j.number]) for j in done}
+    singles = [job.number for job in done if job.job_class == trace.SINGLE]
+    mean = statistics.fmean(responses.values())
+    return Figures(
+        plan,
+        len(jobs),
+        len(done),
+        mean / statistics.fmean(best[job.number] for job in done),
+        get_p99([responses[n] for n in singles]) / get_p99([best[n] for n in singles]),
+        sum(messages.values()) / tasks,
+        world.get_over() - over,
+        len(world.breaches),
+        processor_s,
+        {kind: count / tasks for kind, count in sorted(messages.items())},
+        {"mean_ms": mean},
+    )
+
+
+def get_response(record: dispatch_world.JobRecord) -> float:
+    """Return how long a job took."""
+    return record.ended_ms - record.asked_ms
+
+
+def get_p99(values: list[float]) -> float:
+    """Return the 99th percentile."""
+    ordered = sorted(values)
+    return ordered[min(int(len(ordered) * 0.99), len(ordered) - 1)]
+
+
+def build_jobs(plan: Plan, world: dispatch_world.World) -> tuple[trace.TraceJob, ...]:
+    """Build the trace of a steady load."""
+    spec = trace.TraceSpec(plan.seed, plan.seconds, plan.load, members=MEMBERS)
+    return trace.build_trace(spec, get_capacity(world))
+
+
+@app.callback()
+def runs() -> None:
+    """Measure placement and slot policies in virtual time."""
+
+
+@app.command()
+def steady(
+    deployment: str = "hielo",
+    load: list[float] = [0.3, 0.7, 0.9],  # noqa: B006
+    policy: list[str] = [catalogue.Policy.LEAST_FINISH],  # noqa: B006
+    seed: int = 1,
+    seconds: float = 12.0,
+) -> None:
+    """Steady load, against one central queue that knows everything."""
+    for each in load:
+        for name in policy:
+            plan = Plan(deployment, name, each, seed, seconds)
+            world = build_world(plan)
+            run_trace(plan, world, build_jobs(plan, world)).show()
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/bench/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""The scenarios of the load tool, one module each."""
--- /dev/null
+++ b/bench/scenarios/cut.py
@@ -0,0 +1,81 @@
+"""A failure domain is cut off for thirty seconds; a member's limit holds."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from bench import deployment, measure, stage
+from bench.scenarios import model
+from knapweedbeam_core import clock
+
+LOAD = 0.3
+SECONDS = 42.0
+CUT_AT_S = 5.0
+CUT_SECONDS = 30.0
+LIMIT_STARTS = 400
+LIMIT_WINDOW_S = 5
+
+
+def adapt(plan: deployment.Deployment) -> deployment.Deployment:
+    """Give the last member a limit that its jobs meet."""
+    limited = dataclasses.replace(
+        plan.members[-1], task_starts=LIMIT_STARTS, window_s=LIMIT_WINDOW_S
+    )
+    return dataclasses.replace(plan, members=(*plan.members[:-1], limited))
+
+
+def build(
+    plan: deployment.Deployment, options: model.Options
+) -> tuple[stage.Phase, ...]:
+    """Return one phase with the cut in it."""
+    seconds = options.seconds or SECONDS
+    jobs = model.build_jobs(plan, options.seed, seconds, LOAD)
+    actions = (
+        stage.Action(CUT_AT_S, cut),
+        stage.Action(CUT_AT_S + CUT_SECONDS, heal),
+    )
+    return (stage.Phase("", seconds, jobs, actions),)
+
+
+def cut(running: stage.Stage) -> None:
+    """Cut the last failure domain off."""
+    running.cluster.cut(running.plan.domains[-1])
+
+
+def heal(running: stage.Stage) -> None:
+    """Heal the last failure domain's links."""
+    running.cluster.heal(running.plan.domains[-1])
+
+
+def judge(played: model.Played) -> model.Figures:
+    """Return the share of jobs answered whole during the cut, on both sides."""
+    (phase,) = played.phases
+    domain = played.plan.domains[-1]
+    inside = {vm.name for vm in played.plan.get_vms(domain)}
+    limited = played.plan.members[-1].name
+    during = [
+        each
+        for each in phase.results
+        if CUT_AT_S <= each.at_ms / clock.SECOND_MS < CUT_AT_S + CUT_SECONDS
+        and each.member != limited
+    ]
+    figures = {}
+    for side, own in (
+        ("inside", [each for each in during if each.entry in inside]),
+        ("outside", [each for each in during if each.entry not in inside]),
+    ):
+        whole = [each for each in own if each.outcome == "complete"]
+        figures[f"{side}_complete_share"] = measure.divide(len(whole), len(own))
+        figures[f"{side}_mean_ms"] = measure.mean(each.response_ms for each in whole)
+    return figures
+
+
+SCENARIO = model.LoadScenario(
+    name="cut",
+    summary="A failure domain is cut off for 30 s; one member has a limit.",
+    build=build,
+    judge=judge,
+    adapt=adapt,
+    deployments=("hielo",),
+    policies=(model.OWN_POLICY,),
+)
--- /dev/null
+++ b/bench/scenarios/endpoints.py
@@ -0,0 +1,46 @@
+"""What the scenarios of bad endpoints share: their choice and their starts."""
+
+from __future__ import annotations
+
+import collections.abc
+
+from bench import deployment, host, stage
+from bench.check import reader
+from knapweedbeam_server import history
+
+
+def pick_fastest(plan: deployment.Deployment, count: int) -> tuple[str, ...]:
+    """Return the endpoints whose loss or fault matters most."""
+    ordered = sorted(plan.endpoints, key=lambda each: each.speed, reverse=True)
+    return tuple(each.name for each in ordered[:count])
+
+
+def change(
+    names: collections.abc.Iterable[str], control: host.Control
+) -> collections.abc.Callable[[stage.Stage], None]:
+    """Return what changes some endpoints of a running stage."""
+    chosen = tuple(names)
+
+    def run(running: stage.Stage) -> None:
+        for name in chosen:
+            running.cluster.change_endpoint(name, control)
+
+    return run
+
+
+def get_starts(merged: reader.History, name: str) -> list[int]:
+    """Return when an endpoint started tasks, by its own records."""
+    return [
+        record.at_ms
+        for record in merged.get(history.Started, history.Role.ENDPOINT)
+        if record.process == name
+    ]
+
+
+def get_statuses(merged: reader.History, name: str, status: int) -> list[int]:
+    """Return when an endpoint ended tasks with a status."""
+    return [
+        record.at_ms
+        for record in merged.get(history.TaskAnswered, history.Role.ENDPOINT)
+        if record.process == name and record.event.status == status
+    ]
--- /dev/null
+++ b/bench/scenarios/flood.py
@@ -0,0 +1,52 @@
+"""One member sends ten times its share."""
+
+from __future__ import annotations
+
+from bench import deployment, measure, stage, trace
+from bench.scenarios import model
+
+LOAD = 0.4
+SECONDS = 12.0
+FLOOD_FACTOR = 10.0
+CALM = "calm"
+FLOOD = "flood"
+
+
+def build(
+    plan: deployment.Deployment, options: model.Options
+) -> tuple[stage.Phase, ...]:
+    """Return the same jobs twice, the second time beside a flood."""
+    seconds = options.seconds or SECONDS
+    calm = model.build_jobs(plan, options.seed, seconds, LOAD)
+    extra = (FLOOD_FACTOR - 1.0) * LOAD / len(plan.members)
+    spec = trace.TraceSpec(
+        options.seed + 1, seconds, extra, members=(plan.members[0].name,)
+    )
+    flood = trace.merge(calm, trace.build_trace(spec, plan.capacity))
+    return (
+        stage.Phase(CALM, seconds, calm),
+        stage.Phase(FLOOD, seconds, flood),
+    )
+
+
+def judge(played: model.Played) -> model.Figures:
+    """Return the other members' mean response under the flood over without."""
+    others = frozenset(member.name for member in played.plan.members[1:])
+    calm, flood = (phase.get_mean(others) for phase in played.phases)
+    refused = sum(
+        result.outcome == "not_run" and result.member in others
+        for result in played.phases[1].results
+    )
+    return {
+        "others_flood_over_calm": measure.divide(flood, calm),
+        "others_refused": float(refused),
+    }
+
+
+SCENARIO = model.LoadScenario(
+    name="flood",
+    summary="One member sends 10 times its share.",
+    build=build,
+    judge=judge,
+    deployments=("hielo",),
+)
--- /dev/null
+++ b/bench/scenarios/kill.py
@@ -0,0 +1,107 @@
+"""Two entry VMs of different failure domains are killed, one after the other."""
+
+from __future__ import annotations
+
+import collections.abc
+
+from bench import deployment, events, measure, stage
+from bench.check import reader
+from bench.scenarios import model
+from knapweedbeam_core import clock
+from knapweedbeam_server import history
+
+LOAD = 0.7
+SECONDS = 20.0
+FIRST_AT_S = 6.0
+SECOND_AT_S = 13.0
+NOTICE_MS = 3_000
+SPAN_MS = 3_000
+
+
+def build(
+    plan: deployment.Deployment, options: model.Options
+) -> tuple[stage.Phase, ...]:
+    """Return one phase in which two entry VMs die."""
+    jobs = model.build_jobs(plan, options.seed, SECONDS, LOAD)
+    actions = tuple(
+        stage.Action(at_s, kill(name))
+        for at_s, name in zip(
+            (FIRST_AT_S, SECOND_AT_S), pick_victims(plan), strict=True
+        )
+    )
+    return (stage.Phase("", SECONDS, jobs, actions),)
+
+
+def pick_victims(plan: deployment.Deployment) -> tuple[str, str]:
+    """Return two entry VMs without a disk, of different failure domains.
+
+    Together they keep endpoints of both domains.
+    """
+    diskless = [vm for vm in reversed(plan.vms) if not vm.has_disk]
+    first = diskless[0]
+    second = next(vm for vm in diskless if vm.domain != first.domain)
+    return first.name, second.name
+
+
+def kill(name: str) -> collections.abc.Callable[[stage.Stage], None]:
+    """Return what kills an entry VM; the balancer notices at once."""
+
+    def run(running: stage.Stage) -> None:
+        running.cluster.kill(name)
+        running.client.drop_entry(name)
+
+    return run
+
+
+def judge(played: model.Played) -> model.Figures:
+    """Return what the others' jobs met, and how soon the slots were used again."""
+    (phase,) = played.phases
+    victims = frozenset(pick_victims(played.plan))
+    others = [each for each in phase.results if each.entry not in victims]
+    starts = [
+        record.at_ms
+        for record in played.merged.get(history.Started, history.Role.ENDPOINT)
+    ]
+    killed = get_kill_times(played.merged)
+    ratios = [
+        measure.divide(
+            count_between(starts, at_ms + NOTICE_MS, at_ms + NOTICE_MS + SPAN_MS),
+            count_between(starts, at_ms - SPAN_MS, at_ms),
+        )
+        for at_ms in killed
+    ]
+    soon = [each.response_ms for each in others if is_soon(each.at_ms)]
+    return {
+        "others_failed": float(sum(each.outcome == "failed" for each in others)),
+        "starts_after_3s_over_before": min(ratios),
+        "others_mean_soon_over_mean": measure.divide(
+            measure.mean(soon), measure.mean(each.response_ms for each in others)
+        ),
+    }
+
+
+def get_kill_times(merged: reader.History) -> list[int]:
+    """Return when entry VMs were killed."""
+    return [record.at_ms for record in merged.get(events.Killed)]
+
+
+def count_between(times: list[int], start_ms: int, end_ms: int) -> float:
+    """Return how many times lie from start to end."""
+    return float(sum(start_ms <= at_ms < end_ms for at_ms in times))
+
+
+def is_soon(at_ms: float) -> bool:
+    """Say whether a job arrived within the notice time after a kill."""
+    return any(
+        0 <= at_ms - kill_s * clock.SECOND_MS < NOTICE_MS
+        for kill_s in (FIRST_AT_S, SECOND_AT_S)
+    )
+
+
+SCENARIO = model.LoadScenario(
+    name="kill",
+    summary="Two entry VMs of different failure domains are killed at 70%.",
+    build=build,
+    judge=judge,
+    deployments=("hielo",),
+)
--- /dev/null
+++ b/bench/scenarios/model.py
@@ -0,0 +1,167 @@
+"""What a scenario declares, and how its phases are played."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import dataclasses
+import pathlib
+import typing
+
+from bench import (
+    client,
+    cluster,
+    deployment,
+    files,
+    measure,
+    plots,
+    progress,
+    results,
+    stage,
+    trace,
+)
+from bench.check import reader, report
+
+OWN_POLICY = "least_finish"
+BASELINES = ("random", "round_robin", "two_choices", "least_outstanding")
+POLICIES = (OWN_POLICY, *BASELINES)
+Figures = dict[str, float]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Options:
+    """What the command line asks for; empty and zero keep the declared values."""
+
+    seed: int = 1
+    seconds: float = 0.0
+    deployments: tuple[str, ...] = ()
+    policies: tuple[str, ...] = ()
+    loads: tuple[float, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Played:
+    """The phases of one deployment under one policy, and their histories."""
+
+    plan: deployment.Deployment
+    root: pathlib.Path
+    phases: tuple[measure.Measured, ...]
+    merged: reader.History
+    checked: report.Report
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """The figures of a scenario and the breaches by promise."""
+
+    figures: Figures
+    breaches: dict[str, int]
+
+
+class Scenario(typing.Protocol):
+    """Something that the load tool can run."""
+
+    @property
+    def name(self) -> str:
+        """Return the name on the command line."""
+
+    @property
+    def summary(self) -> str:
+        """Return what happens, in one sentence."""
+
+    def run(self, options: Options, root: pathlib.Path) -> Outcome:
+        """Run it with its files under `root`."""
+
+
+def get_no_figures(_played: Played) -> Figures:
+    """Return no figures beside the usual ones."""
+    return {}
+
+
+def keep_plan(plan: deployment.Deployment) -> deployment.Deployment:
+    """Return the deployment as it is."""
+    return plan
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadScenario:
+    """A scenario that plays phases of load on deployments under policies.
+
+    `build` makes the phases, `judge` the figures beside the usual ones, and
+    `adapt` changes the deployment.
+    """
+
+    name: str
+    summary: str
+    build: collections.abc.Callable[
+        [deployment.Deployment, Options], tuple[stage.Phase, ...]
+    ]
+    judge: collections.abc.Callable[[Played], Figures] = get_no_figures
+    adapt: collections.abc.Callable[[deployment.Deployment], deployment.Deployment] = (
+        keep_plan
+    )
+    deployments: tuple[str, ...] = ("cotopaxi",)
+    policies: tuple[str, ...] = POLICIES
+    client: client.ClientOptions = dataclasses.field(
+        default_factory=client.ClientOptions
+    )
+
+    def run(self, options: Options, root: pathlib.Path) -> Outcome:
+        """Play every deployment under every policy."""
+        figures: Figures = {}
+        breaches: collections.Counter[str] = collections.Counter()
+        for name in options.deployments or self.deployments:
+            for policy in options.policies or self.policies:
+                played = self.play(name, policy, options, root / f"{name}-{policy}")
+                figures |= self.get_figures(name, policy, played)
+                breaches.update(played.checked.get_counts())
+        return Outcome(figures, dict(breaches))
+
+    def play(
+        self, name: str, policy: str, options: Options, root: pathlib.Path
+    ) -> Played:
+        """Play one deployment under one policy."""
+        root.mkdir(parents=True)
+        block = cluster.reserve_block()
+        try:
+            shape = deployment.SHAPES[name]
+            plan = self.adapt(deployment.build_deployment(shape, block.number))
+            phases = self.build(plan, options)
+            own = dataclasses.replace(self.client, service=shape.service)
+            server = files.ServerOptions(policy=policy)
+            with stage.Stage(plan, root, server, own) as running:
+                measured = []
+                for phase in phases:
+                    progress.say(f"{self.name} {name} {policy} {phase.name}".rstrip())
+                    measured.append(running.play(phase))
+        finally:
+            block.release()
+        merged = reader.read_history(root / "histories")
+        checked = report.check_history(merged)
+        for breach in checked.found[:5]:
+            progress.say(breach.describe())
+        for one in measured:
+            plots.plot_responses(one, results.PLOTS / f"{root.name}-{one.name}.png")
+        return Played(plan, root, tuple(measured), merged, checked)
+
+    def get_figures(self, name: str, policy: str, played: Played) -> Figures:
+        """Return all figures, named by deployment, policy and phase."""
+        prefix = f"{name}_" if policy == OWN_POLICY else f"{name}_{policy}_"
+        figures: Figures = {}
+        for phase in played.phases:
+            suffix = f"_{phase.name}" if phase.name else ""
+            for key, value in phase.get_figures().items():
+                figures[f"{prefix}{key}{suffix}"] = value
+        for key, value in self.judge(played).items():
+            figures[f"{prefix}{key}"] = round(value, 4)
+        figures[f"{prefix}over_slots"] = float(played.checked.over_slots)
+        return figures
+
+
+def build_jobs(
+    plan: deployment.Deployment, seed: int, seconds: float, load: float
+) -> tuple[trace.TraceJob, ...]:
+    """Return the usual mix of jobs of all members."""
+    members = tuple(member.name for member in plan.members)
+    spec = trace.TraceSpec(seed, seconds, load, members=members)
+    return trace.build_trace(spec, plan.capacity)
--- /dev/null
+++ b/bench/scenarios/overhead.py
@@ -0,0 +1,172 @@
+"""Processor time a task through knapweedbeam beside a bare HTTP loop."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+import statistics
+import time
+import typing
+
+import gevent
+import gevent.pool
+import geventhttpclient
+import msgspec
+
+from bench import (
+    calls,
+    client,
+    cluster,
+    deployment,
+    files,
+    measure,
+    progress,
+    stage,
+)
+from bench.scenarios import model
+from knapweedbeam_core import clock
+
+ROUNDS = 3
+JOB_TASKS = 100
+JOBS = 60
+OPEN_JOBS = 4
+SINGLES = 1_500
+OPEN_SINGLES = 32
+WORK_MS = 20.0
+CALL_TIMEOUT_S = 30.0
+SHAPE = deployment.Shape(
+    name="overhead",
+    domains=("latacunga",),
+    vms=3,
+    endpoints=6,
+    members=("haberdashers",),
+    service="order-desk",
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cost:
+    """Processor milliseconds a task, and messages a task."""
+
+    cpu_ms: float
+    messages: float = 0.0
+
+
+class Overhead:
+    """Runs the same tasks bare, in jobs and as forwarded single requests."""
+
+    name = "overhead"
+    summary = "Processor time a task beside a bare loop, and messages a task."
+
+    def run(self, options: model.Options, root: pathlib.Path) -> model.Outcome:
+        """Measure in several rounds and return medians."""
+        root.mkdir(parents=True, exist_ok=True)
+        block = cluster.reserve_block()
+        try:
+            plan = deployment.build_deployment(SHAPE, block.number)
+            own = client.ClientOptions(SHAPE.service)
+            server = files.ServerOptions(keep_history=False)
+            with stage.Stage(plan, root, server, own) as running:
+                rounds = [measure_round(running) for _ in range(ROUNDS)]
+        finally:
+            block.release()
+        names = rounds[0]
+        figures = {
+            name: round(statistics.median(each[name] for each in rounds), 4)
+            for name in names
+        }
+        return model.Outcome(figures, {})
+
+
+def measure_round(running: stage.Stage) -> model.Figures:
+    """Measure each way once."""
+    bare = measure_bare(running.plan, JOBS * JOB_TASKS)
+    jobs = measure_jobs(running, JOBS, JOB_TASKS, OPEN_JOBS, forward=False)
+    singles = measure_jobs(running, SINGLES, 1, OPEN_SINGLES, forward=True)
+    progress.say(f"bare {bare.cpu_ms:.3f}, {jobs.cpu_ms:.3f}, {singles.cpu_ms:.3f} ms")
+    return {
+        "bare_cpu_ms": bare.cpu_ms,
+        "jobs_cpu_ms": jobs.cpu_ms,
+        "single_forwarded_cpu_ms": singles.cpu_ms,
+        "cpu_ratio_jobs_100": measure.divide(jobs.cpu_ms, bare.cpu_ms),
+        "cpu_ratio_single_forwarded": measure.divide(singles.cpu_ms, bare.cpu_ms),
+        "messages_per_task_jobs_100": jobs.messages,
+    }
+
+
+def measure_bare(plan: deployment.Deployment, count: int) -> Cost:
+    """Send tasks straight to the endpoints, as many at once as there are slots."""
+    clients = [
+        geventhttpclient.HTTPClient(
+            each.host,
+            each.port,
+            network_timeout=CALL_TIMEOUT_S,
+            concurrency=each.slots,
+        )
+        for each in plan.endpoints
+    ]
+    pool = gevent.pool.Pool(sum(each.slots for each in plan.endpoints))
+    body = msgspec.json.encode({"work_ms": WORK_MS, "echo": 1})
+    started_s = time.process_time()
+    for index in range(count):
+        chosen = clients[index % len(clients)]
+        pool.spawn(post, chosen, f"/tasks/bare/{index}", body)
+    pool.join()
+    spent_s = time.process_time() - started_s
+    for each in clients:
+        each.close()
+    return Cost(spent_s * clock.SECOND_MS / count)
+
+
+def post(target: typing.Any, path: str, body: bytes) -> None:
+    """Post a task and read its answer."""
+    headers = {"Content-Type": "application/json"}
+    target.post(path, body=body, headers=headers).read()
+
+
+def measure_jobs(
+    running: stage.Stage, jobs: int, tasks: int, at_once: int, *, forward: bool
+) -> Cost:
+    """Send jobs through the entry VMs and count client and entry VMs' time."""
+    traffic = running.get_traffic()
+    usage = running.get_usage()
+    started_s = time.process_time()
+    pool = gevent.pool.Pool(at_once)
+    for _ in range(jobs):
+        pool.spawn(send_job, running, tasks, forward)
+    pool.join()
+    spent_s = time.process_time() - started_s
+    spent_s += sum(
+        now.cpu_s - usage[name].cpu_s for name, now in running.get_usage().items()
+    )
+    sent = running.get_traffic().minus(traffic)
+    carrying = sum(sent.messages.get(kind, 0) for kind in measure.CARRYING_KINDS)
+    total = sum(sent.messages.values())
+    count = jobs * tasks
+    return Cost(spent_s * clock.SECOND_MS / count, (total - carrying) / count)
+
+
+def send_job(running: stage.Stage, tasks: int, forward: bool) -> None:
+    """Send one job, through another entry VM than its owner to `forward` it.
+
+    Raises `RuntimeError` when it is not answered whole, since its cost would say
+    nothing.
+    """
+    load, member = running.client, running.plan.members[0]
+    taken = load.wait_for_ticket(member.name)
+    if taken is None:
+        raise RuntimeError("no ticket")
+    entry, ticket = taken
+    if forward:
+        entry = load.pick_other(entry)
+    task = {"payload": {"work_ms": WORK_MS, "echo": 1}}
+    body = {"service": SHAPE.service, "class": "overhead", "tasks": [task] * tasks}
+    path = f"/v1/jobs/{ticket}?wait_ms={client.WAIT_MS}"
+    answer = load.callers[entry].call(
+        "PUT", path, msgspec.json.encode(body), member.token
+    )
+    if isinstance(answer, calls.Lost) or answer.status != 200:
+        raise RuntimeError(f"job of {tasks} tasks failed: {answer}")
+
+
+SCENARIO = Overhead()
--- /dev/null
+++ b/bench/scenarios/registry.py
@@ -0,0 +1,33 @@
+"""All scenarios by name."""
+
+from __future__ import annotations
+
+from bench.scenarios import (
+    black_hole,
+    burst,
+    cancel_wave,
+    cut,
+    flood,
+    kill,
+    leave,
+    model,
+    overhead,
+    steady,
+    straggler,
+    wrong_sizes,
+)
+
+ALL: tuple[model.Scenario, ...] = (
+    steady.SCENARIO,
+    overhead.SCENARIO,
+    burst.SCENARIO,
+    black_hole.SCENARIO,
+    straggler.SCENARIO,
+    flood.SCENARIO,
+    cancel_wave.SCENARIO,
+    wrong_sizes.SCENARIO,
+    kill.SCENARIO,
+    cut.SCENARIO,
+    leave.SCENARIO,
+)
+SCENARIOS: dict[str, model.Scenario] = {each.name: each for each in ALL}
--- /dev/null
+++ b/bench/scenarios/steady.py
@@ -0,0 +1,32 @@
+"""Steady load at 30, 70 and 90% of the capacity."""
+
+from __future__ import annotations
+
+from bench import deployment, stage
+from bench.scenarios import model
+
+LOADS = (0.3, 0.7, 0.9)
+SECONDS = 12.0
+
+
+def build(
+    plan: deployment.Deployment, options: model.Options
+) -> tuple[stage.Phase, ...]:
+    """Return one phase a load."""
+    seconds = options.seconds or SECONDS
+    return tuple(
+        stage.Phase(
+            f"{load * 100:.0f}",
+            seconds,
+            model.build_jobs(plan, options.seed + place, seconds, load),
+        )
+        for place, load in enumerate(options.loads or LOADS)
+    )
+
+
+SCENARIO = model.LoadScenario(
+    name="steady",
+    summary="Steady load at 30, 70 and 90% of the capacity.",
+    build=build,
+    deployments=("cotopaxi", "hielo"),
+)
