Map callers' own keys to tickets by pairs of registrars

A caller that resubmits under a key of its own, at any entry VM, must meet the ticket of its first try. The two registrars of the key's range record a claim before it is answered; the one with the greater rendezvous weight decides, and takes over what the other recorded before. A registrar serves a range only when it holds all its claims: from the other one, or from a sealed registrar of the epoch before. An unused range is opened once, after most of the roster noted it. `Answer` names the key's ticket where the answer is for another handle.

One gap is known: when every process loses its memory at once, that looks like the first start, until epochs are on disk.

--- a/packages/core/src/knapweedbeam_core/effects.py
+++ b/packages/core/src/knapweedbeam_core/effects.py
@@ -127,11 +127,14 @@
 
     A refusal that concerns one body only, `CONFLICT`, carries that body's digest
     (`tickets.answers.get_digest`): it is for those callers who sent that body.
+    Where `ticket` is a handle from `submit_new` and another ticket holds the
+    caller's own key, `key_ticket` is that one.
     """
 
     ticket: str
     outcome: outcomes.Outcome | outcomes.Refusal
     body_digest: bytes = b""
+    key_ticket: str = ""
 
 
 Effect = (
--- a/packages/core/src/knapweedbeam_core/tickets/coordinator.py
+++ b/packages/core/src/knapweedbeam_core/tickets/coordinator.py
@@ -17,9 +17,12 @@
 from knapweedbeam_core.entry import parts
 from knapweedbeam_core.tickets import (
     answers,
+    claiming,
     inbox,
     owner,
+    registrar,
     resolver,
+    roster,
     ticket,
     witness,
     witnesses,
@@ -51,8 +54,18 @@
         self.owner = owner.Owner(me, clock, self.account, self.witnesses)
         self.witness = witness.Witness(me, clock, self.account)
         self.resolver = resolver.Resolver(me, clock, self.account)
+        first = roster.build_roster(me.name, domain, peers)
+        self.registrar = registrar.Registrar(me, domain, clock, first)
+        self.claiming = claiming.Claiming(first, clock, self.account, self.submit)
         self.inbox = inbox.Inbox(
-            me, key, clock, self.owner, self.witness, self.resolver
+            me,
+            key,
+            clock,
+            self.owner,
+            self.witness,
+            self.resolver,
+            self.registrar,
+            self.claiming,
         )
 
     def get_message_classes(self) -> tuple[type, ...]:
@@ -98,13 +111,18 @@
         self, job: jobs.Job, key: str
     ) -> tuple[str, parts.Effects] | outcomes.Refusal:
         """Take a submission without a ticket, under the caller's key or none."""
-        if key:
-            return outcomes.Refusal(reasons.Reason.NOT_READY, "Idempotency-Key")
         minted = self.mint(job.member, 1)
         if isinstance(minted, outcomes.Refusal):
             return minted
         (text,) = minted
-        return text, self.submit(dataclasses.replace(job, ticket=text))
+        named = dataclasses.replace(job, ticket=text)
+        if not key:
+            return text, self.submit(named)
+        digest = roster.get_key_digest(self.key, job.member, key)
+        claimed = self.claiming.claim(named, digest)
+        if isinstance(claimed, outcomes.Refusal):
+            return claimed
+        return text, self.route(claimed)
 
     def look_up(self, ticket_text: str, member: str) -> parts.Effects:
         """Ask for a job's outcome; `Answer` follows here once it is known."""
@@ -143,6 +161,12 @@
         self.owner.stopping = True
         return []
 
+    def on_roster(self, new: roster.Roster) -> parts.Effects:
+        """Go over to the registrars of a newer epoch that this run saw begin."""
+        self.registrar.on_roster(new)
+        self.claiming.roster = new
+        return []
+
     def on_rules(self, new: rules.Rules) -> parts.Effects:
         """Obey a newer bundle from now on."""
         self.owner.rules = new
@@ -153,6 +177,8 @@
         done = self.owner.tick()
         done += self.witness.tick()
         done += self.resolver.tick()
+        done += self.registrar.tick()
+        done += self.claiming.tick()
         return self.route(done)
 
     def on_message(
@@ -169,6 +195,8 @@
             effect = waiting.pop()
             if isinstance(effect, effects.Send) and effect.to == self.me.name:
                 waiting += self.inbox.take(self.me, effect.message)[::-1]
+            elif isinstance(effect, effects.Answer):
+                outward += self.claiming.add_handles(effect)
             else:
                 outward.append(effect)
         return outward
--- a/packages/core/src/knapweedbeam_core/tickets/inbox.py
+++ b/packages/core/src/knapweedbeam_core/tickets/inbox.py
@@ -8,9 +8,12 @@
 from knapweedbeam_core import clock, effects, ids, jobs, outcomes
 from knapweedbeam_core.entry import parts
 from knapweedbeam_core.tickets import (
+    claiming,
+    key_messages,
     messages,
     owner,
     records,
+    registrar,
     resolver,
     ticket,
     witness,
@@ -30,6 +33,8 @@
         owned: owner.Owner,
         watched: witness.Witness,
         sought: resolver.Resolver,
+        keys: registrar.Registrar,
+        claims: claiming.Claiming,
     ) -> None:
         self.me = me
         self.key = key
@@ -51,6 +56,17 @@
             messages.SettleRecorded: self.on_settle_recorded,
             messages.SealTicket: self.on_seal,
             messages.SealRefused: self.on_seal_refused,
+            key_messages.ClaimKey: keys.on_claim,
+            key_messages.KeyClaimed: claims.on_claimed,
+            key_messages.ClaimRefused: claims.on_refused,
+            key_messages.RecordClaim: keys.on_record,
+            key_messages.ClaimRecorded: keys.on_recorded,
+            key_messages.FetchRanges: keys.ranges.on_fetch,
+            key_messages.RangeHandedOver: keys.ranges.on_handed_over,
+            key_messages.AskNotes: keys.ranges.opening.on_ask,
+            key_messages.NotesTold: keys.ranges.opening.on_told,
+            key_messages.NoteOpened: keys.ranges.opening.on_note,
+            key_messages.OpenedNoted: keys.ranges.on_noted,
         }
 
     def take(self, sender: ids.ProcessId, message: effects.Message) -> parts.Effects:
--- a/packages/wire/src/knapweedbeam_wire/schema/tickets.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/tickets.capnp
@@ -1,5 +1,5 @@
 @0xd6a1c5f0937e2b48;
-# The messages between coordinators; see tickets/messages.py of the core.
+# The messages between coordinators; see messages.py and key_messages.py of core/tickets.
 
 struct TaskSpec {
   payload @0 :Data;
@@ -113,3 +113,77 @@
   ticket @0 :Text;
   ownerLive @1 :Bool;
 }
+
+struct ClaimKey {
+  epoch @0 :Int64;
+  digest @1 :Data;
+  ticket @2 :Text;
+}
+
+struct KeyClaimed {
+  wanted @0 :Text;
+  ticket @1 :Text;
+}
+
+struct ClaimRefused {
+  wanted @0 :Text;
+}
+
+struct RecordClaim {
+  epoch @0 :Int64;
+  digest @1 :Data;
+  ticket @2 :Text;
+}
+
+struct ClaimRecorded {
+  epoch @0 :Int64;
+  digest @1 :Data;
+  ticket @2 :Text;
+}
+
+struct Claim {
+  digest @0 :Data;
+  ticket @1 :Text;
+}
+
+struct FetchRanges {
+  epoch @0 :Int64;
+  heldEpoch @1 :Int64;
+  ranges @2 :List(Int64);
+}
+
+struct RangeHandedOver {
+  epoch @0 :Int64;
+  asker @1 :Int64;
+  index @2 :Int64;
+  snapshot @3 :Int64;
+  part @4 :Int64;
+  parts @5 :Int64;
+  claims @6 :List(Claim);
+}
+
+struct AskNotes {
+  turn @0 :Int64;
+}
+
+struct OpenedRanges {
+  domain @0 :Text;
+  ranges @1 :List(Int64);
+}
+
+struct NotesTold {
+  asker @0 :Int64;
+  turn @1 :Int64;
+  synced @2 :Bool;
+  notes @3 :List(OpenedRanges);
+}
+
+struct NoteOpened {
+  domain @0 :Text;
+  ranges @1 :List(Int64);
+}
+
+struct OpenedNoted {
+  asker @0 :Int64;
+  ranges @1 :List(Int64);
+}
