--- a/packages/core/tests/tickets/world.py
+++ b/packages/core/tests/tickets/world.py
@@ -86,6 +86,7 @@
         self.incarnation = 0
         self.up: dict[str, Process] = {}
         self.pool: list[Letter] = []
+        self.letters: list[Letter] = []
         self.cut: set[frozenset[str]] = set()
         self.starts: collections.Counter[ids.TaskId] = collections.Counter()
         self.outcomes: dict[str, list[outcomes.Outcome]] = {}
@@ -159,6 +160,20 @@
         while self.pool:
             self.deliver(0)
 
+    def flush_to(self, name: str) -> None:
+        """Hand over what waits for one process, and hold the rest."""
+        held = [letter for letter in self.pool if letter.to != name]
+        waiting = [letter for letter in self.pool if letter.to == name]
+        self.pool = waiting
+        while self.pool and self.pool[0].to == name:
+            self.deliver(0)
+        self.pool += held
+
+    def record(self) -> list[Letter]:
+        """Return the list to which every later letter is added."""
+        self.letters = []
+        return self.letters
+
     def build_job(
         self, text: str, body: bytes = b"{}", again: bool = False
     ) -> jobs.Job:
@@ -204,7 +219,9 @@
                     self.sent[type(message).__name__] += 1
                     if isinstance(message, messages.TicketAnswered):
                         self.check_recorded(process, message.ticket, message.result)
-                    self.pool.append(Letter(process.id, to, message))
+                    letter = Letter(process.id, to, message)
+                    self.pool.append(letter)
+                    self.letters.append(letter)
                 case effects.Enqueue(job):
                     if job.ticket in process.held:
                         raise BreachError(f"{job.ticket} was queued twice")
