--- a/packages/server/src/knapweedbeam_server/logs/catalogue.py
+++ b/packages/server/src/knapweedbeam_server/logs/catalogue.py
@@ -22,7 +22,7 @@
     1002,
     "settings_loaded",
     Level.INFO,
-    "settings loaded from {source} with {peers} peers",
+    "settings loaded from {source}, {peers} peers",
     "The settings file was read and is valid.",
 )
 SETTINGS_WARNING = Event(
