Check histories of bundles under faults

Accepted bundles must survive loss, repeats, delays, drift, crashes, wiped folders, power loss and one-way and two-way cuts. The histories check one digest a version, no accepted bundle lost, no refused one accepted, and versions of ready nodes never falling, restarts included.

--- a/packages/core/tests/control/cluster.py
+++ b/packages/core/tests/control/cluster.py
@@ -5,6 +5,8 @@
 import dataclasses
 import random
 
+from cryptography.hazmat.primitives.asymmetric import ed25519
+
 from knapweedbeam_core import clock, effects, ids
 from knapweedbeam_core.bundles import signing, template
 from knapweedbeam_core.control import control
@@ -13,7 +15,9 @@
 
 STEP_MS = 20
 ENTRY_VMS = {"d0": ["a0", "a1"], "d1": ["b0", "b1"], "d2": ["c0", "c1"]}
-KEY, PUBLIC = signing.generate_key()
+KEY = bytes(range(32))
+PRIVATE = ed25519.Ed25519PrivateKey.from_private_bytes(KEY)
+PUBLIC = PRIVATE.public_key().public_bytes_raw()
 
 
 def build_bundle(
@@ -66,6 +70,7 @@
     incarnation: int = 0
     control: control.Control | None = None
     versions: list[int] = dataclasses.field(default_factory=list)
+    highest: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -173,6 +178,15 @@
             self.finish_syncs(node)
             if node.control is not None:
                 self.carry(node, node.control.tick())
+                self.check_ready(node)
+
+    def check_ready(self, node: Node) -> None:
+        """A ready node is at no lower version than ever, restarts included."""
+        assert node.control is not None
+        if node.control.is_ready():
+            version = node.control.get_status().version
+            assert version >= node.highest, f"{version} after {node.highest}"
+            node.highest = version
 
     def deliver(self, letter: Letter) -> None:
         node = self.nodes[letter.to]
@@ -198,6 +212,8 @@
                     self.check_in_force(node, effect)
                 case parts.ProposalAnswered():
                     self.answers[effect.call] = effect
+                    if isinstance(effect.answer, parts.Accepted):
+                        self.check_digest(effect.answer.version, effect.answer.digest)
 
     def post(self, node: Node, effect: effects.Send) -> None:
         assert effect.to != node.name, effect
@@ -211,12 +227,15 @@
 
     def check_in_force(self, node: Node, effect: parts.RulesInForce) -> None:
         version, digest = effect.rules.version, effect.rules.digest
-        known = self.digests.setdefault(version, digest)
-        assert known == digest, f"two digests of version {version}"
+        self.check_digest(version, digest)
         newest = node.versions[-1] if node.versions else 0
         assert version > newest, f"{node.name}: {version} after {newest}"
         node.versions.append(version)
 
+    def check_digest(self, version: int, digest: str) -> None:
+        known = self.digests.setdefault(version, digest)
+        assert known == digest, f"two digests of version {version}"
+
     def get_versions(self) -> dict[str, int]:
         return {
             node.name: node.control.get_status().version
