Parse a ticket once, not for each message about it

Owner and witness parsed and verified the same ticket for every message, and decoded its text twice each time. One decode is left, and the last 4,096 parsed tickets are kept. One parse took 21.5 us, takes 11.0 us now, and 0.17 us where it is kept (best of 7 x 20,000). Time for a whole job was too noisy beside other work on the machine to show it: 335 to 581 us before, 388 to 516 us after.

--- a/packages/core/src/knapweedbeam_core/tickets/ticket.py
+++ b/packages/core/src/knapweedbeam_core/tickets/ticket.py
@@ -5,6 +5,7 @@
 import base64
 import binascii
 import dataclasses
+import functools
 import hmac
 
 import msgspec
@@ -14,6 +15,7 @@
 MAC_BYTES = 16
 NONCE_BYTES = 8
 MAX_CHARS = 512
+PARSED_TICKETS = 4_096
 PURPOSE = b"knapweedbeam ticket 1"
 
 
@@ -81,10 +83,13 @@
 def read(text: str) -> Ticket | None:
     """Read a ticket without checking its MAC, or none when it is no ticket."""
     raw = decode_text(text)
-    if raw is None:
-        return None
+    return None if raw is None else unpack(text, raw[MAC_BYTES:])
+
+
+def unpack(text: str, packed: bytes) -> Ticket | None:
+    """Return the ticket that packed bytes stand for, or none."""
     try:
-        body = DECODER.decode(raw[MAC_BYTES:])
+        body = DECODER.decode(packed)
     except (msgspec.DecodeError, UnicodeDecodeError):
         return None
     witness = None
@@ -94,13 +99,18 @@
     return Ticket(text, body.domain, owner, witness, body.minted_ms, body.owner_ms)
 
 
+@functools.lru_cache(PARSED_TICKETS)
 def parse(key: bytes, text: str, member: str) -> Ticket | outcomes.Refusal:
-    """Read a ticket that belongs to `member`; any other was never minted."""
-    ticket = read(text)
+    """Read a ticket that belongs to `member`; any other was never minted.
+
+    A ticket is parsed several times in a row, so that the last ones are kept.
+    """
+    unknown = outcomes.Refusal(reasons.Reason.NOT_FOUND, "ticket")
     raw = decode_text(text)
-    if ticket is None or raw is None:
-        return outcomes.Refusal(reasons.Reason.NOT_FOUND, "ticket")
-    mac = build_mac(key, member, raw[MAC_BYTES:])
+    if raw is None:
+        return unknown
+    packed = raw[MAC_BYTES:]
+    mac = build_mac(key, member, packed)
     if not hmac.compare_digest(mac, raw[:MAC_BYTES]):
-        return outcomes.Refusal(reasons.Reason.NOT_FOUND, "ticket")
-    return ticket
+        return unknown
+    return unpack(text, packed) or unknown
