Hold settled jobs in fewer bytes

Kept outcomes bound how many single-task jobs a process can take in a retention time. Waiting processes are a tuple instead of a set, tickets share the names of their processes, and a witness keeps a settled job for its retention time and a minute instead of 30 minutes at least.

--- a/packages/core/src/knapweedbeam_core/tickets/answers.py
+++ b/packages/core/src/knapweedbeam_core/tickets/answers.py
@@ -12,7 +12,7 @@
 MIB = 1024 * 1024
 PROCESS_BYTES = 256 * MIB
 MEMBER_BYTES = 128 * MIB
-RECORD_BYTES = 1_024
+RECORD_BYTES = 768
 ANSWER_BYTES = 64
 
 
--- a/packages/core/src/knapweedbeam_core/tickets/owner.py
+++ b/packages/core/src/knapweedbeam_core/tickets/owner.py
@@ -77,7 +77,7 @@
             job.repeatable,
             self.get_retention_ms(job.service),
         )
-        record.askers.add(asker.name)
+        record.add_asker(asker.name)
         size = answers.get_job_bytes(job)
         reason = self.find_obstacle(wanted, job, size)
         if reason is not None:
@@ -128,7 +128,7 @@
         if record is None:
             retention_ms = rules.ServiceRules("").retention_ms
             record = records.Record(wanted, member, b"", False, retention_ms)
-            record.askers.add(asker.name)
+            record.add_asker(asker.name)
             return self.add_not_run(record, reasons.Reason.CANCELLED)
         asked = self.ask(record, asker)
         if record.outcome is None:
@@ -140,7 +140,7 @@
         text = record.ticket.text
         if record.replied and record.outcome is not None:
             return [self.build_answer(text, asker.name, record.outcome)]
-        record.askers.add(asker.name)
+        record.add_asker(asker.name)
         if asker.name == self.me.name:
             return []
         return [effects.Send(asker.name, messages.TicketPending(text))]
@@ -230,8 +230,7 @@
             return []
         record.replied = True
         text = record.ticket.text
-        names = sorted(record.askers)
-        record.askers.clear()
+        names, record.askers = record.askers, ()
         return [self.build_answer(text, name, record.outcome) for name in names]
 
     def on_live(self, change: witnesses.Change) -> parts.Effects:
--- a/packages/core/src/knapweedbeam_core/tickets/records.py
+++ b/packages/core/src/knapweedbeam_core/tickets/records.py
@@ -57,7 +57,12 @@
     outcome: outcomes.Outcome | None = None
     replied: bool = False
     since_ms: int = 0
-    askers: set[str] = dataclasses.field(default_factory=set)
+    askers: tuple[str, ...] = ()
+
+    def add_asker(self, name: str) -> None:
+        """Note that callers at the process `name` wait."""
+        if name not in self.askers:
+            self.askers += (name,)
 
     def apply(self, event: Event) -> bool:
         """Take an event; say whether the state changed."""
--- a/packages/core/src/knapweedbeam_core/tickets/ticket.py
+++ b/packages/core/src/knapweedbeam_core/tickets/ticket.py
@@ -7,6 +7,7 @@
 import dataclasses
 import functools
 import hmac
+import sys
 
 import msgspec
 
@@ -16,6 +17,7 @@
 NONCE_BYTES = 8
 MAX_CHARS = 512
 PARSED_TICKETS = 4_096
+KNOWN_PROCESSES = 4_096
 PURPOSE = b"knapweedbeam ticket 1"
 
 
@@ -94,9 +96,16 @@
         return None
     witness = None
     if body.witness:
-        witness = ids.ProcessId(body.witness, body.witness_incarnation)
-    owner = ids.ProcessId(body.owner, body.owner_incarnation)
-    return Ticket(text, body.domain, owner, witness, body.minted_ms, body.owner_ms)
+        witness = get_process(body.witness, body.witness_incarnation)
+    owner = get_process(body.owner, body.owner_incarnation)
+    domain = sys.intern(body.domain)
+    return Ticket(text, domain, owner, witness, body.minted_ms, body.owner_ms)
+
+
+@functools.lru_cache(KNOWN_PROCESSES)
+def get_process(name: str, incarnation: int) -> ids.ProcessId:
+    """Return one object for all tickets that name the same process."""
+    return ids.ProcessId(name, incarnation)
 
 
 @functools.lru_cache(PARSED_TICKETS)
--- a/packages/core/src/knapweedbeam_core/tickets/witness.py
+++ b/packages/core/src/knapweedbeam_core/tickets/witness.py
@@ -10,6 +10,7 @@
 from knapweedbeam_core.tickets import answers, messages, ticket, timers
 
 KEEP_MS = 30 * clock.MINUTE_MS
+MARGIN_MS = clock.MINUTE_MS
 MAX_ENTRIES = 500_000
 MAX_OWNERS = 10_000
 
@@ -127,7 +128,7 @@
         if entry is None and self.forgotten.may_hold(wanted):
             return
         settled = Entry(wanted, message.member, Seen.SETTLED, message.outcome)
-        self.put(settled, max(KEEP_MS, message.retention_ms))
+        self.put(settled, message.retention_ms + MARGIN_MS)
 
     def on_seal(
         self, wanted: ticket.Ticket, member: str, asker: ids.ProcessId
