Keep contract limits with fixed shares that shrink at once

A limit holds summed over failure domains, cut off or not, so each entry VM has an exact share of each limit and needs no message a task. A share that a new bundle makes larger is used only when every entry VM has that bundle and a window has passed; a smaller one at once. A restarted entry VM counts its shares as used for a window unless the log says that no earlier run had them.

--- a/packages/core/src/knapweedbeam_core/control/messages.py
+++ b/packages/core/src/knapweedbeam_core/control/messages.py
@@ -103,6 +103,19 @@
     unreachable_domains: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShareAsk:
+    """The sender's run starts to use its shares of the limits."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShareReply:
+    """The log has the claim; `is_first` when no earlier run had made one."""
+
+    incarnation: int
+    is_first: bool
+
+
 Message = (
     BundleAsk
     | BundleNotice
@@ -111,6 +124,8 @@
     | ProposeBundle
     | BundleProposed
     | InForceTable
+    | ShareAsk
+    | ShareReply
 )
 CLASSES: tuple[type, ...] = (
     BundleAsk,
@@ -120,4 +135,6 @@
     ProposeBundle,
     BundleProposed,
     InForceTable,
+    ShareAsk,
+    ShareReply,
 )
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/limits/gate.py
@@ -0,0 +1,268 @@
+"""The gate that dispatch asks before it begins a job or starts a task."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from knapweedbeam_core import clock, ids, jobs, outcomes, reasons
+from knapweedbeam_core.bundles import model
+from knapweedbeam_core.entry import parts
+from knapweedbeam_core.limits import meters, shares, windows
+
+RESERVED = parts.Reserved()
+LONGEST_LEASE_MS = 60_000
+
+
+@dataclasses.dataclass(slots=True)
+class Account:
+    """One member's limits at this entry VM."""
+
+    windowed: dict[shares.LimitKey, meters.Meter]
+    concurrency: dict[shares.LimitKey, meters.ConcurrencyMeter]
+
+
+@dataclasses.dataclass(slots=True)
+class Hold:
+    """What a job has reserved of one meter."""
+
+    meter: meters.Meter
+    dimension: model.Dimension
+    left: int
+
+
+@dataclasses.dataclass(slots=True)
+class Reservation:
+    """What a job has reserved; `run_ms` stands in where a task declares none."""
+
+    holds: list[Hold]
+    concurrency: tuple[meters.ConcurrencyMeter, ...]
+    run_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotCharge:
+    """Slot time charged at a task's start, to be set right at its end."""
+
+    meter: meters.Meter
+    bucket: windows.Bucket
+    amount: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Running:
+    """What a started task holds."""
+
+    slot_charges: tuple[SlotCharge, ...]
+    concurrency: tuple[meters.ConcurrencyMeter, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Use:
+    """One limit of a member as this entry VM sees it."""
+
+    limit: str
+    dimension: str
+    total: int
+    share: int
+    used: int
+    window_ms: int
+
+
+def get_size(dimension: model.Dimension, task: jobs.TaskSpec, run_ms: int) -> int:
+    """Return what one task takes of a limit."""
+    if dimension == model.Dimension.TASK_STARTS:
+        return 1
+    if dimension == model.Dimension.BYTES:
+        return len(task.payload)
+    return task.run_ms or run_ms
+
+
+class Gate:
+    """Charges whole jobs against this entry VM's shares of the limits."""
+
+    def __init__(self, vm: str, timer: clock.Clock) -> None:
+        self.vm = vm
+        self.clock = timer
+        self.version = 0
+        self.started_ms = timer.now_ms()
+        self.is_fresh = False
+        self.accounts: dict[str, Account] = {}
+        self.run_ms: dict[str, int] = {}
+        self.reservations: dict[str, Reservation] = {}
+        self.running: dict[ids.TaskId, Running] = {}
+
+    def obey(self, bundle: model.Bundle) -> None:
+        """Take the shares of a newer bundle; what was used stays used."""
+        old = self.accounts
+        self.version = bundle.version
+        self.run_ms = {service.name: service.run_ms for service in bundle.services}
+        self.accounts = {
+            member: self.build_account(old.get(member), own, bundle.version)
+            for member, own in shares.get_shares(bundle, self.vm).items()
+        }
+
+    def build_account(
+        self, old: Account | None, own: tuple[shares.Share, ...], version: int
+    ) -> Account:
+        """Return a member's account, with the old one's use carried over."""
+        account = Account({}, {})
+        for share in own:
+            if share.key.dimension == model.Dimension.CONCURRENT_TASKS:
+                account.concurrency[share.key] = self.build_concurrency(
+                    old, share, version
+                )
+            else:
+                account.windowed[share.key] = self.build_meter(old, share, version)
+        return account
+
+    def build_meter(
+        self, old: Account | None, share: shares.Share, version: int
+    ) -> meters.Meter:
+        """Return the meter of a limit, the old one where there is one."""
+        known = old.windowed.get(share.key) if old else None
+        if known is not None:
+            known.holder.change(share, version)
+            return known
+        meter = meters.Meter(share, self.clock)
+        used = [
+            other.window.get_used()
+            for key, other in (old.windowed.items() if old else ())
+            if key.dimension == share.key.dimension
+        ]
+        if used:
+            meter.window.charge(max(used))
+        elif self.may_earlier_count(share.key.window_ms):
+            meter.exhaust()
+        return meter
+
+    def build_concurrency(
+        self, old: Account | None, share: shares.Share, version: int
+    ) -> meters.ConcurrencyMeter:
+        """Return the meter of concurrent tasks, the old one where there is one."""
+        known = old.concurrency.get(share.key) if old else None
+        if known is not None:
+            known.holder.change(share, version)
+            return known
+        meter = meters.ConcurrencyMeter(share, self.clock)
+        if self.may_earlier_count(LONGEST_LEASE_MS):
+            meter.exhaust(LONGEST_LEASE_MS)
+        return meter
+
+    def may_earlier_count(self, window_ms: int) -> bool:
+        """Say whether an earlier run's use may still be in a window."""
+        since_ms = self.clock.now_ms() - self.started_ms
+        return not self.is_fresh and since_ms < windows.add_drift(window_ms)
+
+    def start_fresh(self, bundle: model.Bundle) -> None:
+        """Use the whole shares: no earlier run of this entry VM had any."""
+        self.is_fresh = True
+        self.accounts = {}
+        self.obey(bundle)
+
+    def settle(self, settled: int) -> None:
+        """Learn the oldest version in force anywhere; shares may grow now."""
+        for account in self.accounts.values():
+            for key, meter in account.windowed.items():
+                meter.holder.settle(settled, key.window_ms)
+            for counter in account.concurrency.values():
+                counter.holder.settle(settled, LONGEST_LEASE_MS)
+
+    def reserve(self, job: jobs.Job) -> parts.Reserved | parts.Wait | outcomes.NotRun:
+        """Charge a whole job before it begins, or say why not."""
+        account = self.accounts.get(job.member)
+        if account is None:
+            return RESERVED
+        run_ms = self.run_ms.get(job.service, 0)
+        holds = []
+        wait_ms = 0
+        for key, meter in account.windowed.items():
+            need = sum(get_size(key.dimension, task, run_ms) for task in job.tasks)
+            if need > meter.holder.share.amount:
+                return outcomes.NotRun(reasons.Reason.LIMIT)
+            if need > meter.get_left():
+                wait_ms = max(wait_ms, meter.get_wait_ms())
+            holds.append(Hold(meter, key.dimension, need))
+        counters = tuple(account.concurrency.values())
+        if any(counter.holder.share.amount < 1 for counter in counters):
+            return outcomes.NotRun(reasons.Reason.LIMIT)
+        if wait_ms:
+            return self.build_wait(job, wait_ms)
+        for hold in holds:
+            hold.meter.reserved += hold.left
+        self.reservations[job.ticket] = Reservation(holds, counters, run_ms)
+        return RESERVED
+
+    def build_wait(self, job: jobs.Job, until_ms: int) -> parts.Wait | outcomes.NotRun:
+        """Let a job wait if its deadline allows it."""
+        if until_ms < job.due_ms:
+            return parts.Wait(until_ms)
+        retry_ms = until_ms - self.clock.now_ms()
+        return outcomes.NotRun(reasons.Reason.LIMIT, retry_ms)
+
+    def start_task(self, task: ids.TaskId, size: jobs.TaskSpec) -> bool:
+        """Charge one start; false when concurrency does not allow it now."""
+        reservation = self.reservations.get(task.ticket)
+        if reservation is None:
+            return True
+        for place, counter in enumerate(reservation.concurrency):
+            if not counter.start():
+                for earlier in reservation.concurrency[:place]:
+                    earlier.end(0)
+                return False
+        charges = []
+        for hold in reservation.holds:
+            amount = get_size(hold.dimension, size, reservation.run_ms)
+            hold.left -= amount
+            bucket = hold.meter.start(amount)
+            if hold.dimension == model.Dimension.SLOT_MS:
+                charges.append(SlotCharge(hold.meter, bucket, amount))
+        if charges or reservation.concurrency:
+            self.running[task] = Running(tuple(charges), reservation.concurrency)
+        return True
+
+    def end_task(self, task: ids.TaskId, run_ms: int, lease_left_ms: int) -> None:
+        """Give back what a task held, after `lease_left_ms` where it may run on."""
+        running = self.running.pop(task, None)
+        if running is None:
+            return
+        for charge in running.slot_charges:
+            over = run_ms + max(0, lease_left_ms) - charge.amount
+            if over > 0:
+                charge.meter.window.charge(over)
+            else:
+                charge.bucket.amount += over
+        for counter in running.concurrency:
+            counter.end(lease_left_ms)
+
+    def end_job(self, ticket: str) -> None:
+        """Give back what a job reserved and never used."""
+        reservation = self.reservations.pop(ticket, None)
+        if reservation is None:
+            return
+        for hold in reservation.holds:
+            hold.meter.reserved -= hold.left
+
+    def get_use(self, member: str) -> tuple[Use, ...]:
+        """Return a member's limits and what it used of them here."""
+        account = self.accounts.get(member)
+        if account is None:
+            return ()
+        return tuple(
+            build_use(key, meter.holder, meter.reserved + meter.window.get_used())
+            for key, meter in account.windowed.items()
+        ) + tuple(
+            build_use(key, counter.holder, counter.get_used())
+            for key, counter in account.concurrency.items()
+        )
+
+
+def build_use(key: shares.LimitKey, holder: meters.ShareHolder, used: int) -> Use:
+    """Return the use of one limit."""
+    return Use(
+        key.name,
+        key.dimension.value,
+        holder.share.total,
+        holder.get_amount(),
+        used,
+        key.window_ms,
+    )
--- /dev/null
+++ b/packages/core/tests/limits/test_gate.py
@@ -0,0 +1,241 @@
+from __future__ import annotations
+
+import dataclasses
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from knapweedbeam_core import clock, ids, jobs, outcomes
+from knapweedbeam_core.bundles import model, signing, template
+from knapweedbeam_core.entry import parts
+from knapweedbeam_core.limits import gate, meters, shares
+
+VMS = {"d0": ["a0", "a1"], "d1": ["b0"]}
+NAMES = ["a0", "a1", "b0"]
+WINDOW_MS = 10_000
+RUN_LIMIT_MS = 3_000
+_, PUBLIC = signing.generate_key()
+
+
+def build_bundle(
+    version: int, sliding: int, aligned: int, tasks: int, weight: int = 1
+) -> model.Bundle:
+    text = template.new_bundle_text({"op": PUBLIC}, VMS)
+    text = text.replace("version = 1", f"version = {version}")
+    text = text.replace('name = "d1"', f'name = "d1"\nshare = {weight}')
+    for unit in ("task_starts", "concurrent_tasks", "bytes"):
+        text += f'[[units]]\nname = "{unit}"\ndimension = "{unit}"\n'
+    text += '[[members]]\nname = "m"\n[[contracts]]\nmember = "m"\n'
+    for name, amount, unit, extra in (
+        ("sliding", sliding, "task_starts", "window_s = 10"),
+        ("aligned", aligned, "bytes", 'window_s = 10\nalignment = "aligned"'),
+        ("tasks", tasks, "concurrent_tasks", ""),
+    ):
+        text += f'[[contracts.limits]]\nname = "{name}"\namount = "{amount}"\n'
+        text += f'unit = "{unit}"\n{extra}\n'
+    bundle = model.parse_bundle(text)
+    assert isinstance(bundle, model.Bundle), bundle
+    return bundle
+
+
+def build_job(ticket: str, sizes: list[int]) -> jobs.Job:
+    tasks = tuple(jobs.TaskSpec(b"x" * size) for size in sizes)
+    return jobs.Job(ticket, "m", "s", "c", 10**9, tasks)
+
+
+@dataclasses.dataclass(frozen=True)
+class Start:
+    at_ms: int
+    size: int
+
+
+class History:
+    """Entry VMs that begin jobs, take bundles apart in time, and restart."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.now_ms = 0
+        self.bundles = [build_bundle(1, 30, 300, 9)]
+        self.clocks = {name: clock.ManualClock() for name in NAMES}
+        self.drifts = {name: self.rng.choice([0.999, 1.0, 1.001]) for name in NAMES}
+        self.versions = dict.fromkeys(NAMES, 1)
+        self.in_force: list[tuple[int, int]] = []
+        self.gates = {name: self.start(name, True) for name in NAMES}
+        self.queued: dict[str, list[tuple[ids.TaskId, jobs.TaskSpec]]] = {}
+        self.starts: list[Start] = []
+        self.running: dict[ids.TaskId, tuple[str, int]] = {}
+        self.lapsing: list[int] = []
+        self.tickets = 0
+
+    def start(self, name: str, is_fresh: bool) -> gate.Gate:
+        built = gate.Gate(name, self.clocks[name])
+        built.is_fresh = is_fresh
+        built.obey(self.bundles[self.versions[name] - 1])
+        return built
+
+    def run(self, steps: int) -> None:
+        for _ in range(steps):
+            self.act()
+            self.move(self.rng.choice([1, 50, 50, 300, 1_000]))
+        self.check()
+
+    def move(self, by_ms: int) -> None:
+        self.now_ms += by_ms
+        for name, timer in self.clocks.items():
+            timer.monotonic_ms = int(self.now_ms * self.drifts[name])
+            timer.epoch_ms = self.now_ms
+        self.in_force.append((self.now_ms, min(self.versions.values())))
+        settled = min(self.versions.values())
+        for held in self.gates.values():
+            held.settle(settled)
+
+    def act(self) -> None:
+        for name in NAMES:
+            self.submit(name)
+        for _ in range(self.rng.choice([0, 4, 20])):
+            self.start_one()
+        for _ in range(self.rng.choice([0, 4, 20])):
+            self.end_one()
+        name = self.rng.choice(NAMES)
+        choice = self.rng.random()
+        if choice < 0.01:
+            self.roll()
+        elif choice < 0.06:
+            self.versions[name] = len(self.bundles)
+            self.gates[name].obey(self.bundles[-1])
+        elif choice < 0.08:
+            self.restart(name)
+
+    def submit(self, name: str) -> None:
+        self.tickets += 1
+        ticket = f"{name}.{self.tickets}"
+        sizes = [self.rng.randint(1, 30) for _ in range(self.rng.randint(1, 5))]
+        job = build_job(ticket, sizes)
+        if isinstance(self.gates[name].reserve(job), parts.Reserved):
+            tasks = [ids.TaskId(ticket, index) for index in range(len(sizes))]
+            self.queued[ticket] = list(zip(tasks, job.tasks, strict=True))
+
+    def start_one(self) -> None:
+        if not self.queued:
+            return
+        ticket = self.rng.choice(list(self.queued))
+        name = ticket.split(".")[0]
+        waiting = self.queued[ticket]
+        if not waiting or self.rng.random() < 0.05:
+            self.gates[name].end_job(ticket)
+            del self.queued[ticket]
+            return
+        task, size = waiting[-1]
+        if self.gates[name].start_task(task, size):
+            waiting.pop()
+            self.starts.append(Start(self.now_ms, len(size.payload)))
+            self.running[task] = (name, self.now_ms)
+            self.check_concurrency()
+
+    def end_one(self) -> None:
+        late = [t for t, (_, at) in self.running.items() if self.now_ms - at > 2_500]
+        if not self.running or (not late and self.rng.random() < 0.5):
+            return
+        task = late[0] if late else self.rng.choice(list(self.running))
+        name, _ = self.running.pop(task)
+        lease_left_ms = self.rng.choice([0, 0, 900])
+        self.gates[name].end_task(task, 10, lease_left_ms)
+        self.lapsing.append(self.now_ms + lease_left_ms)
+
+    def restart(self, name: str) -> None:
+        for task in [t for t, (vm, _) in self.running.items() if vm == name]:
+            del self.running[task]
+            self.lapsing.append(self.now_ms + RUN_LIMIT_MS)
+        for ticket in [t for t in self.queued if t.startswith(name + ".")]:
+            del self.queued[ticket]
+        self.gates[name] = self.start(name, False)
+
+    def roll(self) -> None:
+        amounts = (self.rng.choice([10, 30, 60]), self.rng.choice([100, 300, 900]))
+        weight = self.rng.choice([0, 1, 5])
+        tasks = self.rng.choice([3, 9, 24])
+        self.bundles.append(
+            build_bundle(len(self.bundles) + 1, *amounts, tasks, weight)
+        )
+
+    def get_total(self, since_ms: int, until_ms: int, place: int) -> int:
+        """Return the greatest limit in force anywhere in a span of time."""
+        lowest = min((v for at, v in self.in_force if at >= since_ms), default=1)
+        first = [v for at, v in self.in_force if at <= since_ms][-1:] or [1]
+        lowest = min(lowest, first[0])
+        bundles = self.bundles[lowest - 1 :]
+        return max(int(b.contracts[0].limits[place].amount) for b in bundles)
+
+    def check_concurrency(self) -> None:
+        self.lapsing = [at for at in self.lapsing if at > self.now_ms]
+        count = len(self.running) + len(self.lapsing)
+        total = self.get_total(self.now_ms - gate.LONGEST_LEASE_MS, self.now_ms, 2)
+        assert count <= total, f"{count} tasks of {total}"
+
+    def check(self) -> None:
+        for last in self.starts:
+            since_ms = last.at_ms - WINDOW_MS
+            count = sum(since_ms < s.at_ms <= last.at_ms for s in self.starts)
+            total = self.get_total(since_ms, last.at_ms, 0)
+            assert count <= total, f"{count} starts of {total}"
+            index = last.at_ms // WINDOW_MS
+            used = [s.size for s in self.starts if s.at_ms // WINDOW_MS == index]
+            total = self.get_total(index * WINDOW_MS, last.at_ms, 1)
+            assert sum(used) <= total, f"{sum(used)} bytes of {total}"
+
+
+SETTINGS = hypothesis.settings(
+    derandomize=True, deadline=None, database=None, max_examples=30
+)
+
+
+class LimitHistoryTest(unittest.TestCase):
+    @SETTINGS
+    @hypothesis.given(strategies.integers(0, 2**32))
+    def test_no_limit_is_exceeded_in_any_window(self, seed: int) -> None:
+        history = History(seed)
+        history.run(400)
+
+    def test_a_share_that_grows_at_once_is_caught(self) -> None:
+        self.catch(meters.ShareHolder, "get_amount", lambda held: held.share.amount)
+
+    def test_a_restart_that_starts_afresh_is_caught(self) -> None:
+        self.catch(gate.Gate, "may_earlier_count", lambda held, window_ms: False)
+
+    def test_work_that_leases_cover_is_counted(self) -> None:
+        def end(held: meters.ConcurrencyMeter, lease_left_ms: int) -> None:
+            held.running -= 1
+
+        self.catch(meters.ConcurrencyMeter, "end", end)
+
+    def catch(self, target: type, name: str, broken: object) -> None:
+        kept = getattr(target, name)
+        self.addCleanup(setattr, target, name, kept)
+        setattr(target, name, broken)
+        with self.assertRaisesRegex(AssertionError, " of "):
+            for seed in range(30):
+                History(seed).run(400)
+
+
+class GateTest(unittest.TestCase):
+    def test_parts_add_up_exactly(self) -> None:
+        bundle = build_bundle(1, 31, 100, 7, 3)
+        for total in (0, 1, 7, 31, 10**15 + 1):
+            self.assertEqual(
+                sum(shares.get_part(bundle, name, total) for name in NAMES), total
+            )
+
+    def test_what_can_never_fit_is_not_run_and_the_rest_waits(self) -> None:
+        timer = clock.ManualClock()
+        held = gate.Gate("b0", timer)
+        held.start_fresh(build_bundle(1, 20, 10**6, 9))
+        self.assertIsInstance(held.reserve(build_job("t", [1] * 11)), outcomes.NotRun)
+        self.assertEqual(held.reserve(build_job("t", [1] * 10)), parts.Reserved())
+        wait = held.reserve(build_job("u", [1]))
+        assert isinstance(wait, parts.Wait)
+        held.end_job("t")
+        self.assertEqual(held.reserve(build_job("u", [1])), parts.Reserved())
+        self.assertEqual(held.get_use("m")[0].used, 1)
+        self.assertEqual(held.get_use("n"), ())
--- a/packages/wire/src/knapweedbeam_wire/schema/control.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/control.capnp
@@ -132,3 +132,11 @@
   rows @1 :List(InForceRow);
   unreachableDomains @2 :List(Text);
 }
+
+struct ShareAsk {
+}
+
+struct ShareReply {
+  incarnation @0 :UInt64;
+  isFirst @1 :Bool;
+}
