--- a/packages/core/src/knapweedbeam_core/tickets/ranges.py
+++ b/packages/core/src/knapweedbeam_core/tickets/ranges.py
@@ -17,6 +17,7 @@
 
 KEEP_MS = clock.HOUR_MS
 RETRY_MS = 300
+MAX_RETRY_MS = 4 * clock.SECOND_MS
 ARRIVING_MS = 2 * clock.SECOND_MS
 PART_CLAIMS = 2_000
 
@@ -68,6 +69,8 @@
         self.clock = time
         self.started_ms = time.now_ms()
         self.due_ms = self.started_ms
+        self.pause_ms = RETRY_MS
+        self.steps_left = 0
         self.roster = first
         self.previous: roster.Roster | None = None
         self.opening = opening.Opening(me, first.get_names())
@@ -94,6 +97,7 @@
         self.roster = new
         self.held = self.build_ranges()
         self.due_ms = self.clock.now_ms()
+        self.steps_left = 0
         for index, before in self.sealed.items():
             current = self.held.get(index)
             if current is not None and before.complete:
@@ -114,10 +118,18 @@
             self.drop_claim(digest)
         if now_ms < self.due_ms:
             return []
-        self.due_ms = now_ms + RETRY_MS
         missing = {i: held for i, held in self.held.items() if not held.complete}
+        steps_left = len(missing) + (not self.opening.synced)
+        self.set_due(steps_left)
         return self.opening.ask() + self.fetch(missing) + self.open(missing)
 
+    def set_due(self, steps_left: int) -> None:
+        """Ask again soon, and less and less often while nothing comes of it."""
+        doubled_ms = min(2 * self.pause_ms, MAX_RETRY_MS)
+        self.pause_ms = RETRY_MS if steps_left != self.steps_left else doubled_ms
+        self.steps_left = steps_left
+        self.due_ms = self.clock.now_ms() + self.pause_ms
+
     def drop_claim(self, digest: bytes) -> None:
         """Forget a claim that has expired."""
         index = roster.get_range(digest)
--- a/packages/core/src/knapweedbeam_core/tickets/roster.py
+++ b/packages/core/src/knapweedbeam_core/tickets/roster.py
@@ -11,7 +11,7 @@
 
 from knapweedbeam_core.entry import parts
 
-RANGES = 64
+RANGES = 32
 DIGEST_BYTES = 16
 PURPOSE = b"knapweedbeam own key 1"
 
