--- a/packages/core/src/knapweedbeam_core/control/control.py
+++ b/packages/core/src/knapweedbeam_core/control/control.py
@@ -14,6 +14,7 @@
     ledger,
     messages,
     proposing,
+    rolling,
     spreading,
     table,
 )
@@ -47,31 +48,36 @@
         self.clock = timer
         self.spread = spreading.Spread(me, domain, peers, timer)
         self.table = table.Table(self.spread, domain, peers, timer)
-        self.proposer = proposing.Proposer(timer)
         self.gate = gate.Gate(me.name, timer)
         self.claimer = claiming.Claimer(me, self.gate, self.spread, timer)
         self.ledger = ledger.Ledger()
         self.founders = self.get_founders(peers, is_replica)
         self.replica: replica.Replica | None = None
-        self.decider: deciding.Decider | None = None
         self.led_term = 0
-        self.leader_asks_ms = 0
+        if is_replica or not peers:
+            self.replica = self.build_replica(is_replica, restored, rng)
+        self.decider: deciding.Decider | None = None
+        if self.replica is not None:
+            self.decider = deciding.Decider(
+                self.replica, self.ledger, timer, operator_keys, needed_signatures
+            )
+        self.rolling = rolling.Rolling(me, self.spread, self.table, self.decider, timer)
         self.handlers = self.build_handlers()
-        if not is_replica and peers:
-            return
+
+    def build_replica(
+        self, is_replica: bool, restored: records.RestoredState, rng: random.Random
+    ) -> replica.Replica:
+        """Return this node's replica; without a data folder it is volatile."""
         identity = restored.identity if is_replica else VOLATILE_IDENTITY
-        self.replica = replica.Replica(
-            members.ReplicaId(me.name, identity),
+        return replica.Replica(
+            members.ReplicaId(self.me.name, identity),
             self.founders,
             restored,
             self.ledger,
-            timer,
+            self.clock,
             rng,
             volatile=not is_replica,
         )
-        self.decider = deciding.Decider(
-            self.replica, self.ledger, timer, operator_keys, needed_signatures
-        )
 
     def get_founders(
         self, peers: tuple[parts.Peer, ...], is_replica: bool
@@ -93,8 +99,8 @@
             messages.BundleNotice: self.on_notice,
             messages.BundleFetch: self.on_fetch,
             messages.BundleText: self.on_text,
-            messages.ProposeBundle: self.on_propose,
-            messages.BundleProposed: self.on_proposed,
+            messages.ProposeBundle: self.rolling.on_propose,
+            messages.BundleProposed: self.rolling.on_proposed,
             messages.InForceTable: self.on_table,
             messages.ShareAsk: self.on_share_ask,
             messages.ShareReply: self.on_share_reply,
@@ -152,23 +158,6 @@
         sent = self.spread.on_text(sender.name, text)
         return self.obey(before) + sent
 
-    def on_propose(
-        self, sender: ids.ProcessId, attempt: messages.ProposeBundle
-    ) -> parts.Effects:
-        """Decide on a proposal, if this is the leader."""
-        request = deciding.Request(sender, attempt.call, attempt.attempt, attempt.text)
-        if self.decider is None:
-            refused = deciding.decide(request, messages.Verdict.NO_QUORUM)
-            return [effects.Send(sender.name, refused.proposed)]
-        return self.decider.take(request, attempt.term)
-
-    def on_proposed(
-        self, sender: ids.ProcessId, proposed: messages.BundleProposed
-    ) -> parts.Effects:
-        """Take the leader's answer to a proposal made here."""
-        self.proposer.take(proposed)
-        return []
-
     def on_table(
         self, sender: ids.ProcessId, held: messages.InForceTable
     ) -> parts.Effects:
@@ -226,11 +215,9 @@
         """Add what follows from what was applied, decided and answered."""
         produced += self.follow_leader()
         produced += self.follow_ledger()
-        if self.decider is not None:
-            produced += self.run_decider(self.decider)
-        if self.proposer.calls:
-            produced += self.send_attempts()
-        return produced + self.end_calls()
+        produced += self.rolling.go_on()
+        ended = self.rolling.proposer.take_ended()
+        return produced + [self.build_answer(call) for call in ended]
 
     def follow_leader(self) -> parts.Effects:
         """Tell every entry VM when this replica becomes the leader."""
@@ -305,54 +292,6 @@
         compiled = compile.compile_rules(current.bundle, current.digest)
         return [parts.RulesInForce(compiled)]
 
-    def run_decider(self, decider: deciding.Decider) -> parts.Effects:
-        """Go on deciding, and send what is decided."""
-        produced = decider.step()
-        if decider.spreading:
-            decider.release(self.table.get_spread_version())
-        for decision in decider.take_decisions():
-            sender = decision.request.sender
-            if sender == self.me:
-                self.proposer.take(decision.proposed)
-                continue
-            if decision.proposed.verdict == messages.Verdict.ACCEPTED:
-                produced.append(effects.Send(sender.name, self.table.build()))
-            produced.append(effects.Send(sender.name, decision.proposed))
-        return produced
-
-    def send_attempts(self) -> parts.Effects:
-        """Send due proposals to the leader, or look for one."""
-        leader = self.spread.leader
-        if not leader.name:
-            return self.look_for_leader()
-        sent: parts.Effects = []
-        for attempt in self.proposer.get_due(leader.term):
-            if leader.name == self.me.name:
-                sent += self.on_propose(self.me, attempt)
-                continue
-            sent.append(effects.Send(leader.name, attempt))
-            if not self.spread.has_leader():
-                sent += self.look_for_leader()
-        if sent and self.decider is not None:
-            sent += self.run_decider(self.decider)
-        return sent
-
-    def look_for_leader(self) -> parts.Effects:
-        """Ask every replica who leads, a few times a second at most."""
-        now_ms = self.clock.now_ms()
-        if now_ms < self.leader_asks_ms:
-            return []
-        self.leader_asks_ms = now_ms + proposing.RETRY_MS
-        return self.spread.ask(self.spread.replicas)
-
-    def end_calls(self) -> parts.Effects:
-        """Answer the calls that ended."""
-        if self.proposer.calls:
-            self.proposer.expire()
-        if not self.proposer.ended:
-            return []
-        return [self.build_answer(ended) for ended in self.proposer.take_ended()]
-
     def build_answer(self, ended: proposing.Ended) -> parts.ProposalAnswered:
         """Return the answer to a call, with what is in force where."""
         result = ended.result
@@ -369,7 +308,7 @@
 
     def propose(self, call: int, bundle: str) -> parts.Effects:
         """Roll a signed bundle; `ProposalAnswered` follows with `call`."""
-        self.proposer.add(call, bundle)
+        self.rolling.proposer.add(call, bundle)
         return self.go_on([])
 
     def get_bundle(self, version: int) -> str | outcomes.Refusal:
--- a/packages/core/src/knapweedbeam_core/log/replica.py
+++ b/packages/core/src/knapweedbeam_core/log/replica.py
@@ -2,54 +2,26 @@
 
 from __future__ import annotations
 
-import enum
 import random
-import typing
 
 import msgspec
 
 from knapweedbeam_core import clock, effects
-from knapweedbeam_core.charts import chart
 from knapweedbeam_core.entry import parts
 from knapweedbeam_core.log import (
+    election,
+    founding,
     grouping,
     journal,
     leading,
+    machines,
     members,
     messages,
     receiving,
     records,
+    roles,
 )
 
-ELECTION_MIN_MS = 1_000
-ELECTION_MAX_MS = 2_000
-HELLO_MS = 1_000
-CHART = chart.load_chart("knapweedbeam_core.log", "replica.toml")
-
-
-class Role(enum.StrEnum):
-    """The states of `replica.toml`."""
-
-    STRANGER = "stranger"
-    FOLLOWER = "follower"
-    PRE_CANDIDATE = "pre_candidate"
-    CANDIDATE = "candidate"
-    LEADER = "leader"
-    STOPPED = "stopped"
-
-
-class Machine(typing.Protocol):
-    """The state that the committed entries build, the same at each replica."""
-
-    def apply(self, index: int, data: bytes) -> None:
-        """Take one committed command."""
-
-    def take_snapshot(self) -> bytes:
-        """Return the whole state."""
-
-    def restore(self, state: bytes) -> None:
-        """Go on from a whole state."""
-
 
 class Replica:
     """One replica; it counts nothing as written before it is synced."""
@@ -59,27 +31,22 @@
         me: members.ReplicaId,
         founders: tuple[str, ...],
         restored: records.RestoredState,
-        machine: Machine,
+        machine: machines.Machine,
         timer: clock.Clock,
         rng: random.Random,
         volatile: bool = False,
     ) -> None:
         self.me = me
-        self.founders = founders
         self.targets = founders
         self.machine = machine
         self.clock = timer
-        self.rng = rng
         self.journal = journal.Journal(restored, volatile)
         self.receiving = receiving.Receiving(me, self.journal)
-        self.role = Role.STRANGER
+        self.election = election.Election(me, self.journal, timer, rng)
+        self.founding = founding.Founding(me, founders, timer)
+        self.role = roles.Role.STRANGER
         self.leading: leading.Leading | None = None
         self.leader: members.ReplicaId | None = None
-        self.votes: set[members.ReplicaId] = set()
-        self.hellos: dict[str, tuple[messages.ReplicaHello, int]] = {}
-        self.hello_due_ms = timer.now_ms()
-        self.heard_ms = timer.now_ms()
-        self.due_ms = 0
         self.applied = 0
         self.restore()
 
@@ -92,9 +59,6 @@
         self.apply_committed()
         if self.journal.group.everyone:
             self.move("founded")
-        self.arm_election()
-        if self.journal.group.voters == (self.me,):
-            self.due_ms = self.clock.now_ms()
 
     @property
     def is_leader(self) -> bool:
@@ -108,15 +72,10 @@
 
     def move(self, event: str) -> None:
         """Take an event of the chart."""
-        self.role = Role(CHART.advance(self.role, event))
-        if self.role != Role.LEADER:
+        self.role = roles.Role(roles.CHART.advance(self.role, event))
+        if self.role != roles.Role.LEADER:
             self.leading = None
 
-    def arm_election(self) -> None:
-        """Wait anew before the next election."""
-        wait_ms = self.rng.randint(ELECTION_MIN_MS, ELECTION_MAX_MS)
-        self.due_ms = self.clock.now_ms() + wait_ms
-
     def stop(self) -> None:
         """Take no further part: the data folder failed."""
         self.move("fail")
@@ -125,13 +84,13 @@
     def tick(self) -> parts.Effects:
         """Do what is due."""
         now_ms = self.clock.now_ms()
-        if self.role == Role.STOPPED:
+        if self.role == roles.Role.STOPPED:
             return []
         if self.leading is not None:
             return self.tick_leader(self.leading, now_ms)
         if self.me not in self.journal.group.voters:
-            return self.tick_outsider(now_ms)
-        if now_ms >= self.due_ms:
+            return self.tick_outsider()
+        if self.election.is_due():
             return self.start_pre_vote()
         return []
 
@@ -140,99 +99,62 @@
         if not own.has_lease(now_ms):
             self.move("lapsed")
             self.leader = None
-            self.arm_election()
+            self.election.arm()
             return []
         if now_ms < own.heartbeat_due_ms:
             return []
         produced = self.change_group(own, now_ms)
         return produced + own.send_all(now_ms)
 
-    def tick_outsider(self, now_ms: int) -> parts.Effects:
+    def tick_outsider(self) -> parts.Effects:
         """Say hello now and then, so that a leader takes this replica in."""
-        is_learner = self.me in self.journal.group.learners
-        if now_ms < self.hello_due_ms or (is_learner and self.is_led()):
+        if self.me in self.journal.group.learners and self.is_led():
             return []
-        self.hello_due_ms = now_ms + HELLO_MS
-        hello = messages.ReplicaHello(self.me, self.role != Role.STRANGER)
-        others = [name for name in self.founders if name != self.me.name]
-        sent: parts.Effects = [effects.Send(name, hello) for name in others]
-        return self.found() + sent
+        hellos: parts.Effects = [
+            *self.founding.say_hello(self.role != roles.Role.STRANGER)
+        ]
+        return hellos + self.found()
 
     def found(self) -> parts.Effects:
         """Start the log once all of its first replicas are there and empty."""
-        if self.role != Role.STRANGER or self.me.name not in self.founders:
-            return []
-        oldest_ms = self.clock.now_ms() - grouping.HELLO_FRESH_MS
-        known = {n: hello for n, (hello, at) in self.hellos.items() if at >= oldest_ms}
-        known[self.me.name] = messages.ReplicaHello(self.me, False)
-        first = [known.get(name) for name in sorted(self.founders)]
-        if any(hello is None or hello.founded for hello in first):
+        group = self.founding.find_group() if self.role == roles.Role.STRANGER else None
+        if group is None:
             return []
-        voters = tuple(hello.sender for hello in first if hello is not None)
-        self.journal.founded = members.Members(voters)
+        self.journal.founded = group
         self.move("founded")
-        self.arm_election()
-        if len(voters) == 1:
-            self.due_ms = self.clock.now_ms()
-        record = records.Founded(self.journal.founded)
-        return self.journal.write([records.encode(record)], [])
+        self.election.arm()
+        return self.journal.write([records.encode(records.Founded(group))], [])
 
     def start_pre_vote(self) -> parts.Effects:
         """Ask whether an election could be won."""
         self.move("timeout")
         self.leader = None
-        self.arm_election()
-        self.votes = {self.me}
-        held = self.journal.entries
-        asked: parts.Effects = [
-            effects.Send(
-                voter.name,
-                messages.PreVote(
-                    self.me,
-                    voter,
-                    self.journal.term + 1,
-                    held.last_index,
-                    held.last_term,
-                ),
-            )
-            for voter in self.journal.group.voters
-            if voter != self.me
-        ]
+        self.election.arm()
+        self.election.votes = {self.me}
+        asked: parts.Effects = [*self.election.ask_pre_votes()]
         return asked + self.count_pre_votes()
 
     def count_pre_votes(self) -> parts.Effects:
         """Stand for election once a quorum would vote for this replica."""
-        won = self.journal.group.is_quorum(self.votes)
-        if self.role != Role.PRE_CANDIDATE or not won:
+        if self.role != roles.Role.PRE_CANDIDATE or not self.election.is_won():
             return []
         self.move("pre_vote_won")
-        self.votes = set()
+        self.election.votes = set()
         written = [self.journal.set_term(self.journal.term + 1, self.me)]
-        held = self.journal.entries
-        asked: parts.Effects = [
-            effects.Send(
-                voter.name,
-                messages.Vote(
-                    self.me, voter, self.journal.term, held.last_index, held.last_term
-                ),
-            )
-            for voter in self.journal.group.voters
-            if voter != self.me
-        ]
+        asked: parts.Effects = [*self.election.ask_votes()]
         return self.journal.write(written, asked) + self.after_sync()
 
     def count_votes(self) -> parts.Effects:
         """Lead once a quorum voted, this replica's own synced vote included."""
-        if self.role != Role.CANDIDATE:
+        if self.role != roles.Role.CANDIDATE:
             return []
         if self.journal.synced_term == self.journal.term:
-            self.votes.add(self.me)
-        if not self.journal.group.is_quorum(self.votes):
+            self.election.votes.add(self.me)
+        if not self.election.is_won():
             return []
         self.move("vote_won")
-        now_ms = self.clock.now_ms()
         self.leader = self.me
-        self.leading = leading.Leading(self.me, self.journal, now_ms)
+        self.leading = leading.Leading(self.me, self.journal, self.clock.now_ms())
         return self.add_entry(
             records.EntryKind.MEMBERS, records.encode(self.journal.group)
         )
@@ -255,12 +177,12 @@
         is_open = self.journal.group_index <= self.applied
         if not is_open or not self.is_settled:
             return []
-        applicants = [
-            grouping.Applicant(hello.sender, heard_ms)
-            for hello, heard_ms in self.hellos.values()
-        ]
         group = grouping.find_change(
-            self.journal.group, self.targets, applicants, own, now_ms
+            self.journal.group,
+            self.targets,
+            self.founding.get_applicants(),
+            own,
+            now_ms,
         )
         if group is None:
             return []
@@ -320,7 +242,7 @@
 
     def on_message(self, message: messages.Message) -> parts.Effects:
         """Take a message from another replica."""
-        if self.role == Role.STOPPED:
+        if self.role == roles.Role.STOPPED:
             return []
         if isinstance(message, messages.ReplicaHello):
             return self.on_hello(message)
@@ -350,35 +272,27 @@
 
     def on_hello(self, hello: messages.ReplicaHello) -> parts.Effects:
         """Note a replica that is outside the group."""
-        name = hello.sender.name
-        if name in self.founders or name in self.targets:
-            self.hellos[name] = (hello, self.clock.now_ms())
+        self.founding.note(hello, self.targets)
         return self.found()
 
     def is_led(self) -> bool:
-        """Say whether a leader was heard so lately that votes are refused."""
+        """Say whether there is a leader, so that votes are refused."""
         if self.leading is not None:
             return self.leading.has_lease(self.clock.now_ms())
-        return self.clock.now_ms() - self.heard_ms < ELECTION_MIN_MS
-
-    def is_up_to_date(self, asked: messages.PreVote | messages.Vote) -> bool:
-        """Say whether a candidate has at least this replica's log."""
-        held = self.journal.entries
-        candidate = (asked.last_term, asked.last_index)
-        return candidate >= (held.last_term, held.last_index)
+        return self.election.is_led()
 
     def on_pre_vote(self, asked: messages.PreVote) -> parts.Effects:
         """Say whether this replica would vote."""
-        granted = not self.is_led() and self.is_up_to_date(asked)
+        granted = not self.is_led() and self.election.is_up_to_date(asked)
         reply = messages.PreVoteReply(self.me, asked.sender, asked.term, granted)
         return [effects.Send(asked.sender.name, reply)]
 
     def on_pre_vote_reply(self, reply: messages.PreVoteReply) -> parts.Effects:
         """Count an answer for the election that is being tried."""
         is_current = reply.term == self.journal.term + 1
-        if self.role != Role.PRE_CANDIDATE or not is_current or not reply.granted:
+        if self.role != roles.Role.PRE_CANDIDATE or not is_current or not reply.granted:
             return []
-        self.votes.add(reply.sender)
+        self.election.votes.add(reply.sender)
         return self.count_pre_votes()
 
     def on_vote(self, asked: messages.Vote) -> parts.Effects:
@@ -388,10 +302,10 @@
         written = []
         if asked.term > self.journal.term:
             written.append(self.enter(asked.term))
-        granted = self.is_up_to_date(asked)
+        granted = self.election.is_up_to_date(asked)
         granted = granted and self.journal.vote in (None, asked.sender)
         if granted:
-            self.arm_election()
+            self.election.arm()
             written.append(self.journal.set_term(asked.term, asked.sender))
         reply = self.build_vote_reply(asked, granted)
         if written:
@@ -407,10 +321,12 @@
         """Count a vote."""
         if reply.term > self.journal.term:
             return self.journal.write([self.enter(reply.term)], [])
-        is_current = self.role == Role.CANDIDATE and reply.term == self.journal.term
+        is_current = (
+            self.role == roles.Role.CANDIDATE and reply.term == self.journal.term
+        )
         if not is_current or not reply.granted:
             return []
-        self.votes.add(reply.sender)
+        self.election.votes.add(reply.sender)
         return self.after_sync()
 
     def enter(self, term: int) -> bytes:
@@ -430,8 +346,7 @@
             written.append(self.enter(message.term))
         self.move("follow")
         self.leader = message.sender
-        self.heard_ms = self.clock.now_ms()
-        self.arm_election()
+        self.election.hear_leader()
         if isinstance(message, messages.AppendEntries):
             produced = self.receiving.take_append(message, written)
         else:
