Say when nothing waits for a coordinator, and take retry hints by reason

A process that stops may exit once its dispatcher is idle, while outcomes still wait for the next tick to reach their witnesses; a later look-up would then find them unknown. `Coordinator.is_idle` tells. Answers are built in a module of their own.

--- a/packages/core/src/knapweedbeam_core/tickets/coordinator.py
+++ b/packages/core/src/knapweedbeam_core/tickets/coordinator.py
@@ -156,6 +156,13 @@
         """Keep a job's outcome and answer those who wait."""
         return self.route(self.owner.settle(ticket_text, outcome))
 
+    def is_idle(self) -> bool:
+        """Say whether every outcome is recorded and nobody waits for another."""
+        unrecorded = any(
+            self.witnesses.is_usable(witness) for witness in self.owner.records.open_at
+        )
+        return not (unrecorded or self.resolver.watches or self.claiming.pending)
+
     def stop(self) -> parts.Effects:
         """Start a graceful stop: mint and take nothing more."""
         self.owner.stopping = True
--- a/packages/core/src/knapweedbeam_core/tickets/owner.py
+++ b/packages/core/src/knapweedbeam_core/tickets/owner.py
@@ -9,6 +9,7 @@
     messages,
     recording,
     records,
+    replies,
     ticket,
     timers,
     witnesses,
@@ -16,7 +17,6 @@
 
 SUBMIT_WINDOW_MS = 15 * clock.MINUTE_MS
 MAX_RECORDS = 500_000
-RETRY_AFTER_MS = clock.SECOND_MS
 
 
 class Owner:
@@ -41,6 +41,7 @@
         self.rules = rules.Rules()
         self.records = records.Records()
         self.timers: timers.Timers[str] = timers.Timers()
+        self.replies = replies.Replies(me)
         self.recording = recording.Recording(time, self.timers, chosen)
         self.stopping = False
 
@@ -54,7 +55,7 @@
             return self.accept(wanted, job, digest, asker)
         if record.digest and record.digest != digest:
             refusal = outcomes.Refusal(reasons.Reason.CONFLICT, "body")
-            return [self.build_answer(wanted.text, asker.name, refusal, digest)]
+            return [self.replies.build(wanted.text, asker.name, refusal, digest)]
         return self.ask(record, asker)
 
     def accept(
@@ -66,10 +67,10 @@
     ) -> parts.Effects:
         """Take a submission whose ticket has no record."""
         if self.is_too_old(wanted):
-            return [self.build_expired(wanted, asker)]
+            return [self.replies.build_expired(wanted, asker)]
         if len(self.records.by_text) >= MAX_RECORDS:
             full = outcomes.Refusal(reasons.Reason.OVERLOADED, "tickets")
-            return [self.build_answer(wanted.text, asker.name, full)]
+            return [self.replies.build(wanted.text, asker.name, full)]
         record = records.Record(
             wanted,
             job.member,
@@ -104,9 +105,7 @@
     ) -> parts.Effects:
         """Keep a ticket as not run, so that no later submission runs either."""
         self.records.add(record)
-        return self.finish(
-            record, records.Event.SETTLE, outcomes.NotRun(reason, RETRY_AFTER_MS)
-        )
+        return self.finish(record, records.Event.SETTLE, replies.build_not_run(reason))
 
     def look_up(self, wanted: ticket.Ticket, asker: ids.ProcessId) -> parts.Effects:
         """Give the outcome to `asker`, now or once it is known."""
@@ -114,9 +113,9 @@
         if record is not None:
             return self.ask(record, asker)
         if self.is_too_old(wanted):
-            return [self.build_expired(wanted, asker)]
+            return [self.replies.build_expired(wanted, asker)]
         unknown = outcomes.Refusal(reasons.Reason.NOT_FOUND, "not submitted")
-        return [self.build_answer(wanted.text, asker.name, unknown)]
+        return [self.replies.build(wanted.text, asker.name, unknown)]
 
     def cancel(
         self, wanted: ticket.Ticket, member: str, asker: ids.ProcessId
@@ -124,7 +123,7 @@
         """Cancel a job, or keep an unused ticket from ever running."""
         record = self.records.by_text.get(wanted.text)
         if record is None and self.is_too_old(wanted):
-            return [self.build_expired(wanted, asker)]
+            return [self.replies.build_expired(wanted, asker)]
         if record is None:
             retention_ms = rules.ServiceRules("").retention_ms
             record = records.Record(wanted, member, b"", False, retention_ms)
@@ -139,7 +138,7 @@
         """Answer `asker` now, or note that it waits."""
         text = record.ticket.text
         if record.replied and record.outcome is not None:
-            return [self.build_answer(text, asker.name, record.outcome)]
+            return [self.replies.build(text, asker.name, record.outcome)]
         record.add_asker(asker.name)
         if asker.name == self.me.name:
             return []
@@ -187,9 +186,8 @@
         self, record: records.Record, event: records.Event, reason: reasons.Reason
     ) -> parts.Effects:
         """End a job that was not begun, and have the dispatcher drop it."""
-        not_run = outcomes.NotRun(reason, RETRY_AFTER_MS)
         dropped: parts.Effects = [effects.JobAbandoned(record.ticket.text)]
-        return dropped + self.finish(record, event, not_run)
+        return dropped + self.finish(record, event, replies.build_not_run(reason))
 
     def settle(self, text: str, outcome: outcomes.Outcome) -> parts.Effects:
         """Keep the outcome that the dispatcher came to."""
@@ -231,7 +229,7 @@
         record.replied = True
         text = record.ticket.text
         names, record.askers = record.askers, ()
-        return [self.build_answer(text, name, record.outcome) for name in names]
+        return [self.replies.build(text, name, record.outcome) for name in names]
 
     def on_live(self, change: witnesses.Change) -> parts.Effects:
         """Go on without the witnesses that went, and with those that came back."""
@@ -295,18 +293,3 @@
         """Return how long outcomes of a service are kept."""
         known = self.rules.services.get(service, rules.ServiceRules(service))
         return known.retention_ms
-
-    def build_expired(
-        self, wanted: ticket.Ticket, asker: ids.ProcessId
-    ) -> effects.Effect:
-        """Return the answer for a ticket past its retention time."""
-        expired = outcomes.Failed(reasons.Reason.EXPIRED)
-        return self.build_answer(wanted.text, asker.name, expired)
-
-    def build_answer(
-        self, text: str, name: str, result: messages.Result, digest: bytes = b""
-    ) -> effects.Effect:
-        """Return the answer for the callers at the process `name`."""
-        if name == self.me.name:
-            return effects.Answer(text, result, digest)
-        return effects.Send(name, messages.TicketAnswered(text, result, digest))
--- a/packages/core/tests/tickets/test_failures.py
+++ b/packages/core/tests/tickets/test_failures.py
@@ -196,9 +196,11 @@
         queued = find_ticket(run)
         run_to(run, self.text, Stage.STARTED)
         run.up[OWNER].part.stop()
+        self.assertFalse(run.up[OWNER].part.is_idle())
         run.submit("b1", queued)
         run.settle_down()
         self.assertEqual(run.mint(OWNER), ())
+        self.assertTrue(run.up[OWNER].part.is_idle())
         (stopping,) = run.outcomes[queued]
         self.assertEqual(stopping.reason, Reason.STOPPING)
         self.assertIsInstance(run.outcomes[self.text][0], outcomes.Complete)
