Send a fake endpoint's answers without delay

Head and body leave in two writes, so that Nagle's algorithm held the body back until the caller's delayed acknowledgement.

--- a/bench/dispatch_world.py
+++ b/bench/dispatch_world.py
@@ -86,6 +86,7 @@
     starts: set[int] = dataclasses.field(default_factory=set)
     not_started: set[int] = dataclasses.field(default_factory=set)
     bad: bool = False
+    lost: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -208,6 +209,18 @@
     def kill(self, name: str) -> None:
         """Kill an entry VM; its jobs are lost, its running tasks run on."""
         self.processes[name].alive = False
+        for record in self.records.values():
+            if record.owner == name and record.outcome is None:
+                record.lost = True
+
+    def restart(self, name: str, domain: str) -> None:
+        """Start a new run of a killed entry VM."""
+        self.kill(name)
+        self.start_process(name, domain)
+
+    def isolate(self, endpoint: Endpoint) -> None:
+        """Cut an endpoint off from all entry VMs, though these reach it."""
+        endpoint.silent = True
 
     def is_cut(self, one: str, other: str) -> bool:
         """Say whether two places are cut off from each other."""
@@ -306,7 +319,8 @@
         """Have an endpoint say that it leaves."""
         endpoint = self.endpoints[name]
         endpoint.leaving_ms = int(self.now)
-        self.announce(endpoint)
+        if not endpoint.silent:
+            self.announce(endpoint)
 
     def post_task(self, run: Process, start: effects.StartTask) -> None:
         """Bring a task to its endpoint."""
@@ -396,6 +410,8 @@
         self.records[ticket] = record
         if run.alive:
             self.carry(run, run.dispatcher.enqueue(job))
+        else:
+            record.lost = True
         return record
 
     def end_job(self, ended: effects.JobEnded) -> None:
--- a/bench/endpoint.py
+++ b/bench/endpoint.py
@@ -14,6 +14,7 @@
 import gevent.event
 import gevent.pywsgi
 import msgspec
+from gevent import socket
 
 from bench import deployment, events, faults
 from knapweedbeam_core import clock, ids
@@ -62,7 +63,16 @@
 
 
 class Handler(gevent.pywsgi.WSGIHandler):  # type: ignore[misc]
-    """Hands the connection to the application, which faults need."""
+    """Sends answers at once and hands the connection to the application.
+
+    Head and body leave in two writes; without `TCP_NODELAY` the second waits for
+    the caller's delayed acknowledgement, some 40 ms.
+    """
+
+    def handle(self) -> None:
+        """Serve the connection's requests."""
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle()
 
     def get_environ(self) -> dict[str, typing.Any]:
         """Return the request's environment with its connection."""
--- a/bench/tests/test_endpoint.py
+++ b/bench/tests/test_endpoint.py
@@ -4,6 +4,7 @@
 import unittest
 
 import gevent
+from gevent import socket
 
 from bench import calls, deployment, endpoint, faults
 from knapweedbeam_core import ids
@@ -55,6 +56,19 @@
         self.assertEqual(self.history.get_kinds(), ["started", "task_answered"])
         self.assertGreaterEqual(self.history.events[1].run_ms, 9)
 
+    def test_answers_leave_without_waiting_for_acknowledgements(self) -> None:
+        seen = []
+        serve = self.fake.serve
+
+        def spy(environ: dict[str, typing.Any], start: typing.Any) -> list[bytes]:
+            connection = environ[endpoint.SOCKET_KEY]
+            seen.append(connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+            return serve(environ, start)
+
+        self.fake.server.application = spy
+        self.post()
+        self.assertEqual([bool(value) for value in seen], [True])
+
     def test_work_beyond_the_slots_is_started_and_told(self) -> None:
         posts = [gevent.spawn(self.post, f"/tasks/t/{n}") for n in range(3)]
         gevent.joinall(posts)
