--- a/packages/core/src/knapweedbeam_core/dispatch/intake.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/intake.py
@@ -11,7 +11,7 @@
 
 MIN_AHEAD_TASKS = 2
 AHEAD_SHARE = 8
-ASK_ROUNDS = 64
+ORDER_SLOTS = 16
 
 
 class Intake:
@@ -39,8 +39,8 @@
         queue = state.get_queue(job.service)
         line = queue.get_line(state.get_account(job.member))
         task_ms = self.get_work_ms(job) / len(job.tasks)
-        slots = max(1, state.holder.get_pool(job.service).held)
-        order_ms = state.clock.now_ms() + task_ms * len(job.tasks) / slots
+        work_ms = task_ms * len(job.tasks)
+        order_ms = state.clock.now_ms() + work_ms / ORDER_SLOTS
         run = job_run.build_run(job, line, task_ms, order_ms)
         state.jobs[job.ticket] = run
         state.open_jobs += 1
--- a/packages/core/src/knapweedbeam_core/dispatch/policies/least_finish.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/policies/least_finish.py
@@ -74,7 +74,7 @@
 
     def get_score(self, endpoint: held.HeldEndpoint) -> float:
         """Return the endpoint's place in the order of expected finish."""
-        return endpoint.speed * (endpoint.running + 1) / endpoint.record.slots
+        return endpoint.speed
 
     def get_ratio(
         self, endpoint: held.HeldEndpoint, request: placement.Request
--- a/packages/core/src/knapweedbeam_core/membership/messages.py
+++ b/packages/core/src/knapweedbeam_core/membership/messages.py
@@ -7,10 +7,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FreeSlots:
-    """How many slots of a service a keeper could grant when it last looked."""
+    """How many slots of one speed a keeper could grant when it last looked.
+
+    The speed is the run time there beside the average.
+    """
 
     service: str
     slots: int
+    speed_percent: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/knapweedbeam_core/slots/announcing.py
+++ b/packages/core/src/knapweedbeam_core/slots/announcing.py
@@ -14,6 +14,7 @@
 
 WHOLE_EVERY = 8
 MAX_ENDPOINTS = 16_384
+MAX_WAIT_MS = 420
 
 
 @dataclasses.dataclass(slots=True)
@@ -29,6 +30,7 @@
 class Waiting:
     """What waits for the next heartbeat to one keeper; latest wins."""
 
+    since_ms: int
     announcements: dict[str, Taken] = dataclasses.field(default_factory=dict)
 
 
@@ -63,10 +65,19 @@
         last.repeats += 1
         last.announcement = announcement
         whole = last.repeats % WHOLE_EVERY == 0
-        waiting = self.waiting.setdefault(keeper, Waiting())
+        waiting = self.waiting.setdefault(keeper, Waiting(now_ms))
         waiting.announcements[name] = Taken(announcement, now_ms, whole)
         return []
 
+    def take_late(self, now_ms: int) -> list[effects.Send]:
+        """Return what no heartbeat took along in time."""
+        late = [
+            keeper
+            for keeper, waiting in self.waiting.items()
+            if now_ms - waiting.since_ms >= MAX_WAIT_MS
+        ]
+        return [send for keeper in late for send in self.take_waiting(keeper, now_ms)]
+
     def take_waiting(self, keeper: str, now_ms: int) -> list[effects.Send]:
         """Return what should ride with a heartbeat."""
         waiting = self.waiting.pop(keeper, None)
--- a/packages/core/src/knapweedbeam_core/slots/asking.py
+++ b/packages/core/src/knapweedbeam_core/slots/asking.py
@@ -15,11 +15,16 @@
 from knapweedbeam_core.membership import messages as roster_messages
 from knapweedbeam_core.slots import grants, holder, links
 
-ANSWER_MS = 40
-HUNGRY_MS = 100
+ANSWER_MS = 4
+HUNGRY_MS = 60
+PATIENCE = 1.0
+STARVED = 0.5
+RETELL_MS = 400
 CHANGE_SHARE = 0.25
 MIN_CHANGE = 2
 MAX_WANT = 4_096
+OWN_FACTOR = 0.9
+FAR_FACTOR = 1.05
 
 Wants = collections.abc.Mapping[str, int]
 
@@ -46,19 +51,24 @@
         self.hungry_ms: dict[str, int] = {}
 
     def ask(self, service: str, wants: Wants) -> None:
-        """Ask for what is missing now."""
+        """Ask for what is missing now, where the fastest slots are free."""
         now_ms = self.clock.now_ms()
         missing = sum(wants.values()) - self.get_expected(service, now_ms)
-        if missing <= 0:
+        if missing <= PATIENCE * self.holder.get_pool(service).running:
             return
-        for link in self.get_offers(service):
-            count = min(missing, link.free[service])
-            link.free[service] -= count
-            self.tell(link, service, wants, count, now_ms)
+        counts: dict[ids.ProcessId, int] = {}
+        for offer, link in self.get_offers(service):
+            count = min(missing, offer.slots)
+            offer.slots -= count
+            keeper = link.lease.keeper
+            counts[keeper] = counts.get(keeper, 0) + count
             missing -= count
             if missing <= 0:
-                return
-        if now_ms >= self.hungry_ms.get(service, 0):
+                break
+        for keeper, count in counts.items():
+            self.tell(self.holder.links[keeper], service, wants, count, now_ms)
+        starved = missing > STARVED * self.holder.get_pool(service).running
+        if starved and now_ms >= self.hungry_ms.get(service, 0):
             self.hungry_ms[service] = now_ms + HUNGRY_MS
             self.tell_all(service, wants, missing, now_ms)
 
@@ -67,21 +77,27 @@
         expected = self.holder.get_pool(service).held
         for link in self.holder.links.values():
             if now_ms - link.asked_ms.get(service, -ANSWER_MS) < ANSWER_MS:
-                lacking = link.get_told(service) - link.held.get(service, 0)
-                expected += max(0, lacking)
+                expected += link.pending.get(service, 0)
         return expected
 
-    def get_offers(self, service: str) -> list[links.KeeperLink]:
-        """Return the keepers that said they have free slots, best first."""
-        offers = [k for k in self.holder.links.values() if k.free.get(service, 0) > 0]
-        offers.sort(key=lambda link: self.rank(link, service))
+    def get_offers(self, service: str) -> list[tuple[links.Offer, links.KeeperLink]]:
+        """Return what keepers said is free, the fastest first."""
+        offers = [
+            (offer, link)
+            for link in self.holder.links.values()
+            for offer in link.free.get(service, [])
+            if offer.slots > 0
+        ]
+        offers.sort(key=lambda pair: self.rank(pair[0], pair[1]))
         return offers
 
-    def rank(self, link: links.KeeperLink, service: str) -> tuple[bool, bool, int]:
-        """Return the order of keepers: this process, near ones, those with most."""
+    def rank(self, offer: links.Offer, link: links.KeeperLink) -> tuple[float, int]:
+        """Return the order of offers: fast, then near, then large ones."""
         keeper = link.lease.keeper
-        is_other = keeper != self.holder.me
-        return is_other, not self.directory.is_near(keeper), -link.free[service]
+        distance = 1.0 if self.directory.is_near(keeper) else FAR_FACTOR
+        if keeper == self.holder.me:
+            distance = OWN_FACTOR
+        return offer.speed * distance, -offer.slots
 
     def tell(
         self,
@@ -94,6 +110,7 @@
         """Ask one keeper for `more` slots than are held from it."""
         total = link.held.get(service, 0) + more
         link.asked_ms[service] = now_ms
+        link.pending[service] = more
         link.tell(service, split(total, wants))
         if link.stream.has_unsent():
             self.holder.dirty[link.lease.keeper] = link
@@ -105,27 +122,21 @@
             for keeper in self.holder.links
         }
         capacity = sum(capacities.values())
-        if not capacity:
-            return
         for keeper, slots in capacities.items():
             link = self.holder.links[keeper]
             more = math.ceil(missing * slots / capacity)
             total = link.held.get(service, 0) + more
-            if slots and is_change(link.get_told(service), total):
+            told = link.get_told(service)
+            late = now_ms - link.asked_ms.get(service, -RETELL_MS) >= RETELL_MS
+            if slots and (late or total > told + max(MIN_CHANGE, CHANGE_SHARE * told)):
                 self.tell(link, service, wants, more, now_ms)
 
     def settle(self, link: links.KeeperLink, service: str, wants: Wants) -> None:
         """Bring the demand that a keeper knows down to what is left of it."""
-        total = sum(wants.values())
-        pool_held = self.holder.get_pool(service).held
         own = link.held.get(service, 0)
-        told = link.get_told(service)
-        if total >= pool_held:
-            if told > own + total - pool_held:
-                link.tell(service, split(own + total - pool_held, wants))
-            return
-        target = math.ceil(total * own / pool_held) if pool_held else 0
-        if is_change(told, target) or not target:
+        missing = sum(wants.values()) - self.holder.get_pool(service).held
+        target = own + max(0, missing)
+        if link.get_told(service) > target:
             link.tell(service, split(target, wants))
 
     def take_free(
@@ -135,8 +146,12 @@
     ) -> None:
         """Take how many slots a keeper could grant."""
         link = self.holder.links.get(keeper)
-        if link is not None:
-            link.free = {slots.service: slots.slots for slots in free}
+        if link is None:
+            return
+        link.free = {}
+        for slots in free:
+            offer = links.Offer(slots.slots, slots.speed_percent / 100.0)
+            link.free.setdefault(slots.service, []).append(offer)
 
 
 def split(total: int, wants: Wants) -> dict[str, int]:
--- a/packages/core/src/knapweedbeam_core/slots/balance.py
+++ b/packages/core/src/knapweedbeam_core/slots/balance.py
@@ -7,7 +7,10 @@
 
 from knapweedbeam_core.slots import grants, kept, messages
 
-BALANCE_MS = 100
+BALANCE_MS = 200
+SCARCE_MS = 400
+LIFT_MS = 1_000
+FOREVER_MS = 1 << 60
 MIN_RECALL = 1
 RECALL_SHARE = 0.1
 
@@ -42,20 +45,38 @@
 def serve(keeper: Granting, service: kept.KeptService) -> None:
     """Grant free slots to those who can use more of them."""
     name = service.service
-    waiting = [s for s in keeper.sessions.values() if s.get_missing(name)]
-    if not waiting:
-        lift_bounds(keeper, service)
-        return
-    if sum(s.get_missing(name) for s in waiting) <= service.free:
+    now_ms = keeper.get_now_ms()
+    waiting = [s for s in keeper.sessions.values() if s.get_missing(name, now_ms)]
+    missing = sum(session.get_missing(name, now_ms) for session in waiting)
+    if missing <= service.free:
         for session in waiting:
-            give(keeper, service, session, session.get_missing(name))
-        lift_bounds(keeper, service)
+            give(keeper, service, session, session.get_missing(name, now_ms))
+        service.scarce_ms = FOREVER_MS
+        if service.bounded and now_ms - service.balanced_ms >= LIFT_MS:
+            lift_bounds(keeper, service)
         return
-    now_ms = keeper.get_now_ms()
-    if now_ms - service.balanced_ms >= BALANCE_MS or not service.bounded:
+    service.scarce_ms = min(service.scarce_ms, now_ms)
+    is_scarce = now_ms - service.scarce_ms >= SCARCE_MS
+    if is_scarce and now_ms - service.balanced_ms >= BALANCE_MS:
         service.balanced_ms = now_ms
         set_bounds(keeper, service)
-    give_up_to_bounds(keeper, service, waiting)
+    if service.bounded:
+        give_up_to_bounds(keeper, service, waiting)
+    else:
+        give_in_turn(keeper, service, waiting)
+
+
+def give_in_turn(
+    keeper: Granting, service: kept.KeptService, waiting: list[kept.HolderSession]
+) -> None:
+    """Grant what is free max-min, while it is not known whether slots are scarce."""
+    if not service.free:
+        return
+    now_ms = keeper.get_now_ms()
+    name = service.service
+    wants = [grants.Want(session.get_missing(name, now_ms)) for session in waiting]
+    for session, count in zip(waiting, grants.share(service.free, wants), strict=True):
+        give(keeper, service, session, count)
 
 
 def give(
@@ -66,7 +87,7 @@
         known = service.get_best()
         if known is None:
             return
-        free = min(count, service.counted[known.record.endpoint])
+        free = min(count, service.counted[known.record.endpoint].slots)
         keeper.grant(session, known, free)
         count -= free
 
@@ -76,12 +97,13 @@
 ) -> None:
     """Grant what is free to holders below their part, then to any that wait."""
     name = service.service
+    now_ms = keeper.get_now_ms()
     for session in sorted(waiting, key=lambda s: get_fullness(s, name)):
         bound = session.bounds.get(name)
         if bound is None or not bound.bounded:
             continue
         room = bound.slots - session.held.get(name, 0)
-        give(keeper, service, session, min(room, session.get_missing(name)))
+        give(keeper, service, session, min(room, session.get_missing(name, now_ms)))
     for session in waiting:
         if not service.free:
             return
@@ -93,7 +115,8 @@
 ) -> None:
     """Grant slots that nobody below its part can use."""
     name = service.service
-    missing = session.get_missing(name)
+    now_ms = keeper.get_now_ms()
+    missing = session.get_missing(name, now_ms)
     bound = session.bounds.get(name)
     if not missing or bound is None:
         return
--- a/packages/core/src/knapweedbeam_core/slots/exchange.py
+++ b/packages/core/src/knapweedbeam_core/slots/exchange.py
@@ -186,6 +186,7 @@
         """Take what a keeper grants and wants back."""
         if delta.receiver_incarnation == self.me.incarnation:
             self.holder.take_delta(sender, delta)
+            self.asking.take_free(sender, delta.free)
         return []
 
     def take_capacity(
@@ -260,12 +261,11 @@
             self.directory.drop(gone)
         sends = self.moving.tick(now_ms)
         sends += self.tell_capacity()
-        own = self.holder.links[self.me]
-        self.holder.return_idle(own, now_ms)
-        self.settle(own)
+        for link in self.holder.return_due(now_ms):
+            self.settle(link)
         for contact in self.roster.get_due(now_ms):
             sends += self.beat(contact, now_ms)
-        return sends
+        return [*sends, *self.announcing.take_late(now_ms)]
 
     def beat(self, contact: roster.Contact, now_ms: int) -> Sends:
         """Return a heartbeat and all that rides with it."""
@@ -274,7 +274,6 @@
         session = self.keeper.sessions.get(contact.known) if contact.known else None
         sends: Sends = []
         if link is not None:
-            self.holder.return_idle(link, now_ms)
             self.settle(link)
             delta = self.holder.get_beat_delta(link)
             sends += [delta] if delta is not None else []
@@ -321,9 +320,7 @@
 
     def ask(self, service: str, wants: asking.Wants) -> None:
         """Ask for the slots that a backlog lacks."""
-        kept_here = self.keeper.services.get(service)
-        if kept_here is not None:
-            self.holder.links[self.me].free[service] = kept_here.free
+        self.asking.take_free(self.me, self.keeper.get_free())
         self.asking.ask(service, wants)
 
     def settle(self, link: links.KeeperLink) -> None:
--- a/packages/core/src/knapweedbeam_core/slots/holder.py
+++ b/packages/core/src/knapweedbeam_core/slots/holder.py
@@ -165,6 +165,7 @@
         self.get_pool(record.service).held -= count
         key = links.ReturnedKey(record.endpoint, record.incarnation)
         link.returned[key] = endpoint.returned
+        link.speeds[record.endpoint] = round(endpoint.speed * 100)
         link.stream.mark(key)
 
     def changed(self, endpoint: held.HeldEndpoint) -> None:
@@ -214,6 +215,8 @@
         endpoint.idle_since_ms = self.clock.now_ms()
         link.held[record.service] = link.held.get(record.service, 0) + more
         pool.held += more
+        due_ms = endpoint.idle_since_ms + lease_times.IDLE_MS
+        link.idle_ms = min(link.idle_ms, due_ms)
         self.watcher.granted(endpoint, grant)
         self.changed(endpoint)
         if endpoint.revoked:
@@ -300,13 +303,27 @@
             self.give_back(endpoint, count)
             return
         self.changed(endpoint)
+        link.idle_ms = min(link.idle_ms, endpoint.idle_since_ms + lease_times.IDLE_MS)
+
+    def return_due(self, now_ms: int) -> list[links.KeeperLink]:
+        """Return slots that were not used for a while, and to whom they go."""
+        due = [link for link in self.links.values() if link.idle_ms <= now_ms]
+        for link in due:
+            self.return_idle(link, now_ms)
+        return due
 
     def return_idle(self, link: links.KeeperLink, now_ms: int) -> None:
-        """Return slots that were not used for a while."""
+        """Return a keeper's idle slots, all in one message."""
+        link.idle_ms = held.FOREVER_MS
         for endpoint in list(link.lease.endpoints.values()):
             spare = endpoint.held - endpoint.running
-            if spare > 0 and now_ms - endpoint.idle_since_ms > lease_times.IDLE_MS:
-                self.give_back(endpoint, spare, now=False)
+            if spare <= 0:
+                continue
+            due_ms = endpoint.idle_since_ms + lease_times.IDLE_MS
+            if due_ms <= now_ms + lease_times.IDLE_MS // 2:
+                self.give_back(endpoint, spare)
+            else:
+                link.idle_ms = min(link.idle_ms, due_ms)
 
     # What is due, and what is sent.
 
--- a/packages/core/src/knapweedbeam_core/slots/keeper.py
+++ b/packages/core/src/knapweedbeam_core/slots/keeper.py
@@ -9,7 +9,7 @@
 from knapweedbeam_core.dispatch import timers, usage
 from knapweedbeam_core.entry import parts
 from knapweedbeam_core.membership import messages as roster_messages
-from knapweedbeam_core.slots import balance, book, kept, lease_times, messages
+from knapweedbeam_core.slots import balance, book, held, kept, lease_times, messages
 
 MAX_ENDPOINTS = 8_192
 RESEND_MS = 200
@@ -40,6 +40,7 @@
         self.last_session = 0
         self.standing: dict[str, float] = {}
         self.hungry: set[str] = set()
+        self.later: set[str] = set()
         self.dirty: dict[ids.ProcessId, kept.HolderSession] = {}
         self.opening: timers.Timers[str] = timers.Timers()
         self.expire_ms = 0
@@ -170,13 +171,13 @@
         service = self.services[known.record.service]
         service.update(known, self.clock.now_ms())
         if service.free:
-            self.hungry.add(service.service)
+            self.later.add(service.service)
 
     # Holders.
 
     def renew(self, holder: ids.ProcessId) -> kept.HolderSession:
         """Renew a holder's lease, or begin a session with it."""
-        until_ms = self.clock.now_ms() + lease_times.SLOT_LEASE_MS
+        until_ms = self.get_lease_end(holder)
         session = self.sessions.get(holder)
         if session is None:
             self.last_session += 1
@@ -185,6 +186,12 @@
         session.until_ms = until_ms
         return session
 
+    def get_lease_end(self, holder: ids.ProcessId) -> int:
+        """Return until when a holder heard now may use slots; here, always."""
+        if holder == self.me:
+            return held.FOREVER_MS
+        return self.clock.now_ms() + lease_times.SLOT_LEASE_MS
+
     def end_session(self, holder: ids.ProcessId) -> None:
         """Take back what a holder held, once its lease has ended."""
         session = self.sessions.pop(holder, None)
@@ -203,7 +210,7 @@
         if session is None or delta.session != session.number:
             return
         session.echo_ms = max(session.echo_ms, delta.sent_ms)
-        session.until_ms = self.clock.now_ms() + lease_times.SLOT_LEASE_MS
+        session.until_ms = self.get_lease_end(holder)
         session.applied.take(delta.since, delta.version)
         for returned in delta.returned:
             self.take_return(session, returned)
@@ -237,6 +244,8 @@
         if not left:
             del known.charged[session.holder]
         known.used -= count
+        if returned.speed_percent:
+            known.speed = returned.speed_percent / 100.0
         self.refresh(known)
 
     def forget_charge(self, session: kept.HolderSession, key: kept.EndpointKey) -> None:
@@ -326,6 +335,8 @@
         if now_ms >= self.expire_ms:
             self.expire_ms = now_ms + EXPIRE_MS
             self.expire(now_ms)
+        self.hungry |= self.later
+        self.later.clear()
         for service in self.services.values():
             if service.bounded:
                 self.hungry.add(service.service)
@@ -344,7 +355,7 @@
 
         This process's own lease never does.
         """
-        if session.until_ms > now_ms or session.holder == self.me:
+        if session.until_ms > now_ms:
             return False
         idle_ms = now_ms - session.until_ms
         return idle_ms > IDLE_SESSION_MS or any(session.held.values())
@@ -395,6 +406,7 @@
             batch.version,
             tuple(grants),
             tuple(allotments),
+            self.get_free(),
         )
         return effects.Send(session.holder.name, delta)
 
@@ -441,8 +453,12 @@
     def get_free(self) -> tuple[roster_messages.FreeSlots, ...]:
         """Return how many slots of each service could be granted now."""
         return tuple(
-            roster_messages.FreeSlots(service.service, service.free)
+            roster_messages.FreeSlots(
+                service.service, slots, kept.get_step_percent(step)
+            )
             for service in self.services.values()
+            for step, slots in service.by_speed.items()
+            if slots
         )
 
 
--- a/packages/core/src/knapweedbeam_core/slots/kept.py
+++ b/packages/core/src/knapweedbeam_core/slots/kept.py
@@ -4,13 +4,17 @@
 
 import dataclasses
 import heapq
+import math
 import typing
 
 from knapweedbeam_core import ids
 from knapweedbeam_core.entry import parts
-from knapweedbeam_core.slots import deltas, messages
+from knapweedbeam_core.slots import deltas, lease_times, messages
 
 SLACK = 4
+STEPS = 3
+MIN_SPEED = 1.0 / 64.0
+DEMAND_MS = 450
 FIRST_PAUSE_MS = 1_000
 MAX_PAUSE_MS = 60_000
 
@@ -72,8 +76,13 @@
         """Return how many slots of a service the holder could use."""
         return sum(self.demands.get(service, {}).values())
 
-    def get_missing(self, service: str) -> int:
-        """Return how many more slots the holder could use."""
+    def get_missing(self, service: str, now_ms: int) -> int:
+        """Return how many more slots the holder could use.
+
+        A demand counts for a while after the holder was last heard.
+        """
+        if self.until_ms - now_ms < lease_times.SLOT_LEASE_MS - DEMAND_MS:
+            return 0
         return max(0, self.get_wanted(service) - self.held.get(service, 0))
 
 
@@ -122,6 +131,27 @@
         return max(0, self.capacity - self.used)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Counted:
+    """An endpoint's free slots as they were counted, and its step of speed."""
+
+    slots: int
+    step: int
+
+
+NOT_COUNTED = Counted(0, 0)
+
+
+def get_step(speed: float) -> int:
+    """Return the step of a speed; `STEPS` steps double it."""
+    return round(STEPS * math.log2(max(speed, MIN_SPEED)))
+
+
+def get_step_percent(step: int) -> int:
+    """Return the speed that a step stands for."""
+    return round(100 * 2 ** (step / STEPS))
+
+
 class KeptService:
     """The kept endpoints of one service, those with free slots by speed."""
 
@@ -131,20 +161,25 @@
         self.heap: list[tuple[float, int, KeptEndpoint]] = []
         self.count = 0
         self.free = 0
-        self.counted: dict[str, int] = {}
+        self.counted: dict[str, Counted] = {}
+        self.by_speed: dict[int, int] = {}
         self.balanced_ms = -(1 << 40)
+        self.scarce_ms = 1 << 60
         self.bounded = False
 
     def update(self, kept: KeptEndpoint, now_ms: int) -> None:
         """Enter an endpoint anew after a change of its slots or speed."""
         name = kept.record.endpoint
         free = kept.get_free(now_ms) if name in self.endpoints else 0
-        self.free += free - self.counted.get(name, 0)
+        old = self.counted.pop(name, NOT_COUNTED)
+        self.free += free - old.slots
+        self.by_speed[old.step] = self.by_speed.get(old.step, 0) - old.slots
         kept.stamp = 0
         if not free:
-            self.counted.pop(name, None)
             return
-        self.counted[name] = free
+        step = get_step(kept.speed)
+        self.by_speed[step] = self.by_speed.get(step, 0) + free
+        self.counted[name] = Counted(free, step)
         if len(self.heap) > SLACK * len(self.endpoints) + SLACK:
             self.heap = [entry for entry in self.heap if entry[2].stamp == entry[1]]
             heapq.heapify(self.heap)
--- a/packages/core/src/knapweedbeam_core/slots/lease_times.py
+++ b/packages/core/src/knapweedbeam_core/slots/lease_times.py
@@ -21,7 +21,7 @@
 LAST_START_MS = 2_900
 HANDOVER_MS = 2_300
 MOVE_MS = 250
-IDLE_MS = 250
+IDLE_MS = 20
 
 
 def get_holder_end_ms(sent_ms: int, stalest_ms: int) -> int:
--- a/packages/core/src/knapweedbeam_core/slots/links.py
+++ b/packages/core/src/knapweedbeam_core/slots/links.py
@@ -9,6 +9,8 @@
 from knapweedbeam_core import effects
 from knapweedbeam_core.slots import deltas, held, messages
 
+NEVER_MS = held.FOREVER_MS
+
 
 class ReturnedKey(typing.NamedTuple):
     """Slots of an endpoint's run given back, as news for a keeper."""
@@ -33,6 +35,14 @@
 Key = ReturnedKey | DemandKey | NoteKey
 
 
+@dataclasses.dataclass(slots=True)
+class Offer:
+    """Free slots of one speed at a keeper, less those asked for since."""
+
+    slots: int
+    speed: float
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class KeeperLink:
     """What was exchanged with one keeper in one session.
@@ -51,10 +61,13 @@
     held: dict[str, int] = dataclasses.field(default_factory=dict)
     bounds: dict[str, messages.Allotment] = dataclasses.field(default_factory=dict)
     returned: dict[ReturnedKey, int] = dataclasses.field(default_factory=dict)
+    speeds: dict[str, int] = dataclasses.field(default_factory=dict)
     notes: dict[str, messages.HealthNote] = dataclasses.field(default_factory=dict)
     sent_ms: int = 0
     asked_ms: dict[str, int] = dataclasses.field(default_factory=dict)
-    free: dict[str, int] = dataclasses.field(default_factory=dict)
+    pending: dict[str, int] = dataclasses.field(default_factory=dict)
+    free: dict[str, list[Offer]] = dataclasses.field(default_factory=dict)
+    idle_ms: int = NEVER_MS
 
     def get_told(self, service: str) -> int:
         """Return the demand that the keeper knows of."""
@@ -84,7 +97,10 @@
         for key in batch.keys:
             if isinstance(key, ReturnedKey):
                 total = self.returned[key]
-                returned.append(messages.Returned(key.endpoint, key.incarnation, total))
+                speed = self.speeds.get(key.endpoint, 0)
+                returned.append(
+                    messages.Returned(key.endpoint, key.incarnation, total, speed)
+                )
             elif isinstance(key, DemandKey):
                 slots = self.told[key.service].get(key.member, 0)
                 demands.append(messages.Demand(key.service, key.member, slots))
--- a/packages/core/src/knapweedbeam_core/slots/messages.py
+++ b/packages/core/src/knapweedbeam_core/slots/messages.py
@@ -11,6 +11,7 @@
 import enum
 
 from knapweedbeam_core.entry import parts
+from knapweedbeam_core.membership import messages as roster_messages
 
 
 class Health(enum.StrEnum):
@@ -59,11 +60,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Returned:
-    """How many slots of an endpoint were given back in this session."""
+    """How many slots of an endpoint were given back in this session.
+
+    Its speed, as run time beside the average, is what the holder measured.
+    """
 
     endpoint: str
     incarnation: int
     total: int
+    speed_percent: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -150,6 +155,7 @@
     version: int
     grants: tuple[Grant, ...]
     allotments: tuple[Allotment, ...]
+    free: tuple[roster_messages.FreeSlots, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/wire/src/knapweedbeam_wire/schema/membership.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/membership.capnp
@@ -4,6 +4,7 @@
 struct FreeSlots {
   service @0 :Text;
   slots @1 :Int64;
+  speedPercent @2 :Int64;
 }
 
 struct Heartbeat {
--- a/packages/wire/src/knapweedbeam_wire/schema/slots.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/slots.capnp
@@ -50,6 +50,7 @@
   endpoint @0 :Text;
   incarnation @1 :Int64;
   total @2 :Int64;
+  speedPercent @3 :Int64;
 }
 
 struct Demand {
@@ -96,6 +97,12 @@
   shares @3 :List(Share);
 }
 
+struct FreeSlots {
+  service @0 :Text;
+  slots @1 :Int64;
+  speedPercent @2 :Int64;
+}
+
 struct KeeperDelta {
   receiverIncarnation @0 :Int64;
   session @1 :Int64;
@@ -105,6 +112,7 @@
   version @5 :Int64;
   grants @6 :List(Grant);
   allotments @7 :List(Allotment);
+  free @8 :List(FreeSlots);
 }
 
 struct HeldSlots {
