Encode without C++ exceptions, which crash processes with greenlets

Change: every struct is initialised before it is filled. Hello comes from anybody and may be malformed, so it is MessagePack now. Kinds unknown to an older process are passed over. Decoding malformed bytes still raises inside the library; behind the MAC only a holder of the shared key can cause it.

--- a/packages/wire/src/knapweedbeam_wire/codec.py
+++ b/packages/wire/src/knapweedbeam_wire/codec.py
@@ -24,6 +24,7 @@
 NESTING_LIMIT = 16
 
 Convert = collections.abc.Callable[[typing.Any], typing.Any]
+Write = collections.abc.Callable[[typing.Any, typing.Any], None]
 
 
 def camel_case(name: str) -> str:
@@ -45,18 +46,19 @@
 
 
 class StructCodec:
-    """Converts one dataclass to the plain form of its struct, and back."""
+    """Writes one dataclass to its struct, and reads it back."""
 
     def __init__(self, cls: type) -> None:
         hints = typing.get_type_hints(cls)
         fields = [field.name for field in dataclasses.fields(cls)]
         self.cls = cls
-        self.writers = [(n, camel_case(n), build_writer(hints[n])) for n in fields]
+        self.writers = [build_writer(n, camel_case(n), hints[n]) for n in fields]
         self.readers = [(n, camel_case(n), build_reader(hints[n])) for n in fields]
 
-    def write(self, value: typing.Any) -> dict[str, typing.Any]:
-        """Return the keyword form that pycapnp builds a struct from."""
-        return {wire: write(getattr(value, n)) for n, wire, write in self.writers}
+    def write(self, value: typing.Any, struct: typing.Any) -> None:
+        """Fill a struct builder."""
+        for write in self.writers:
+            write(value, struct)
 
     def read(self, struct: typing.Any) -> typing.Any:
         """Return the dataclass that a struct reader stands for."""
@@ -66,7 +68,7 @@
 
 
 class UnionCodec:
-    """Converts a union of dataclasses to a struct with one unnamed union."""
+    """Writes a union of dataclasses to a struct with one unnamed union."""
 
     def __init__(self, classes: tuple[type, ...]) -> None:
         self.by_class = {
@@ -74,10 +76,10 @@
         }
         self.by_name = dict(self.by_class.values())
 
-    def write(self, value: typing.Any) -> dict[str, typing.Any]:
-        """Return the keyword form with the one field that is set."""
+    def write(self, value: typing.Any, struct: typing.Any) -> None:
+        """Fill the one field that is set."""
         name, codec = self.by_class[type(value)]
-        return {name: codec.write(value)}
+        codec.write(value, struct.init(name))
 
     def read(self, struct: typing.Any) -> typing.Any:
         """Return the dataclass that is set."""
@@ -94,14 +96,44 @@
     return None
 
 
-def build_writer(hint: typing.Any) -> Convert:
-    """Return the function that turns a field into its plain form."""
+def build_writer(name: str, wire: str, hint: typing.Any) -> Write:
+    """Return the function that copies one field of a dataclass to a struct.
+
+    Every struct in a struct is initialised before it is filled. pycapnp's own way
+    from a `dict` finds out by a C++ exception that a union's field is not set, and
+    such an exception in a greenlet can crash the process.
+    """
     if typing.get_origin(hint) is tuple:
-        write = build_writer(typing.get_args(hint)[0])
-        return lambda values: [write(value) for value in values]
+        return build_list_writer(name, wire, typing.get_args(hint)[0])
     codec = build_codec(hint)
     if codec is not None:
-        return codec.write
+        fill = codec.write
+        return lambda value, struct: fill(getattr(value, name), struct.init(wire))
+    convert = get_scalar_writer(hint)
+    return lambda value, struct: setattr(struct, wire, convert(getattr(value, name)))
+
+
+def build_list_writer(name: str, wire: str, hint: typing.Any) -> Write:
+    """Return the function that copies a tuple to a list."""
+    codec = build_codec(hint)
+    convert = get_scalar_writer(hint)
+
+    def write(value: typing.Any, struct: typing.Any) -> None:
+        items = getattr(value, name)
+        if not items:
+            return
+        builder = struct.init(wire, len(items))
+        for place, item in enumerate(items):
+            if codec is None:
+                builder[place] = convert(item)
+            else:
+                codec.write(item, builder[place])
+
+    return write
+
+
+def get_scalar_writer(hint: typing.Any) -> Convert:
+    """Return the function that turns a value into what a struct takes."""
     if isinstance(hint, type) and issubclass(hint, enum.StrEnum):
         return str
     return same
@@ -155,12 +187,15 @@
 
     def encode(self, messages: collections.abc.Sequence[effects.Message]) -> bytes:
         """Return one frame body that carries all `messages`."""
-        packed = []
-        for message in messages:
+        frame = self.frame.new_message()
+        packed = frame.init("messages", len(messages))
+        for place, message in enumerate(messages):
             entry = self.by_class[type(message)]
-            struct = entry.struct.new_message(**entry.codec.write(message))
-            packed.append({"kind": entry.name, "body": struct.to_bytes()})
-        return bytes(self.frame.new_message(messages=packed).to_bytes())
+            struct = entry.struct.new_message()
+            entry.codec.write(message, struct)
+            packed[place].kind = entry.name
+            packed[place].body = struct.to_bytes()
+        return bytes(frame.to_bytes())
 
     def decode(self, body: bytes) -> tuple[effects.Message, ...] | Malformed:
         """Return the messages of a frame body, or why it is none."""
@@ -170,11 +205,16 @@
             return Malformed(reasons.Reason.INVALID, str(error))
 
     def decode_frame(self, body: bytes) -> tuple[effects.Message, ...]:
-        """Return the messages of a frame body; raises on malformed bytes."""
+        """Return the messages of a frame body; raises on malformed bytes.
+
+        A kind that only newer processes know is passed over.
+        """
         messages = []
         with self.open(self.frame, body) as frame:
             for packed in frame.messages:
-                entry = self.by_name[packed.kind]
+                entry = self.by_name.get(packed.kind)
+                if entry is None:
+                    continue
                 with self.open(entry.struct, bytes(packed.body)) as struct:
                     messages.append(entry.codec.read(struct))
         return tuple(messages)
--- a/packages/wire/src/knapweedbeam_wire/handshake.py
+++ b/packages/wire/src/knapweedbeam_wire/handshake.py
@@ -10,12 +10,11 @@
 import dataclasses
 import hmac
 import secrets
-import typing
 
-import capnp
+import msgspec
 
 from knapweedbeam_core import ids
-from knapweedbeam_wire import codec, frames
+from knapweedbeam_wire import frames
 
 NONCE_BYTES = 16
 MAX_HELLO_BYTES = 1024
@@ -23,9 +22,12 @@
 KEY_LABEL = b"frames"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Hello:
-    """Who speaks on a link, with a nonce made for it."""
+class Hello(msgspec.Struct, frozen=True, array_like=True):
+    """Who speaks on a link, with a nonce made for it.
+
+    Its bytes come from anybody, so it is MessagePack: Cap'n Proto reports
+    malformed bytes by a C++ exception, which can crash a process with greenlets.
+    """
 
     name: str
     incarnation: int
@@ -47,8 +49,8 @@
     def __init__(self, me: ids.ProcessId, link_key: bytes) -> None:
         self.me = me
         self.link_key = link_key
-        self.struct = codec.load_schema("link.capnp").Hello
-        self.codec = codec.StructCodec(Hello)
+        self.encoder = msgspec.msgpack.Encoder()
+        self.decoder = msgspec.msgpack.Decoder(Hello)
 
     def dial(self, stream: frames.Stream, name: str) -> Session:
         """Open the link to `name`; raises `LinkError` if it is somebody else."""
@@ -66,12 +68,12 @@
         theirs = self.receive(stream)
         mine = Hello(self.me.name, self.me.incarnation, secrets.token_bytes(16))
         proof = self.get_proof(theirs, mine)
-        self.send(stream, dataclasses.replace(mine, proof=proof))
+        self.send(stream, msgspec.structs.replace(mine, proof=proof))
         return self.get_session(theirs, theirs, mine)
 
     def send(self, stream: frames.Stream, hello: Hello) -> None:
         """Send one hello."""
-        body = self.struct.new_message(**self.codec.write(hello)).to_bytes()
+        body = self.encoder.encode(hello)
         stream.sendall(frames.LENGTH.pack(len(body)) + body)
 
     def receive(self, stream: frames.Stream) -> Hello:
@@ -81,9 +83,8 @@
             raise frames.LinkError(f"hello of {size} bytes")
         body = frames.recv_exactly(stream, size)
         try:
-            with self.struct.from_bytes(body) as struct:
-                hello = typing.cast(Hello, self.codec.read(struct))
-        except (capnp.KjException, ValueError) as error:
+            hello = self.decoder.decode(body)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
             raise frames.LinkError("malformed hello") from error
         if len(hello.nonce) != NONCE_BYTES:
             raise frames.LinkError("hello with a nonce of a wrong size")
--- a/packages/wire/src/knapweedbeam_wire/schema/control.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/control.capnp
@@ -97,12 +97,14 @@
 
 struct BundleFetch {
   version @0 :UInt64;
+  base @1 :Text;
 }
 
 struct BundleText {
   version @0 :UInt64;
   digest @1 :Text;
-  text @2 :Text;
+  base @2 :Text;
+  data @3 :Data;
 }
 
 struct ProposeBundle {
@@ -120,6 +122,7 @@
   digest @4 :Text;
   again @5 :Bool;
   detail @6 :Text;
+  table @7 :InForceTable;
 }
 
 struct InForceRow {
--- a/packages/wire/tests/test_links.py
+++ b/packages/wire/tests/test_links.py
@@ -7,8 +7,9 @@
 import gevent.event
 import gevent.socket
 
-from knapweedbeam_core import effects, ids
-from knapweedbeam_wire import codec, frames, handshake, links
+from knapweedbeam_core import effects, ids, outcomes
+from knapweedbeam_core.tickets import messages
+from knapweedbeam_wire import codec, frames, links, registry
 
 KEY = b"k" * 32
 WAIT_S = 10
@@ -43,9 +44,7 @@
 
 
 def build_codec() -> codec.Codec:
-    built = codec.Codec()
-    built.register("link.capnp", handshake.Hello)
-    return built
+    return registry.build_codec([messages.BeginJob, messages.SettleJob])
 
 
 def get_free_port() -> int:
@@ -80,7 +79,7 @@
         first = self.open(0, "a1", "a2")
         second = self.open(1, "a2", "a1")
         self.assertTrue(self.seen[0].up.wait(WAIT_S))
-        sent = [handshake.Hello("x", n, b"") for n in range(50)]
+        sent = [messages.BeginJob(str(n), "one") for n in range(50)]
         for message in sent:
             first.send("a2", message)
         with gevent.Timeout(WAIT_S):
@@ -94,7 +93,7 @@
         first = self.open(0, "a1", "a2", b"other" * 8)
         self.open(1, "a2", "a1")
         gevent.sleep(0.3)
-        first.send("a2", handshake.Hello("x", 1, b""))
+        first.send("a2", messages.BeginJob("t", "one"))
         self.assertFalse(self.seen[0].up.is_set())
         self.assertEqual(self.seen[1].messages, [])
 
@@ -112,7 +111,7 @@
             sock.sendall(b"\x00\x00\x00\x08garbage!" * 10)
             self.assertTrue(self.seen[1].arrived.wait(WAIT_S))
         self.seen[1].arrived.clear()
-        first.send("a2", handshake.Hello("x", 1, b""))
+        first.send("a2", messages.BeginJob("t", "one"))
         self.assertTrue(self.seen[1].arrived.wait(WAIT_S))
         self.assertEqual(len(self.seen[1].messages), 1)
 
@@ -157,3 +156,25 @@
         header = frames.LENGTH.pack(frames.MAX_BODY_BYTES + 1) + b"\x00" * 16
         with self.assertRaisesRegex(frames.LinkError, "bytes"):
             frames.FrameReader(Buffer(header), KEY).read()
+
+
+class CodecTest(unittest.TestCase):
+    def test_unions_are_encoded_in_a_greenlet_that_sleeps(self) -> None:
+        """A C++ exception inside a greenlet crashed the process here."""
+        built = build_codec()
+        outcome = outcomes.Complete((b"1",) * 40)
+        sent = [messages.SettleJob("t", "one", outcome, 1, True)] * 20
+
+        def encode() -> None:
+            for round_ in range(400):
+                self.assertEqual(built.decode(built.encode(sent)), tuple(sent))
+                gevent.sleep(0.0005 * (round_ % 2))
+
+        gevent.spawn(encode).get(timeout=60)
+
+    def test_unknown_kind_is_passed_over(self) -> None:
+        known = messages.BeginJob("t", "one")
+        other = messages.CancelTicket("t", "one")
+        newer = registry.build_codec([messages.BeginJob, messages.CancelTicket])
+        body = newer.encode([other, known])
+        self.assertEqual(build_codec().decode(body), (known,))
