--- a/packages/core/tests/tickets/test_failures.py
+++ b/packages/core/tests/tickets/test_failures.py
@@ -4,8 +4,8 @@
 import random
 import unittest
 
-from knapweedbeam_core import clock, outcomes, reasons
-from knapweedbeam_core.tickets import answers, owner, ticket
+from knapweedbeam_core import clock, effects, outcomes, reasons
+from knapweedbeam_core.tickets import answers, messages, owner, ticket
 from tickets import world
 
 OWNER = "a1"
@@ -123,6 +123,18 @@
         complete = outcomes.Complete(world.get_answers(self.text))
         self.assertEqual(self.run_.outcomes[self.text], [complete] * 4)
 
+    def test_other_body_is_a_conflict_and_changes_nothing(self) -> None:
+        self.run_.submit(OWNER, self.text)
+        self.run_.submit("b1", self.text)
+        self.run_.submit("b1", self.text, b"[]")
+        self.run_.submit("a3", self.text, b"[]")
+        self.run_.look_up("a3", self.text)
+        self.run_.settle_down()
+        conflict = outcomes.Refusal(Reason.CONFLICT, "body")
+        self.assertEqual(self.run_.refusals, [(self.text, conflict)] * 2)
+        complete = outcomes.Complete(world.get_answers(self.text))
+        self.assertEqual(self.run_.outcomes[self.text], [complete] * 3)
+
     def test_all_messages_again_in_any_order_change_nothing(self) -> None:
         run = self.run_
         letters = run.record()
@@ -228,6 +240,16 @@
             self.assertIsInstance(
                 ticket.parse(world.KEY, form, world.MEMBER), outcomes.Refusal
             )
-        other = ticket.parse(world.KEY, self.text, "another member")
-        never = ticket.parse(world.KEY, "never minted", world.MEMBER)
-        self.assertEqual(other, never)
+
+    def test_ticket_of_another_member_looks_like_none(self) -> None:
+        part = self.run_.up["b1"].part
+        unknown = outcomes.Refusal(Reason.NOT_FOUND, "ticket")
+        for text in (self.text, "never minted", "", "\u00e9"):
+            for call in (part.look_up, part.cancel):
+                answer = effects.Answer(text, unknown)
+                self.assertEqual(call(text, "another member"), [answer])
+        forged = messages.CancelTicket(self.text, "another member")
+        owner_part = self.run_.up[OWNER].part
+        (sent,) = owner_part.on_message(self.run_.up["b1"].id, forged)
+        refused = messages.TicketAnswered(self.text, unknown)
+        self.assertEqual(sent, effects.Send("b1", refused))
