Spread bundles as differences, and tables now and then

At six changes a minute the leader's texts cost most. A fetch now names the text that is held and gets the new one deflated against it; tables go out at most every 4 s, and inside an acceptance.

--- a/packages/core/src/knapweedbeam_core/control/control.py
+++ b/packages/core/src/knapweedbeam_core/control/control.py
@@ -163,8 +163,7 @@
     ) -> parts.Effects:
         """Keep the leader's table."""
         if sender.name == self.spread.leader.name:
-            self.table.copy = held
-            self.spread.revision = held.revision
+            self.table.keep(held)
         return []
 
     def on_share_ask(
--- a/packages/core/src/knapweedbeam_core/control/messages.py
+++ b/packages/core/src/knapweedbeam_core/control/messages.py
@@ -45,18 +45,26 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BundleFetch:
-    """The sender wants the text of `version` or a newer one."""
+    """The sender wants the text of `version` or a newer one.
+
+    It holds the text with the digest `base`, or none.
+    """
 
     version: int
+    base: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BundleText:
-    """The signed text of an accepted bundle."""
+    """The signed text of an accepted bundle, deflated.
+
+    The text with the digest `base`, if any, is the dictionary.
+    """
 
     version: int
     digest: str
-    text: str
+    base: str
+    data: bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,19 +81,6 @@
     text: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class BundleProposed:
-    """The answer to one attempt; `NO_QUORUM` says that it changes nothing."""
-
-    call: int
-    attempt: int
-    verdict: Verdict
-    version: int = 0
-    digest: str = ""
-    again: bool = False
-    detail: str = ""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class InForceRow:
     """The newest version that one process is known to have in force."""
@@ -103,6 +98,23 @@
     unreachable_domains: tuple[str, ...]
 
 
+NO_TABLE = InForceTable(0, (), ())
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BundleProposed:
+    """The answer to one attempt; `NO_QUORUM` says that it changes nothing."""
+
+    call: int
+    attempt: int
+    verdict: Verdict
+    version: int = 0
+    digest: str = ""
+    again: bool = False
+    detail: str = ""
+    table: InForceTable = NO_TABLE
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ShareAsk:
     """The sender's run starts to use its shares of the limits."""
--- a/packages/core/src/knapweedbeam_core/control/rolling.py
+++ b/packages/core/src/knapweedbeam_core/control/rolling.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from knapweedbeam_core import clock, effects, ids
 from knapweedbeam_core.control import (
     deciding,
@@ -56,6 +58,8 @@
         self, sender: ids.ProcessId, proposed: messages.BundleProposed
     ) -> parts.Effects:
         """Take the leader's answer to a proposal made here."""
+        if proposed.table.rows:
+            self.table.keep(proposed.table)
         self.proposer.take(proposed)
         return []
 
@@ -66,12 +70,13 @@
             decider.release(self.table.get_spread_version())
         for decision in decider.take_decisions():
             sender = decision.request.sender
+            proposed = decision.proposed
+            if proposed.verdict == messages.Verdict.ACCEPTED:
+                proposed = dataclasses.replace(proposed, table=self.table.build())
             if sender == self.me:
-                self.proposer.take(decision.proposed)
-                continue
-            if decision.proposed.verdict == messages.Verdict.ACCEPTED:
-                produced.append(effects.Send(sender.name, self.table.build()))
-            produced.append(effects.Send(sender.name, decision.proposed))
+                self.proposer.take(proposed)
+            else:
+                produced.append(effects.Send(sender.name, proposed))
         return produced
 
     def send_attempts(self) -> parts.Effects:
--- a/packages/core/src/knapweedbeam_core/control/spreading.py
+++ b/packages/core/src/knapweedbeam_core/control/spreading.py
@@ -7,10 +7,11 @@
 
 from knapweedbeam_core import clock, effects, ids
 from knapweedbeam_core.bundles import model, signing
-from knapweedbeam_core.control import messages
+from knapweedbeam_core.control import delta, messages
 from knapweedbeam_core.entry import parts
 
 ASK_MS = 5_000
+TEXTS_KEPT = 3
 FETCH_RETRY_MS = 300
 LEADER_LOST_MS = 12_000
 START_ASK_MS = 300
@@ -60,6 +61,7 @@
         self.neighbours = [p.name for p in peers if p.domain == domain]
         self.replicas = [p.name for p in peers if p.control]
         self.current: InForce | None = None
+        self.texts: dict[str, str] = {}
         self.leader = Leader()
         self.settled = 0
         self.revision = 0
@@ -128,7 +130,7 @@
     def fetch_again(self, fetching: Fetching, now_ms: int) -> parts.Effects:
         """Ask for a lacking text anew, and ask others for it."""
         fetching.next_ms = now_ms + FETCH_RETRY_MS
-        fetch = messages.BundleFetch(fetching.version)
+        fetch = messages.BundleFetch(fetching.version, "")
         sent: parts.Effects = [effects.Send(fetching.source, fetch)]
         return sent + self.ask(self.choose_asked())
 
@@ -172,22 +174,29 @@
             return []
         next_ms = self.clock.now_ms() + FETCH_RETRY_MS
         self.fetching = Fetching(version, sender, next_ms)
-        return [effects.Send(sender, messages.BundleFetch(version))]
+        return [effects.Send(sender, messages.BundleFetch(version, self.digest))]
 
     def on_fetch(self, sender: str, fetch: messages.BundleFetch) -> parts.Effects:
         """Send the text in force, if it is new enough."""
         current = self.current
         if current is None or current.version < fetch.version:
             return []
-        text = messages.BundleText(current.version, current.digest, current.text)
+        base = fetch.base if fetch.base in self.texts else ""
+        data = delta.deflate(current.text, self.texts.get(base, ""))
+        text = messages.BundleText(current.version, current.digest, base, data)
         return [effects.Send(sender, text)]
 
     def on_text(self, sender: str, text: messages.BundleText) -> parts.Effects:
         """Put a fetched bundle in force, and pass it on where it came from afar."""
-        signed = signing.parse_signed(text.text)
-        if isinstance(signed, model.BundleError) or signed.digest != text.digest:
+        if text.base and text.base not in self.texts:
             return []
-        if not self.adopt(text.version, text.digest, text.text):
+        whole = delta.inflate(text.data, self.texts.get(text.base, ""))
+        signed = signing.parse_signed(whole or "")
+        if whole is None or isinstance(signed, model.BundleError):
+            return []
+        if signed.digest != text.digest:
+            return []
+        if not self.adopt(text.version, text.digest, whole):
             return []
         return self.tell(sender, sender not in self.neighbours)
 
@@ -199,6 +208,9 @@
         if isinstance(bundle, tuple):
             return False
         self.current = InForce(version, digest, text, bundle)
+        self.texts[digest] = text
+        if len(self.texts) > TEXTS_KEPT:
+            del self.texts[next(iter(self.texts))]
         if self.fetching and self.fetching.version <= version:
             self.fetching = None
         return True
--- a/packages/core/src/knapweedbeam_core/control/table.py
+++ b/packages/core/src/knapweedbeam_core/control/table.py
@@ -12,6 +12,7 @@
 PUSH_FIRST_MS = 300
 PUSH_LONGEST_MS = 5_000
 FIRST_TOLD = 2
+TABLE_MS = 4_000
 REVISION_BITS = 32
 
 
@@ -25,6 +26,7 @@
     heard_ms: int = -LOST_MS
     push_ms: int = 0
     wait_ms: int = PUSH_FIRST_MS
+    table_ms: int = 0
 
 
 class Table:
@@ -41,7 +43,7 @@
         self.domain = domain
         self.clock = timer
         self.rows = {peer.name: Row(peer.name, peer.domain) for peer in peers}
-        self.copy = messages.InForceTable(0, (), ())
+        self.copy = messages.NO_TABLE
         self.counter = 0
         self.lagging: set[str] = set()
         self.next_push_ms = 0
@@ -57,6 +59,11 @@
         if row is not None:
             row.heard_ms = self.clock.now_ms()
 
+    def keep(self, held: messages.InForceTable) -> None:
+        """Keep a copy of the leader's table."""
+        self.copy = held
+        self.spread.revision = held.revision
+
     def get_best(self, is_leader: bool) -> messages.InForceTable:
         """Return the leader's table, or this node's own while none is heard."""
         if is_leader or not self.copy.rows or not self.spread.has_leader():
@@ -135,9 +142,12 @@
         return tuple(sorted(domains - heard - {self.domain}))
 
     def answer(self, name: str, revision: int) -> parts.Effects:
-        """Send the table to a node that holds another one."""
-        if revision == self.revision:
+        """Send the table to a node that holds another one, now and then."""
+        row = self.rows.get(name)
+        now_ms = self.clock.now_ms()
+        if row is None or revision == self.revision or now_ms < row.table_ms:
             return []
+        row.table_ms = now_ms + TABLE_MS
         return [effects.Send(name, self.build())]
 
 
--- a/packages/core/tests/control/broken.py
+++ b/packages/core/tests/control/broken.py
@@ -31,7 +31,7 @@
         return super().on_notice(sender, notice)
 
     def hear_lower(self, sender: str, version: int) -> parts.Effects:
-        message = spreading.messages.BundleFetch(version)
+        message = spreading.messages.BundleFetch(version, "")
         return [spreading.effects.Send(sender, message)]
 
 
