--- a/packages/core/src/knapweedbeam_core/dispatch/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/dispatcher.py
@@ -92,6 +92,9 @@
         """Do what is due."""
         for due in self.state.timers.pop_due(self.state.clock.now_ms()):
             self.take_due(due)
+        for queue in self.state.queues.values():
+            if queue.get_backlog():
+                self.state.touched.add(queue.service)
         self.state.out += self.exchange.tick()
         return self.finish()
 
@@ -224,5 +227,6 @@
     def ask(self, service: str) -> None:
         """Ask for slots where tasks wait and none is free."""
         queue = self.state.queues.get(service)
-        if queue is not None and queue.get_backlog():
-            self.exchange.ask(service, self.state.get_wants(service))
+        backlog = queue.get_backlog() if queue is not None else 0
+        if backlog:
+            self.exchange.ask(service, backlog, self.state.get_wants(service))
--- a/packages/core/src/knapweedbeam_core/dispatch/intake.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/intake.py
@@ -128,7 +128,7 @@
         pool = state.holder.get_pool(service)
         expected = self.asking.get_expected(service, now_ms)
         ahead = max(MIN_AHEAD_TASKS, pool.held // AHEAD_SHARE)
-        bound = max(0, expected - pool.running) + ahead
+        bound = expected + ahead
         for line in queue.lines.values():
             if line.waiting_tasks and line.held_until_ms <= now_ms:
                 self.begin_line(queue, line, bound, now_ms)
--- a/packages/core/src/knapweedbeam_core/slots/asking.py
+++ b/packages/core/src/knapweedbeam_core/slots/asking.py
@@ -50,10 +50,10 @@
         self.directory = directory
         self.hungry_ms: dict[str, int] = {}
 
-    def ask(self, service: str, wants: Wants) -> None:
-        """Ask for what is missing now, where the fastest slots are free."""
+    def ask(self, service: str, backlog: int, wants: Wants) -> None:
+        """Ask for what a backlog is missing now, where the fastest slots are free."""
         now_ms = self.clock.now_ms()
-        missing = sum(wants.values()) - self.get_expected(service, now_ms)
+        missing = backlog - self.get_expected(service, now_ms)
         if missing <= PATIENCE * self.holder.get_pool(service).running:
             return
         counts: dict[ids.ProcessId, int] = {}
@@ -73,8 +73,8 @@
             self.tell_all(service, wants, missing, now_ms)
 
     def get_expected(self, service: str, now_ms: int) -> int:
-        """Return the slots held and those asked for a moment ago."""
-        expected = self.holder.get_pool(service).held
+        """Return the free slots and those asked for a moment ago."""
+        expected = self.holder.get_pool(service).spare
         for link in self.holder.links.values():
             if now_ms - link.asked_ms.get(service, -ANSWER_MS) < ANSWER_MS:
                 expected += link.pending.get(service, 0)
--- a/packages/core/src/knapweedbeam_core/slots/held.py
+++ b/packages/core/src/knapweedbeam_core/slots/held.py
@@ -40,6 +40,7 @@
     speed: float = 1.0
     place: int = -1
     stamp: int = 0
+    counted: int = 0
     idle_since_ms: int = 0
 
     @property
@@ -63,11 +64,15 @@
         self.endpoints: dict[str, HeldEndpoint] = {}
         self.free: list[HeldEndpoint] = []
         self.held = 0
+        self.spare = 0
         self.running = 0
 
     def update(self, endpoint: HeldEndpoint) -> None:
         """Put the endpoint in or out of the free list after a change."""
-        if endpoint.free > 0:
+        free = max(0, endpoint.free)
+        self.spare += free - endpoint.counted
+        endpoint.counted = free
+        if free:
             if endpoint.place < 0:
                 endpoint.place = len(self.free)
                 self.free.append(endpoint)
