Check histories that outlast retention and suspended processes

What owners and witnesses forget was not reached by histories of seconds. Long histories let 10 to 62 minutes pass, for all or for all but one process. A witness that does not remember that it forgot and an owner that takes old tickets are both caught.

--- a/packages/core/tests/tickets/test_histories.py
+++ b/packages/core/tests/tickets/test_histories.py
@@ -24,3 +24,8 @@
     @hypothesis.given(SEEDS)
     def test_outcomes_are_known_over_prompt_links(self, seed: int) -> None:
         world.run_history(seed, STEPS, loss=0)
+
+    @SETTINGS
+    @hypothesis.given(SEEDS)
+    def test_promises_hold_beyond_retention(self, seed: int) -> None:
+        world.run_history(seed, STEPS, long=True)
--- a/packages/core/tests/tickets/test_variants.py
+++ b/packages/core/tests/tickets/test_variants.py
@@ -168,6 +168,23 @@
         return super().tick()
 
 
+class ForgetsThatItForgot(coordinator.Coordinator):
+    """A witness that takes a ticket without an entry for one never seen."""
+
+    def tick(self) -> parts.Effects:
+        done = super().tick()
+        self.witness.forgotten.up_to_ms.clear()
+        return done
+
+
+class TakesOldTickets(coordinator.Coordinator):
+    """An owner that takes tickets of any age."""
+
+    def tick(self) -> parts.Effects:
+        self.owner.is_too_old = lambda wanted: False  # type: ignore[method-assign]
+        return super().tick()
+
+
 class OpensAtOnce(coordinator.Coordinator):
     """A registrar that opens its ranges without asking what it held before."""
 
@@ -192,6 +209,8 @@
     (CutsAnswers, "partial answer"),
     (ClaimsNotRun, "said not to have run"),
     (NeverRetries, "never answered"),
+    (ForgetsThatItForgot, "said not to have run"),
+    (TakesOldTickets, "started twice"),
     (OpensAtOnce, "own key .* started twice"),
 )
 
@@ -201,7 +220,9 @@
     others = set()
     for seed in range(SEEDS):
         try:
-            world.run_history(seed, STEPS, build, LOSS * (seed % 2))
+            long = seed % 3 == 0
+            loss = LOSS if long else LOSS * (seed % 2)
+            world.run_history(seed, STEPS, build, loss, long)
         except world.BreachError as breach:
             if re.search(wanted, str(breach)):
                 return f"seed {seed}: {breach}"
--- a/packages/core/tests/tickets/world.py
+++ b/packages/core/tests/tickets/world.py
@@ -22,6 +22,7 @@
 MEMBER = "m"
 TASKS = 3
 DEADLINE_MS = 30_000
+LONG_MS = tuple(clock.MINUTE_MS * minutes for minutes in (10, 16, 31, 62))
 UNKNOWN = (
     reasons.Reason.OUTCOME_UNKNOWN,
     reasons.Reason.OWNER_LOST,
@@ -145,6 +146,13 @@
             process.time.advance(by_ms)
             self.take(process, process.part.tick())
 
+    def sleep(self, name: str, by_ms: int) -> None:
+        """Let time pass for all but one process, as if it were suspended."""
+        for process in list(self.up.values()):
+            if process.id.name != name:
+                process.time.advance(by_ms)
+                self.take(process, process.part.tick())
+
     def deliver(self, index: int, keep: bool = False) -> None:
         """Hand over one message of the pool, which stays when it is doubled."""
         letter = self.pool[index] if keep else self.pool.pop(index)
@@ -406,18 +414,33 @@
     steps: int,
     build: type[coordinator.Coordinator] = coordinator.Coordinator,
     loss: float = 0.1,
+    long: bool = False,
 ) -> World:
-    """Run one random history and check it; without loss, links are prompt."""
+    """Run one random history and check it; without loss, links are prompt.
+
+    A long one lasts for many retention times, and has no own keys.
+    """
     rng = random.Random(seed)
     world = World(rng, build, prompt=not loss)
     texts: list[str] = []
     for _ in range(steps):
-        step(world, rng, texts, loss)
+        if not long:
+            step(world, rng, texts, loss)
+        elif rng.random() < 0.02:
+            world.sleep(rng.choice((*DOMAINS, "")), rng.choice(LONG_MS))
+        else:
+            step(world, rng, texts, loss, keys=False)
     world.settle_down()
     return world
 
 
-def step(world: World, rng: random.Random, texts: list[str], loss: float) -> None:
+def step(
+    world: World,
+    rng: random.Random,
+    texts: list[str],
+    loss: float,
+    keys: bool = True,
+) -> None:
     """Take one random step."""
     names = sorted(world.up)
     name = rng.choice(names) if names else "a1"
@@ -440,11 +463,11 @@
         world.up[name].time.epoch_ms += rng.choice((-(10**9), 10**9))
     elif dice < 0.19:
         texts += world.mint(name)
-    elif dice < 0.22:
+    elif dice < 0.22 and keys:
         world.submit_new(name, f"key {rng.randrange(8)}")
     elif dice < 0.31 and texts:
         body = b"[]" if rng.random() < 0.05 else b"{}"
-        world.submit(name, rng.choice(texts[-4:]), body)
+        world.submit(name, rng.choice(texts[-8:]), body)
     elif dice < 0.33 and texts:
         world.look_up(name, rng.choice(texts))
     elif dice < 0.34 and texts:
