Spread the fake endpoints over four processes, wait between tries

One process for all endpoints served a burst of 192 starts one after the other, which added to every response. A client that asked again without a pause used up its tries; it now gives up by time.

--- a/bench/client.py
+++ b/bench/client.py
@@ -26,7 +26,9 @@
 WAIT_MS = 40_000
 CALL_MARGIN_S = 5.0
 RETRY_S = 0.1
-MAX_TRIES = 12
+PENDING = "pending"
+MINT_TRIES = 20
+GIVE_UP_MS = 60_000
 MAX_TICKETS = 3
 MAX_OPEN = 20_000
 
@@ -197,8 +199,8 @@
         return None
 
     def wait_for_ticket(self, member: str) -> tuple[str, str] | None:
-        """Return a ticket as soon as there is one, within the tries."""
-        for _ in range(MAX_TRIES):
+        """Return a ticket as soon as there is one, or none after some tries."""
+        for _ in range(MINT_TRIES):
             taken = self.take_ticket(member)
             if taken is not None:
                 return taken
@@ -281,21 +283,22 @@
     def send(self, job: trace.TraceJob, ticket: str, entry: str, body: bytes) -> Ended:
         """Send a job until it has a final answer."""
         detail = ""
-        for _ in range(MAX_TRIES):
+        end_ms = self.clock.now_ms() + GIVE_UP_MS
+        while self.clock.now_ms() < end_ms:
             answer = self.send_once(job, ticket, entry, body)
             if isinstance(answer, calls.Lost):
                 detail = answer.detail
-                gevent.sleep(RETRY_S)
                 entry = self.pick_other(entry)
+                gevent.sleep(RETRY_S)
                 continue
             final = read_final(answer)
             if final.outcome in set(history.OutcomeKind):
                 self.record_answer(job, ticket, final)
                 return Ended(final, entry, self.clock.now_ms())
             detail = f"{answer.status} {final.reason}"
-            if final.outcome != "pending":
-                gevent.sleep(RETRY_S)
+            if final.outcome != PENDING:
                 entry = self.pick_other(entry)
+            gevent.sleep(RETRY_S)
         self.history.write(events.GaveUp(ticket, detail))
         return Ended(FinalBody(reason=detail), entry, self.clock.now_ms())
 
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -31,7 +31,8 @@
 LISTEN_TIMEOUT_S = 10.0
 READY_TIMEOUT_S = 15.0
 STOP_TIMEOUT_S = 25.0
-HOST_STOP_TIMEOUT_S = 3.0
+FAKE_STOP_S = 3.0
+HOSTS = 4
 CALL_TIMEOUT_S = 5.0
 POLL_S = 0.05
 LIFE_S = 900.0
@@ -84,7 +85,7 @@
         self.clock = system_clock.SystemClock()
         self.entries: dict[str, children.Child] = {}
         self.relays: children.Child | None = None
-        self.host: children.Child | None = None
+        self.hosts: list[children.Child] = []
         files.write_keys(self.folder)
         process = ids.ProcessId("bench", self.clock.wall_ms())
         path = self.folder.get_history("bench")
@@ -105,14 +106,14 @@
         self.start_relays()
         for vm in self.plan.vms:
             self.start_entry(vm)
-        self.start_host()
+        self.start_hosts()
         for vm in self.plan.vms:
             self.wait_for_listener(vm.operators, self.entries[vm.name])
         self.roll(1)
         for vm in self.plan.vms:
             self.wait_until_ready(vm)
-        if self.host is not None:
-            self.wait_for_listener(self.plan.platform, self.host)
+        for place, child in enumerate(self.hosts):
+            self.wait_for_listener(self.plan.get_platform(place), child)
 
     def start_relays(self) -> None:
         """Start the relays between failure domains."""
@@ -134,12 +135,14 @@
             self.relays = self.start_fake("relays", spec)
             self.wait_for_listener(plan.relays, self.relays)
 
-    def start_fake(self, command: str, spec: msgspec.Struct) -> children.Child:
+    def start_fake(
+        self, command: str, spec: msgspec.Struct, place: int = 0
+    ) -> children.Child:
         """Start a process of the bench with its specification in a file."""
-        path = self.folder.root / f"{command}.json"
+        path = self.folder.root / f"{command}{place}.json"
         path.write_bytes(msgspec.json.encode(spec))
         arguments = ["-m", "bench", command, str(path)]
-        return children.Child(arguments, self.folder.get_log(command))
+        return children.Child(arguments, self.folder.get_log(f"{command}{place}"))
 
     def start_entry(self, vm: deployment.EntryVm) -> None:
         """Start, or start again, one entry VM."""
@@ -148,21 +151,33 @@
         arguments = ["-m", "knapweedbeam_server", "serve", "--settings", path]
         self.entries[vm.name] = children.Child(arguments, self.folder.get_log(vm.name))
 
-    def start_host(self) -> None:
-        """Start the endpoints and the platform."""
-        spec = host.HostSpec(
-            endpoints=self.plan.endpoints,
+    def start_hosts(self) -> None:
+        """Start the endpoints and the platform, spread over some processes."""
+        places = range(min(HOSTS, len(self.plan.endpoints)))
+        for place in places:
+            spec = self.build_host(place, len(places))
+            self.hosts.append(self.start_fake("host", spec, place))
+
+    def build_host(self, place: int, count: int) -> host.HostSpec:
+        """Return what one of `count` host processes serves."""
+        return host.HostSpec(
+            endpoints=self.plan.endpoints[place::count],
             entries={
                 domain: tuple(vm.callers for vm in self.plan.get_vms(domain))
                 for domain in self.plan.domains
             },
             endpoint_token=self.secrets.endpoint_token,
             platform_token=self.secrets.platform_token,
-            platform=self.plan.platform,
+            platform=self.plan.get_platform(place),
+            siblings=tuple(
+                self.plan.get_platform(other)
+                for other in range(count)
+                if other != place
+            ),
             history_folder=str(self.folder.histories),
             life_s=LIFE_S,
+            seed=place + 1,
         )
-        self.host = self.start_fake("host", spec)
 
     def wait_for_listener(self, address: str, child: children.Child) -> None:
         """Wait until a process accepts connections."""
@@ -227,7 +242,9 @@
 
     def change_endpoint(self, name: str, change: host.Control) -> None:
         """Change a fault, the speed or the leaving of an endpoint."""
-        self.control(self.plan.platform, host.CONTROL_PREFIX + name, change)
+        place = [each.name for each in self.plan.endpoints].index(name)
+        address = self.plan.get_platform(place % len(self.hosts))
+        self.control(address, host.CONTROL_PREFIX + name, change)
 
     def cut(self, domain: str) -> None:
         """Cut a failure domain's entry VMs off from all others."""
@@ -260,8 +277,8 @@
         """Stop the entry VMs side by side, then the fakes."""
         stops = [gevent.spawn(self.stop, name) for name in list(self.entries)]
         gevent.joinall(stops)
-        for child in (self.host, self.relays):
-            if child is not None:
-                child.end(HOST_STOP_TIMEOUT_S)
-        self.host = self.relays = None
+        fakes = [*self.hosts, *([self.relays] if self.relays else [])]
+        gevent.joinall([gevent.spawn(child.end, FAKE_STOP_S) for child in fakes])
+        self.hosts = []
+        self.relays = None
         self.history.close()
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -14,6 +14,7 @@
 ENDPOINT_OCTET = 100
 RELAY_OCTET = 150
 PLATFORM_OCTET = 200
+RELAYS_OCTET = 201
 SLOTS = 8
 CONNECTIONS = 64
 SPEED_MIN = 1.0
@@ -103,12 +104,16 @@
     @property
     def platform(self) -> str:
         """Return the fake platform's address."""
-        return f"127.{self.block}.{PLATFORM_OCTET}.1:{PLATFORM_PORT}"
+        return self.get_platform(0)
+
+    def get_platform(self, place: int) -> str:
+        """Return the address of one of the processes that host the endpoints."""
+        return f"127.{self.block}.{PLATFORM_OCTET}.{place + 1}:{PLATFORM_PORT}"
 
     @property
     def relays(self) -> str:
         """Return the address that controls the relays."""
-        return f"127.{self.block}.{PLATFORM_OCTET}.2:{RELAYS_PORT}"
+        return f"127.{self.block}.{RELAYS_OCTET}.1:{RELAYS_PORT}"
 
     @property
     def capacity(self) -> float:
--- a/bench/host.py
+++ b/bench/host.py
@@ -32,6 +32,7 @@
     endpoint_token: str
     platform_token: str
     platform: str
+    siblings: tuple[str, ...]
     history_folder: str
     life_s: float
     seed: int = 1
@@ -59,11 +60,20 @@
             self.add_endpoint(each)
         everyone = tuple(a for some in spec.entries.values() for a in some)
         self.platform = platform.FakePlatform(
-            self.endpoints, everyone, spec.platform_token, self.clock, self.rng
+            self.endpoints,
+            everyone,
+            spec.platform_token,
+            spec.siblings,
+            self.clock,
+            self.rng,
         )
         host, _, port = spec.platform.rpartition(":")
         self.server = gevent.pywsgi.WSGIServer(
-            (host, int(port)), self.serve, log=None, error_log=None
+            (host, int(port)),
+            self.serve,
+            handler_class=endpoint.Handler,
+            log=None,
+            error_log=None,
         )
 
     def add_endpoint(self, spec: deployment.EndpointSpec) -> None:
--- a/bench/platform.py
+++ b/bench/platform.py
@@ -17,6 +17,7 @@
 REPORT_S = 1.0
 LAG_REPORTS = 1
 CALL_TIMEOUT_S = 2.0
+FORWARDED = "forwarded=1"
 WORKER_CPU_MILLIS = 64_000
 WORKER_MEMORY_MIB = 262_144
 
@@ -49,10 +50,14 @@
         endpoints: dict[str, endpoint.FakeEndpoint],
         entries: tuple[str, ...],
         token: str,
+        siblings: tuple[str, ...],
         own_clock: clock.Clock,
         rng: random.Random,
     ) -> None:
         self.endpoints = endpoints
+        self.siblings = [
+            calls.Caller(address, token, CALL_TIMEOUT_S) for address in siblings
+        ]
         self.clock = own_clock
         self.rng = rng
         self.counts = PlatformCounts()
@@ -72,9 +77,21 @@
             return endpoint.reply(start_response, 404, b"{}")
         self.counts.stops += 1
         stopped = sum(each.stop_task(task) for each in self.endpoints.values())
+        if not stopped and environ["QUERY_STRING"] != FORWARDED:
+            stopped = self.forward(path)
         self.counts.stopped += stopped
         return endpoint.reply(start_response, 202 if stopped else 404, b"{}")
 
+    def forward(self, path: str) -> int:
+        """Ask the other processes that host endpoints; return who stopped it."""
+        asked = [
+            gevent.spawn(sibling.call, "POST", f"{path}?{FORWARDED}")
+            for sibling in self.siblings
+        ]
+        gevent.joinall(asked)
+        answers = [each.value for each in asked]
+        return sum(isinstance(a, calls.Reply) and a.status == 202 for a in answers)
+
     def run(self) -> None:
         """Report each worker's usage as it was some reports ago."""
         while True:
--- a/bench/stage.py
+++ b/bench/stage.py
@@ -132,9 +132,8 @@
         return {name: child.get_usage() for name, child in self.cluster.entries.items()}
 
     def get_host_cpu_s(self) -> float:
-        """Return the processor time of the process that hosts the endpoints."""
-        host = self.cluster.host
-        return host.get_usage().cpu_s if host is not None else 0.0
+        """Return the processor time of the processes that host the endpoints."""
+        return sum(child.get_usage().cpu_s for child in self.cluster.hosts)
 
     def check(self) -> report.Report:
         """Check the histories; call it after the end."""
