--- a/packages/server/src/knapweedbeam_server/assembly.py
+++ b/packages/server/src/knapweedbeam_server/assembly.py
@@ -7,13 +7,20 @@
 import random
 import secrets
 
-from knapweedbeam_core import ids, rules
+from knapweedbeam_core import clock, ids, rules
 from knapweedbeam_core.control import control
 from knapweedbeam_core.dispatch import dispatcher
 from knapweedbeam_core.entry import node, parts
 from knapweedbeam_core.log import records as log_records
 from knapweedbeam_core.tickets import coordinator
-from knapweedbeam_server import histograms, history, shell, system_clock
+from knapweedbeam_server import (
+    histograms,
+    history,
+    metrics,
+    recorder,
+    shell,
+    system_clock,
+)
 from knapweedbeam_server.config import settings as settings_
 from knapweedbeam_server.http import (
     auth,
@@ -66,18 +73,19 @@
         settings.process.domain,
         own_clock,
         auth.Authenticator(),
-        history.open_history(settings.history.file, me, own_clock),
-        histograms.Histograms(),
+        build_recorder(settings, me, own_clock),
     )
-    entry = build_node(settings, restored, built)
-    classes = [cls for part in entry.parts for cls in part.get_message_classes()]
+    made = build_decisions(settings, restored, built)
+    classes = [cls for part in made.node.parts for cls in part.get_message_classes()]
     peers = tuple(
         links.PeerAddress(peer.name, peer.address.host, peer.address.port)
         for peer in settings.peers
     )
     listen = settings.listen.links
     built.connect(
-        entry,
+        made.node,
+        made.governing,
+        made.dispatching,
         links.Links(
             me,
             (listen.host, listen.port),
@@ -91,11 +99,32 @@
     return built
 
 
-def build_node(
+def build_recorder(
+    settings: settings_.Settings, me: ids.ProcessId, own_clock: clock.Clock
+) -> recorder.Recorder:
+    """Return the records that the settings ask for."""
+    return recorder.Recorder(
+        own_clock,
+        history.open_history(settings.history.file, me, own_clock),
+        histograms.Histograms(),
+        metrics.Metrics(settings.metrics),
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decisions:
+    """The parts of a node, and the node."""
+
+    governing: control.Control
+    dispatching: dispatcher.Dispatcher
+    node: node.Node
+
+
+def build_decisions(
     settings: settings_.Settings,
     restored: log_records.RestoredState,
     built: shell.Shell,
-) -> node.Node:
+) -> Decisions:
     """Return the decisions of this process."""
     me, own_clock = built.me, built.clock
     domain = settings.process.domain
@@ -124,7 +153,8 @@
     coordinating = coordinator.Coordinator(
         me, domain, peers, settings.keys.ticket_key, own_clock, rng
     )
-    return node.Node(coordinating, dispatching, governing, built.observe)
+    composed = node.Node(coordinating, dispatching, governing, built.observe)
+    return Decisions(governing, dispatching, composed)
 
 
 def build_servers(
--- a/packages/server/src/knapweedbeam_server/http/operators.py
+++ b/packages/server/src/knapweedbeam_server/http/operators.py
@@ -33,6 +33,15 @@
     received: TrafficContent
 
 
+class WorkContent(msgspec.Struct):
+    """What a process does right now."""
+
+    ready: bool
+    stopping: bool
+    waiting_calls: int
+    running_tasks: int
+
+
 class StatusContent(msgspec.Struct):
     """The answer to `GET /v1/status`."""
 
--- a/packages/server/src/knapweedbeam_server/http/records.py
+++ b/packages/server/src/knapweedbeam_server/http/records.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from knapweedbeam_core.dispatch import listing
+from knapweedbeam_core.limits import gate
 from knapweedbeam_server import histograms
 from knapweedbeam_server.http import auth, replies, router
 
@@ -16,11 +18,45 @@
     series: tuple[histograms.Series, ...]
 
 
+class LimitsContent(msgspec.Struct):
+    """The answer to `GET /v1/limits`: what was used at this entry VM."""
+
+    limits: tuple[gate.Use, ...]
+
+
+class MemberLimits(msgspec.Struct):
+    """One member's limits, for operators."""
+
+    member: str
+    limits: tuple[gate.Use, ...]
+
+
+class AllLimitsContent(msgspec.Struct):
+    """The answer to the operators' `GET /v1/limits`."""
+
+    members: tuple[MemberLimits, ...]
+
+
+class EndpointsContent(msgspec.Struct):
+    """The answer to `GET /v1/endpoints`."""
+
+    endpoints: tuple[listing.EndpointListing, ...]
+
+
 class RecordService(typing.Protocol):
     """What these calls need of the process."""
 
     histograms: histograms.Histograms
 
+    def get_members(self) -> tuple[str, ...]:
+        """Return the names of all members."""
+
+    def get_use(self, member: str) -> tuple[gate.Use, ...]:
+        """Return a member's limits and what is used of them here."""
+
+    def list_endpoints(self) -> tuple[listing.EndpointListing, ...]:
+        """Return the endpoints known here."""
+
 
 class RecordApi:
     """Handlers of the routes that only read."""
@@ -31,12 +67,19 @@
     def get_member_routes(self) -> tuple[router.Route, ...]:
         """Return the routes of members: each reads its own."""
         access = auth.Access.CALLER
-        return (router.Route("GET", "/v1/histograms", self.get_own, access),)
+        return (
+            router.Route("GET", "/v1/histograms", self.get_own, access),
+            router.Route("GET", "/v1/limits", self.get_own_limits, access),
+        )
 
     def get_operator_routes(self) -> tuple[router.Route, ...]:
         """Return the routes of operators."""
         access = auth.Access.OPERATOR
-        return (router.Route("GET", "/v1/histograms", self.get_all, access),)
+        return (
+            router.Route("GET", "/v1/histograms", self.get_all, access),
+            router.Route("GET", "/v1/limits", self.get_all_limits, access),
+            router.Route("GET", "/v1/endpoints", self.get_endpoints, access),
+        )
 
     def get_own(self, request: router.Request) -> replies.Reply:
         """Answer with the caller's own histograms."""
@@ -47,3 +90,21 @@
         """Answer with the histograms of all members."""
         series = self.service.histograms.get_all()
         return replies.build_reply(replies.OK, HistogramsContent(series))
+
+    def get_own_limits(self, request: router.Request) -> replies.Reply:
+        """Answer with the caller's own limits."""
+        limits = self.service.get_use(request.bearer.member)
+        return replies.build_reply(replies.OK, LimitsContent(limits))
+
+    def get_all_limits(self, request: router.Request) -> replies.Reply:
+        """Answer with the limits of all members."""
+        members = tuple(
+            MemberLimits(name, self.service.get_use(name))
+            for name in self.service.get_members()
+        )
+        return replies.build_reply(replies.OK, AllLimitsContent(members))
+
+    def get_endpoints(self, request: router.Request) -> replies.Reply:
+        """Answer with the endpoints known here."""
+        endpoints = self.service.list_endpoints()
+        return replies.build_reply(replies.OK, EndpointsContent(endpoints))
--- a/packages/server/src/knapweedbeam_server/process.py
+++ b/packages/server/src/knapweedbeam_server/process.py
@@ -55,7 +55,7 @@
         gevent.signal_handler(signal.SIGTERM, self.on_signal)
         gevent.signal_handler(signal.SIGINT, self.on_signal)
         gevent.spawn(self.shell.run_ticks)
-        gevent.spawn(self.shell.flush_history)
+        gevent.spawn(self.shell.flush_records)
         if self.disk is not None:
             gevent.spawn(self.shell.run_saves, self.disk)
         self.stop_asked.wait()
@@ -94,7 +94,7 @@
         deadline_ms = self.settings.stopping.deadline_ms
         emit.emit(
             catalogue.STOP_BEGUN,
-            jobs=len(self.shell.times.jobs),
+            jobs=self.shell.recorder.get_open_jobs(),
             deadline_ms=deadline_ms,
         )
         self.shell.stop()
--- a/packages/server/src/knapweedbeam_server/shell.py
+++ b/packages/server/src/knapweedbeam_server/shell.py
@@ -8,14 +8,17 @@
 import gevent.queue
 
 from knapweedbeam_core import clock, effects, ids, jobs, outcomes, rules
+from knapweedbeam_core.control import control
+from knapweedbeam_core.dispatch import dispatcher, listing
 from knapweedbeam_core.entry import node as nodes
 from knapweedbeam_core.entry import parts
-from knapweedbeam_server import histograms, history, job_times, waiters
+from knapweedbeam_core.limits import gate
+from knapweedbeam_server import history, recorder, status, waiters
 from knapweedbeam_server.http import auth, operators
 from knapweedbeam_server.logs import catalogue, emit
 from knapweedbeam_server.tasks import starter
 from knapweedbeam_wire import links as wire_links
-from knapweedbeam_wire import store, traffic
+from knapweedbeam_wire import store
 
 STALL_MS = 250
 MS_PER_S = 1_000
@@ -42,21 +45,21 @@
         domain: str,
         own_clock: clock.Clock,
         authenticator: auth.Authenticator,
-        record: history.HistoryWriter,
-        series: histograms.Histograms,
+        record: recorder.Recorder,
     ) -> None:
         self.me = me
         self.domain = domain
         self.clock = own_clock
         self.authenticator = authenticator
-        self.history = record
-        self.histograms = series
-        self.times = job_times.TimeKeeper(own_clock, series)
+        self.recorder = record
+        self.histograms = record.histograms
         self.job_waiters = waiters.JobWaiters()
         self.proposal_waiters = waiters.ProposalWaiters()
         self.counters = Counters()
         self.to_save: gevent.queue.SimpleQueue = gevent.queue.SimpleQueue()
         self.node: nodes.Node
+        self.control: control.Control
+        self.dispatcher: dispatcher.Dispatcher
         self.links: wire_links.Links
         self.starter: starter.TaskStarter
         self.ready = False
@@ -65,11 +68,15 @@
     def connect(
         self,
         node: nodes.Node,
+        governing: control.Control,
+        dispatching: dispatcher.Dispatcher,
         links: wire_links.Links,
         tasks: starter.TaskStarter,
     ) -> None:
         """Take the parts that need the shell themselves."""
         self.node = node
+        self.control = governing
+        self.dispatcher = dispatching
         self.links = links
         self.starter = tasks
 
@@ -87,12 +94,12 @@
         """Mint tickets."""
         tickets = self.node.coordinator.mint(member, count)
         if not isinstance(tickets, outcomes.Refusal):
-            self.history.write(history.Minted(member, len(tickets)))
+            self.recorder.minted(member, len(tickets))
         return tickets
 
     def submit(self, job: jobs.Job) -> outcomes.Refusal | None:
         """Take a submission; return a refusal that is for this call alone."""
-        self.history.write(build_submitted(job))
+        self.recorder.submitted(job, job.ticket)
         return self.carry_out_call(job.ticket, self.node.submit(job))
 
     def submit_new(self, job: jobs.Job, key: str) -> str | outcomes.Refusal:
@@ -104,7 +111,7 @@
         if isinstance(taken, outcomes.Refusal):
             return taken
         handle, followed = taken
-        self.history.write(build_submitted(dataclasses.replace(job, ticket=handle)))
+        self.recorder.submitted(job, handle, key)
         gevent.spawn(self.carry_out, followed)
         return handle
 
@@ -143,20 +150,10 @@
     ) -> parts.EndpointLease | outcomes.Refusal:
         """Take an endpoint's announcement."""
         answer, followed = self.node.announce(announcement)
-        self.write_announcement(announcement)
+        self.recorder.announced(announcement)
         self.carry_out(followed)
         return answer
 
-    def write_announcement(self, announcement: parts.Announcement) -> None:
-        """Write an announcement to the history."""
-        name = announcement.endpoint
-        incarnation, sequence = announcement.incarnation, announcement.sequence
-        if announcement.leaving:
-            self.history.write(history.Leaving(name, incarnation, sequence))
-        else:
-            slots = announcement.slots
-            self.history.write(history.Announced(name, incarnation, sequence, slots))
-
     def report_usage(self, report: parts.UsageReport) -> None:
         """Take a worker's usage."""
         self.carry_out(self.node.report_usage(report))
@@ -179,24 +176,25 @@
 
     def get_status(self) -> operators.StatusContent:
         """Return the status of this process."""
-        status = self.node.control.get_status()
-        live = sorted(process.name for process in self.node.dispatcher.get_live())
-        return operators.StatusContent(
-            process=self.me.name,
-            incarnation=self.me.incarnation,
-            domain=self.domain,
-            ready=self.is_ready(),
-            stopping=self.counters.stopping,
-            version=self.node.rules.version,
-            digest=self.node.rules.digest,
-            leader=status.leader,
-            in_force=dict(status.in_force),
-            unreachable_domains=status.unreachable_domains,
-            live=tuple(live),
-            waiting_calls=self.job_waiters.get_count(),
-            running_tasks=self.starter.running,
-            links=build_links_content(self.links),
+        work = operators.WorkContent(
+            self.is_ready(),
+            self.counters.stopping,
+            self.job_waiters.get_count(),
+            self.starter.running,
         )
+        return status.build_status(self.me, self.domain, self.node, self.links, work)
+
+    def get_members(self) -> tuple[str, ...]:
+        """Return the names of all members."""
+        return tuple(sorted(self.node.rules.members))
+
+    def get_use(self, member: str) -> tuple[gate.Use, ...]:
+        """Return a member's limits and what is used of them here."""
+        return self.control.get_use(member)
+
+    def list_endpoints(self) -> tuple[listing.EndpointListing, ...]:
+        """Return the endpoints known here."""
+        return listing.list_endpoints(self.dispatcher)
 
     # Events from links.
 
@@ -218,14 +216,7 @@
 
     def task_ended(self, end: effects.TaskEnd) -> None:
         """Take the end of a task."""
-        self.times.task_ended(end)
-        status = 200 if isinstance(end.result, effects.TaskAnswered) else 0
-        task = end.task
-        self.history.write(
-            history.TaskAnswered(
-                task.ticket, task.index, end.endpoint, status, end.run_ms
-            )
-        )
+        self.recorder.task_ended(end)
         self.carry_out(self.node.task_end(end))
 
     # Effects.
@@ -239,55 +230,35 @@
                 case effects.StartTask():
                     self.start_task(effect)
                 case effects.StopTask():
-                    self.starter.stop(effect)
+                    self.stop_task(effect)
                 case effects.Answer(ticket, outcome):
                     self.answer(ticket, outcome)
                 case parts.Persist():
                     self.to_save.put(effect)
                 case parts.ProposalAnswered(call, answer):
-                    self.answer_proposal(call, answer)
+                    self.proposal_waiters.resolve(call, answer)
 
     def start_task(self, start: effects.StartTask) -> None:
         """Start a task."""
-        self.times.started(start)
-        task = start.task
-        self.history.write(
-            history.Started(task.ticket, task.index, start.endpoint, start.address)
-        )
+        self.recorder.started(start)
         self.starter.start(start)
 
+    def stop_task(self, stop: effects.StopTask) -> None:
+        """Ask for the stop of a task."""
+        self.recorder.stopped()
+        self.starter.stop(stop)
+
     def answer(self, ticket: str, outcome: outcomes.Outcome | outcomes.Refusal) -> None:
         """Give an answer to those who wait."""
         if not isinstance(outcome, outcomes.Refusal):
-            self.history.write(history.build_answered(ticket, outcome))
+            self.recorder.answered(ticket, outcome)
         self.job_waiters.resolve(ticket, outcome)
 
-    def answer_proposal(self, call: int, answer: waiters.ProposalAnswer) -> None:
-        """Give an operator the answer."""
-        if isinstance(answer, parts.Accepted):
-            self.history.write(history.Accepted(answer.version, answer.digest))
-        self.proposal_waiters.resolve(call, answer)
-
     def observe(self, effect: parts.Effect) -> None:
-        """Note what the parts tell each other, for history and histograms."""
-        match effect:
-            case effects.Enqueue(job):
-                self.times.queued(job)
-            case effects.JobBegun(ticket):
-                self.history.write(history.Begun(ticket))
-            case effects.JobEnded(ticket, outcome):
-                self.times.ended(ticket, outcome)
-            case effects.JobAbandoned(ticket):
-                self.times.ended(ticket, None)
-            case parts.RulesInForce(new):
-                self.obey(new)
-
-    def obey(self, new: rules.Rules) -> None:
-        """Note that a newer bundle is in force."""
-        self.authenticator.rules = new
-        self.histograms.drop_members(new.members)
-        self.history.write(history.InForce(new.version, new.digest))
-        emit.emit(catalogue.BUNDLE_IN_FORCE, version=new.version, digest=new.digest)
+        """Note what the parts of the node tell each other."""
+        if isinstance(effect, parts.RulesInForce):
+            self.authenticator.rules = effect.rules
+        self.recorder.observe(effect)
 
     # Greenlets.
 
@@ -312,8 +283,7 @@
             return
         self.ready = ready
         if ready:
-            self.history.write(history.Ready())
-            emit.emit(catalogue.READY, bundle=self.node.rules.version)
+            self.recorder.ready(self.node.rules.version)
         elif not self.counters.stopping:
             emit.emit(catalogue.NOT_READY, reason="no bundle or no data folder")
 
@@ -332,18 +302,24 @@
         emit.emit(catalogue.STORE_FAILED, reason=failure.fault, detail=failure.detail)
         self.carry_out(self.node.control.persist_failed())
 
-    def flush_history(self) -> None:
-        """Flush the history each second."""
+    def flush_records(self) -> None:
+        """Flush the history and the metrics each second."""
         while True:
             gevent.sleep(history.FLUSH_MS / MS_PER_S)
-            self.history.flush()
+            links = self.links.outgoing.values()
+            levels = recorder.Levels(
+                self.counters.open_requests,
+                sum(link.connected for link in links),
+                self.node.rules.version,
+            )
+            self.recorder.flush(levels)
 
     # Stopping.
 
     def stop(self) -> None:
         """Start a graceful stop."""
         self.counters.stopping = True
-        self.history.write(history.Stopping())
+        self.recorder.stopping()
         self.carry_out(self.node.stop())
 
     def is_idle(self) -> bool:
@@ -356,47 +332,8 @@
 
     def close(self, cut: int) -> None:
         """End the history."""
-        self.history.write(history.Stopped(cut))
-        self.history.close()
+        self.recorder.close(cut)
 
     def get_unanswered(self) -> int:
         """Return how many requests a stop would cut now."""
-        return max(self.counters.open_requests, len(self.times.jobs))
-
-
-def build_submitted(job: jobs.Job) -> history.Submitted:
-    """Return the event of a submission."""
-    return history.Submitted(
-        job.ticket,
-        job.member,
-        job.service,
-        job.job_class,
-        len(job.tasks),
-        job.repeatable,
-    )
-
-
-def build_links_content(links: wire_links.Links) -> operators.LinksContent:
-    """Return the traffic of all links."""
-    sent = traffic.Traffic()
-    for link in links.outgoing.values():
-        sent.messages.update(link.sent.messages)
-        sent.frames += link.sent.frames
-        sent.frame_bytes += link.sent.frame_bytes
-        sent.dropped += link.sent.dropped
-    connected = tuple(n for n, link in links.outgoing.items() if link.connected)
-    return operators.LinksContent(
-        connected,
-        build_traffic_content(sent),
-        build_traffic_content(links.received),
-    )
-
-
-def build_traffic_content(counted: traffic.Traffic) -> operators.TrafficContent:
-    """Return one direction's traffic as an answer holds it."""
-    return operators.TrafficContent(
-        dict(counted.messages),
-        counted.frames,
-        counted.frame_bytes,
-        counted.dropped,
-    )
+        return max(self.counters.open_requests, self.recorder.get_open_jobs())
