--- a/packages/core/tests/tickets/test_variants.py
+++ b/packages/core/tests/tickets/test_variants.py
@@ -41,6 +41,7 @@
         entries = self.witness.entries
         for text in [t for t, e in entries.items() if e.seen is witness.Seen.SEALED]:
             del entries[text]
+            self.witness.timers.drop(text)
         return done
 
 
@@ -53,6 +54,7 @@
         done = super().on_message(sender, message)
         if isinstance(message, messages.BeginJob):
             self.witness.entries.pop(message.ticket, None)
+            self.witness.timers.drop(message.ticket)
         return done
 
 
