Keep the cost of a start free of the number of members

Every turn added up the backlog, the wants and the waiting jobs of all members. Counters and the members that changed replace that; wants are looked up only when a message is worth while.

--- a/packages/core/src/knapweedbeam_core/dispatch/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/dispatcher.py
@@ -93,10 +93,13 @@
         for due in self.state.timers.pop_due(self.state.clock.now_ms()):
             self.take_due(due)
         for queue in self.state.queues.values():
-            if queue.get_backlog():
+            if queue.backlog:
                 self.state.touched.add(queue.service)
         self.state.out += self.exchange.tick()
-        return self.finish()
+        self.state.ticking = True
+        found = self.finish()
+        self.state.ticking = False
+        return found
 
     def take_due(self, due: state.Due) -> None:
         """Act on one timer."""
@@ -227,6 +230,5 @@
     def ask(self, service: str) -> None:
         """Ask for slots where tasks wait and none is free."""
         queue = self.state.queues.get(service)
-        backlog = queue.get_backlog() if queue is not None else 0
-        if backlog:
-            self.exchange.ask(service, backlog, self.state.get_wants(service))
+        if queue is not None and queue.backlog:
+            self.exchange.ask(service, queue.backlog)
--- a/packages/core/src/knapweedbeam_core/dispatch/fair_queue.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/fair_queue.py
@@ -13,7 +13,7 @@
 
 from knapweedbeam_core.dispatch import job_run
 
-MIN_WEIGHT = 0.01
+ACTIVE_MS = 20
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -57,6 +57,14 @@
         return self.waiting_tasks + self.asked_tasks + self.ready_tasks
 
 
+@dataclasses.dataclass(slots=True)
+class ActiveWeight:
+    """The standing of all members with tasks, as last added up."""
+
+    weight: float = 0.0
+    until_ms: int = 0
+
+
 class FairQueue:
     """The queued jobs of one service."""
 
@@ -67,19 +75,43 @@
         self.virtual_ms = 0.0
         self.count = 0
         self.queued_ms = 0.0
+        self.backlog = 0
+        self.waiting: dict[str, Line] = {}
+        self.changed: dict[str, Line] = {}
+        self.active = ActiveWeight()
 
     def next_count(self) -> int:
         """Return a number that orders equal entries of a heap."""
         self.count += 1
         return self.count
 
-    def has_waiting(self) -> bool:
-        """Say whether any job is not begun."""
-        return any(line.waiting_tasks for line in self.lines.values())
-
-    def get_backlog(self) -> int:
-        """Return how many tasks wait, begun or not."""
-        return sum(line.get_backlog() for line in self.lines.values())
+    def take_changed(self, all_lines: bool) -> list[Line]:
+        """Return the members with waiting jobs to look at now."""
+        found = self.waiting if all_lines else self.changed
+        lines = [line for line in found.values() if line.waiting_tasks]
+        self.changed.clear()
+        return lines
+
+    def count_waiting(self, line: Line, tasks: int) -> None:
+        """Count tasks of jobs that are not begun, or no longer."""
+        line.waiting_tasks += tasks
+        name = line.account.member
+        if line.waiting_tasks:
+            self.waiting[name] = self.changed[name] = line
+        else:
+            self.waiting.pop(name, None)
+
+    def get_active_weight(self, now_ms: int) -> float:
+        """Return the standing of all members with tasks, brought up to date rarely."""
+        active = self.active
+        if now_ms >= active.until_ms:
+            active.until_ms = now_ms + ACTIVE_MS
+            active.weight = sum(
+                line.account.standing
+                for line in self.lines.values()
+                if line.running_slots or line.get_backlog()
+            )
+        return active.weight
 
     def get_line(self, account: Account) -> Line:
         """Return the line of a member, made when it is first needed."""
@@ -94,7 +126,8 @@
         self.count += 1
         line = run.line
         heapq.heappush(line.waiting, (run.order_ms, self.count, run))
-        line.waiting_tasks += run.unanswered
+        self.count_waiting(line, run.unanswered)
+        self.backlog += run.unanswered
         work_ms = run.task_ms * run.unanswered
         line.queued_ms += work_ms
         self.queued_ms += work_ms
@@ -162,6 +195,7 @@
         work_ms = run.task_ms * tasks
         run.line.queued_ms -= work_ms
         self.queued_ms -= work_ms
+        self.backlog -= tasks
 
 
 def charge(line: Line, slot_ms: float) -> None:
--- a/packages/core/src/knapweedbeam_core/dispatch/intake.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/intake.py
@@ -109,28 +109,29 @@
                 return float(own)
         pool_slots = state.holder.get_pool(service).held
         slots = max(pool_slots, self.directory.get_total(service).slots / 2)
-        active = [x for x in queue.lines.values() if x.running_slots or x.get_backlog()]
         weight = state.get_standing(member)
-        others = sum(
-            state.get_standing(line.account.member)
-            for line in active
-            if line.account.member != member
-        )
+        others = queue.get_active_weight(state.clock.now_ms())
+        line = queue.lines.get(member)
+        if line is not None and (line.running_slots or line.get_backlog()):
+            others = max(0.0, others - weight)
         return slots * weight / (weight + others)
 
     def begin_ahead(self, service: str) -> None:
         """Have the next jobs begun, as many as slots are soon there for."""
         state = self.state
         queue = state.queues.get(service)
-        if queue is None or not queue.has_waiting():
+        if queue is None or not queue.waiting:
             return
-        now_ms = state.clock.now_ms()
         pool = state.holder.get_pool(service)
+        lines = queue.take_changed(all_lines=bool(pool.free) or state.ticking)
+        if not lines:
+            return
+        now_ms = state.clock.now_ms()
         expected = self.asking.get_expected(service, now_ms)
         ahead = max(MIN_AHEAD_TASKS, pool.held // AHEAD_SHARE)
         bound = expected + ahead
-        for line in queue.lines.values():
-            if line.waiting_tasks and line.held_until_ms <= now_ms:
+        for line in lines:
+            if line.held_until_ms <= now_ms:
                 self.begin_line(queue, line, bound, now_ms)
 
     def begin_line(
@@ -155,7 +156,7 @@
                 state.end_job(run, answer)
                 continue
             run.take("ask")
-            line.waiting_tasks -= len(run.order)
+            queue.count_waiting(line, -len(run.order))
             line.asked_tasks += len(run.order)
             state.out.append(effects.RequestBegin(run.job.ticket))
 
--- a/packages/core/src/knapweedbeam_core/dispatch/starting.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/starting.py
@@ -61,6 +61,8 @@
         state.queued_tasks -= 1
         queue = state.queues[line.service]
         queue.forget_work(run, 1)
+        if line.waiting_tasks:
+            queue.changed[line.account.member] = line
         record = endpoint.record
         base_ms = state.times.get_base_ms(job, spec.run_ms)
         expected_ms = base_ms * endpoint.speed
--- a/packages/core/src/knapweedbeam_core/dispatch/state.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/state.py
@@ -65,6 +65,7 @@
         self.queued_tasks = 0
         self.queued_bytes = 0
         self.stopping = False
+        self.ticking = False
         self.placement: placement.Placement
         self.holder: holder.Holder
 
@@ -112,7 +113,7 @@
         line = run.line
         left = len(run.order)
         if state == job_run.WAITING:
-            line.waiting_tasks -= left
+            self.queues[line.service].count_waiting(line, -left)
         elif state == job_run.ASKED:
             line.asked_tasks -= left
         else:
--- a/packages/core/src/knapweedbeam_core/slots/asking.py
+++ b/packages/core/src/knapweedbeam_core/slots/asking.py
@@ -19,6 +19,7 @@
 HUNGRY_MS = 60
 PATIENCE = 1.0
 STARVED = 0.5
+QUIET_MS = 4
 RETELL_MS = 400
 CHANGE_SHARE = 0.25
 MIN_CHANGE = 2
@@ -27,6 +28,7 @@
 FAR_FACTOR = 1.05
 
 Wants = collections.abc.Mapping[str, int]
+GetWants = collections.abc.Callable[[str], Wants]
 
 
 class Directory(typing.Protocol):
@@ -49,12 +51,26 @@
         self.holder = holder
         self.directory = directory
         self.hungry_ms: dict[str, int] = {}
+        self.quiet_ms: dict[str, int] = {}
 
-    def ask(self, service: str, backlog: int, wants: Wants) -> None:
+    def is_short(self, service: str, backlog: int) -> bool:
+        """Say whether a backlog is worth a message now.
+
+        A few tasks get a slot soon when many run. Where nobody had a free slot
+        a moment ago, nobody is asked again at once.
+        """
+        pool = self.holder.get_pool(service)
+        if backlog <= PATIENCE * pool.running + pool.spare:
+            return False
+        now_ms = self.clock.now_ms()
+        return now_ms >= self.quiet_ms.get(service, 0)
+
+    def ask(self, service: str, backlog: int, get_wants: GetWants) -> None:
         """Ask for what a backlog is missing now, where the fastest slots are free."""
         now_ms = self.clock.now_ms()
+        running = self.holder.get_pool(service).running
         missing = backlog - self.get_expected(service, now_ms)
-        if missing <= PATIENCE * self.holder.get_pool(service).running:
+        if missing <= PATIENCE * running:
             return
         counts: dict[ids.ProcessId, int] = {}
         for offer, link in self.get_offers(service):
@@ -65,10 +81,15 @@
             missing -= count
             if missing <= 0:
                 break
+        is_starved = missing > STARVED * running
+        is_hungry = is_starved and now_ms >= self.hungry_ms.get(service, 0)
+        if not counts and not is_hungry:
+            self.quiet_ms[service] = now_ms + QUIET_MS
+            return
+        wants = get_wants(service)
         for keeper, count in counts.items():
             self.tell(self.holder.links[keeper], service, wants, count, now_ms)
-        starved = missing > STARVED * self.holder.get_pool(service).running
-        if starved and now_ms >= self.hungry_ms.get(service, 0):
+        if is_hungry:
             self.hungry_ms[service] = now_ms + HUNGRY_MS
             self.tell_all(service, wants, missing, now_ms)
 
--- a/packages/core/src/knapweedbeam_core/slots/exchange.py
+++ b/packages/core/src/knapweedbeam_core/slots/exchange.py
@@ -318,10 +318,12 @@
         contact.reports.clear()
         return [effects.Send(contact.peer.name, messages.UsageSeen(fresh))]
 
-    def ask(self, service: str, backlog: int, wants: asking.Wants) -> None:
+    def ask(self, service: str, backlog: int) -> None:
         """Ask for the slots that a backlog lacks."""
+        if not self.asking.is_short(service, backlog):
+            return
         self.asking.take_free(self.me, self.keeper.get_free())
-        self.asking.ask(service, backlog, wants)
+        self.asking.ask(service, backlog, self.get_wants)
 
     def settle(self, link: links.KeeperLink) -> None:
         """Bring down the demand that a keeper knows."""
--- a/packages/core/tests/dispatch/test_histories.py
+++ b/packages/core/tests/dispatch/test_histories.py
@@ -5,9 +5,9 @@
 import unittest
 
 import hypothesis
-from bench import dispatch_world
 from hypothesis import strategies
 
+from bench import dispatch_world
 from knapweedbeam_core import outcomes
 from knapweedbeam_core.slots import lease_times
 
