Show limits and their use from the command line

The servers answer limits now, each with its own use; the command adds up over the servers that it is given, and names those that do not answer.

--- a/packages/ctl/src/knapweedbeam_ctl/__main__.py
+++ b/packages/ctl/src/knapweedbeam_ctl/__main__.py
@@ -9,6 +9,7 @@
 
 from knapweedbeam_ctl import bundle_app, options
 from knapweedbeam_ctl.commands import histograms as histograms_command
+from knapweedbeam_ctl.commands import limits as limits_command
 from knapweedbeam_ctl.commands import status as status_command
 from knapweedbeam_ctl.commands import submit as submit_command
 
@@ -130,6 +131,21 @@
     raise typer.Exit(histograms_command.show(access, member))
 
 
+@app.command()
+def limits(
+    server: options.CallerServers = None,
+    token_file: options.TokenFile = None,
+    as_json: options.Json = False,
+) -> None:
+    """Show limits and their use, added up over all servers that are named.
+
+    A member sees its own; operators ask the operators' port (--server) and see
+    those of all members.
+    """
+    access = options.connect(server, token_file, as_json, options.CALLER_SERVER)
+    raise typer.Exit(limits_command.show(access))
+
+
 @app.command()
 def status(
     server: options.OperatorServers = None,
--- a/packages/ctl/src/knapweedbeam_ctl/client.py
+++ b/packages/ctl/src/knapweedbeam_ctl/client.py
@@ -54,6 +54,15 @@
     may_have_arrived: bool = True
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Collected(typing.Generic[Model]):
+    """What every server that answered holds, or why nothing can be shown."""
+
+    bodies: tuple[Model, ...]
+    lost: tuple[str, ...]
+    failure: failures.Failure | None
+
+
 class ErrorBody(msgspec.Struct):
     """The body of a typed error."""
 
@@ -154,3 +163,19 @@
         if isinstance(found, failures.Unreachable):
             return found
         return decode(found, model)
+
+    def get_each(self, path: str, model: type[Model]) -> Collected[Model]:
+        """Read a path from every server; those that do not answer are named."""
+        found: list[Model] = []
+        lost = []
+        for server in self.servers:
+            response = self.call_one(server, "GET", path)
+            if isinstance(response, Lost):
+                lost.append(response.detail)
+                continue
+            body = decode(response, model)
+            if isinstance(body, failures.Refused):
+                return Collected((), (), body)
+            found.append(body)
+        failure = None if found else failures.Unreachable(tuple(lost))
+        return Collected(tuple(found), tuple(lost), failure)
--- a/packages/ctl/src/knapweedbeam_ctl/commands/histograms.py
+++ b/packages/ctl/src/knapweedbeam_ctl/commands/histograms.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import sys
+import collections.abc
 
 from knapweedbeam_core import histogram_forms as forms
 from knapweedbeam_core import outcomes
@@ -20,29 +20,9 @@
 }
 
 
-def collect(api: client.Client) -> tuple[forms.Series, ...] | failures.Failure:
-    """Return the series of every server that answers, merged."""
-    found: list[forms.Series] = []
-    lost = []
-    answered = False
-    for server in api.servers:
-        response = api.call_one(server, "GET", PATH)
-        if isinstance(response, client.Lost):
-            lost.append(response.detail)
-            continue
-        body = client.decode(response, models.HistogramsBody)
-        if isinstance(body, failures.Refused):
-            return body
-        answered = True
-        found += body.series
-    if not answered:
-        return failures.Unreachable(tuple(lost))
-    for detail in lost:
-        print(f"warning: left out {detail}", file=sys.stderr)
-    return merge(found)
-
-
-def merge(found: list[forms.Series]) -> tuple[forms.Series, ...] | failures.Refused:
+def merge(
+    found: collections.abc.Iterable[forms.Series],
+) -> tuple[forms.Series, ...] | failures.Refused:
     """Return one series for each name."""
     merged = forms.merge(found)
     if isinstance(merged, outcomes.Refusal):
@@ -57,7 +37,11 @@
     api = access.open()
     if isinstance(api, failures.BadFile):
         return output.print_failure(api, access.as_json)
-    merged = collect(api)
+    collected = api.get_each(PATH, models.HistogramsBody)
+    if collected.failure is not None:
+        return output.print_failure(collected.failure, access.as_json)
+    output.print_left_out(collected.lost)
+    merged = merge(series for body in collected.bodies for series in body.series)
     if not isinstance(merged, tuple):
         return output.print_failure(merged, access.as_json)
     series = tuple(one for one in merged if member in ("", one.member))
--- a/packages/ctl/src/knapweedbeam_ctl/commands/status.py
+++ b/packages/ctl/src/knapweedbeam_ctl/commands/status.py
@@ -11,6 +11,7 @@
     "domain",
     "worker",
     "slots",
+    "running here",
     "state",
     "health",
     "keeper",
@@ -66,16 +67,17 @@
         return exit_codes.ExitCode.OK
     rows = [
         (
-            e.endpoint,
-            e.service,
-            e.domain,
-            e.worker,
-            e.slots,
-            e.state,
-            e.health,
-            e.keeper,
+            one.endpoint,
+            one.service,
+            one.domain,
+            one.worker,
+            one.slots,
+            one.running,
+            one.state,
+            one.health,
+            one.keeper,
         )
-        for e in found.endpoints
+        for one in found.endpoints
     ]
     output.print_table(ENDPOINT_HEADINGS, rows)
     return exit_codes.ExitCode.OK
--- a/packages/ctl/src/knapweedbeam_ctl/models.py
+++ b/packages/ctl/src/knapweedbeam_ctl/models.py
@@ -23,6 +23,7 @@
     state: str = ""
     health: str = ""
     slots: int = 0
+    running: int = 0
     keeper: str = ""
 
 
@@ -32,6 +33,31 @@
     endpoints: tuple[EndpointBody, ...]
 
 
+class LimitBody(msgspec.Struct):
+    """One limit and what is used of it, in its dimension's own number."""
+
+    limit: str
+    dimension: str
+    total: int
+    share: int
+    used: int
+    window_ms: int
+
+
+class MemberLimitsBody(msgspec.Struct):
+    """The limits of one member."""
+
+    member: str
+    limits: tuple[LimitBody, ...]
+
+
+class LimitsBody(msgspec.Struct):
+    """The answer to `GET /v1/limits`: a member's own, or all for operators."""
+
+    limits: tuple[LimitBody, ...] = ()
+    members: tuple[MemberLimitsBody, ...] = ()
+
+
 class TrafficBody(msgspec.Struct):
     """What crossed the links in one direction."""
 
--- a/packages/ctl/src/knapweedbeam_ctl/output.py
+++ b/packages/ctl/src/knapweedbeam_ctl/output.py
@@ -39,6 +39,12 @@
     return failures.get_exit_code(failure)
 
 
+def print_left_out(lost: collections.abc.Iterable[str]) -> None:
+    """Name the servers whose answers are missing."""
+    for detail in lost:
+        print(f"warning: left out {detail}", file=sys.stderr)
+
+
 def print_table(
     headings: collections.abc.Sequence[str],
     rows: collections.abc.Iterable[collections.abc.Sequence[object]],
--- a/packages/ctl/tests/commands/test_calls.py
+++ b/packages/ctl/tests/commands/test_calls.py
@@ -91,6 +91,20 @@
         found = json.loads(result.stdout)["series"]
         self.assertEqual([2], [series["count"] for series in found])
 
+    def test_limits_are_added_up_over_servers(self) -> None:
+        use = {"limit": "quarter", "dimension": "task_starts", "total": 216}
+        use |= {"share": 108, "used": 5, "window_ms": 900_000}
+        handler = build_handler((200, {"limits": [use]}))
+        with fakes.serve(handler) as (one, _), fakes.serve(handler) as (two, _):
+            words = ("--server", one, "--server", CLOSED_SERVER, "--server", two)
+            result = self.run_command("limits", *words)
+        self.assertEqual(0, result.exit_code, result.output)
+        (found,) = json.loads(result.stdout)["limits"]
+        self.assertEqual(
+            (216, 216, 10), tuple(found[k] for k in ("total", "share", "used"))
+        )
+        self.assertIn("left out", result.stderr)
+
     def test_a_conflict_has_its_exit_status(self) -> None:
         bundle = self.token_file.with_name("bundle.toml")
         bundle.write_text("version = 1\n")
