Hold own keys in fewer bytes

Each claim held an empty map of waiting claimants and two entries for its deadline, though all claims live equally long. A queue in order of time holds the deadlines now, and a map is made where somebody waits.

--- a/packages/core/src/knapweedbeam_core/tickets/ranges.py
+++ b/packages/core/src/knapweedbeam_core/tickets/ranges.py
@@ -9,11 +9,12 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 
 from knapweedbeam_core import clock, effects, ids
 from knapweedbeam_core.entry import parts
-from knapweedbeam_core.tickets import key_messages, opening, roster, timers
+from knapweedbeam_core.tickets import key_messages, opening, roster
 
 KEEP_MS = clock.HOUR_MS
 RETRY_MS = 300
@@ -24,11 +25,15 @@
 
 @dataclasses.dataclass(slots=True)
 class Claim:
-    """The ticket of a key; `settled` once both registrars have recorded it."""
+    """The ticket of a key; `settled` once both registrars have recorded it.
+
+    `waiting` has the claimant of each ticket that waits until then.
+    """
 
     ticket: str
+    due_ms: int
     settled: bool = False
-    waiting: dict[str, str] = dataclasses.field(default_factory=dict)
+    waiting: dict[str, str] | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -76,7 +81,7 @@
         self.opening = opening.Opening(me, first.get_names())
         self.held = self.build_ranges()
         self.sealed: dict[int, Range] = {}
-        self.expiring: timers.Timers[bytes] = timers.Timers()
+        self.expiring: collections.deque[tuple[int, bytes]] = collections.deque()
         self.snapshots = 0
 
     def build_ranges(self) -> dict[int, Range]:
@@ -106,16 +111,16 @@
 
     def add_claim(self, held: Range, digest: bytes, ticket: str) -> Claim:
         """Hold a claim that this range has not had so far."""
-        claim = Claim(ticket)
+        claim = Claim(ticket, self.clock.now_ms() + KEEP_MS)
         held.claims[digest] = claim
-        self.expiring.set(digest, self.clock.now_ms() + KEEP_MS)
+        self.expiring.append((claim.due_ms, digest))
         return claim
 
     def tick(self) -> parts.Effects:
         """Drop expired claims and ask for what is missing."""
         now_ms = self.clock.now_ms()
-        for digest in self.expiring.pop_due(now_ms):
-            self.drop_claim(digest)
+        while self.expiring and self.expiring[0][0] <= now_ms:
+            self.drop_claim(self.expiring.popleft()[1], now_ms)
         if now_ms < self.due_ms:
             return []
         missing = {i: held for i, held in self.held.items() if not held.complete}
@@ -130,12 +135,14 @@
         self.steps_left = steps_left
         self.due_ms = self.clock.now_ms() + self.pause_ms
 
-    def drop_claim(self, digest: bytes) -> None:
-        """Forget a claim that has expired."""
+    def drop_claim(self, digest: bytes, now_ms: int) -> None:
+        """Forget a claim that has expired, unless it came back since."""
         index = roster.get_range(digest)
         for ranges in (self.held, self.sealed):
-            if index in ranges:
-                ranges[index].claims.pop(digest, None)
+            held = ranges.get(index)
+            claim = held.claims.get(digest) if held is not None else None
+            if held is not None and claim is not None and claim.due_ms <= now_ms:
+                del held.claims[digest]
 
     def count_claims(self) -> int:
         """Return how many claims this process registers."""
--- a/packages/core/src/knapweedbeam_core/tickets/registrar.py
+++ b/packages/core/src/knapweedbeam_core/tickets/registrar.py
@@ -10,7 +10,7 @@
 from knapweedbeam_core.entry import parts
 from knapweedbeam_core.tickets import key_messages, ranges, roster
 
-MAX_CLAIMS = 500_000
+MAX_CLAIMS = 200_000
 MAX_WAITING = 64
 
 
@@ -60,9 +60,10 @@
             claimed = key_messages.KeyClaimed(message.ticket, claim.ticket)
             return [effects.Send(sender.name, claimed)]
         # The claimant asks again, so that nothing is sent again from here.
-        claim.waiting[message.ticket] = sender.name
-        if len(claim.waiting) > MAX_WAITING:
-            del claim.waiting[next(iter(claim.waiting))]
+        waiting = claim.waiting = claim.waiting or {}
+        waiting[message.ticket] = sender.name
+        if len(waiting) > MAX_WAITING:
+            del waiting[next(iter(waiting))]
         record = key_messages.RecordClaim(message.epoch, message.digest, claim.ticket)
         return [effects.Send(held.pair[1], record)]
 
@@ -93,7 +94,7 @@
             return []
         claim.ticket = message.ticket
         claim.settled = True
-        waiting, claim.waiting = claim.waiting, {}
+        waiting, claim.waiting = claim.waiting or {}, None
         return [
             effects.Send(name, key_messages.KeyClaimed(wanted, claim.ticket))
             for wanted, name in waiting.items()
