--- a/bench/dispatch_world.py
+++ b/bench/dispatch_world.py
@@ -60,6 +60,7 @@
     silent: bool = False
     leaving_ms: int = FOREVER_MS
     last_start_ms: int = -1
+    failed_ms: list[float] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -357,6 +358,7 @@
             result = effects.TaskFailed(reasons.Reason.TASK_FAILED)
             run_ms = 1
             endpoint.failures += 1
+            endpoint.failed_ms.append(self.now)
         self.used_ms[record.job.member] = (
             self.used_ms.get(record.job.member, 0.0) + run_ms
         )
--- a/bench/policy_runs.py
+++ b/bench/policy_runs.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import functools
+import itertools
 import random
 import statistics
 import sys
@@ -24,6 +25,8 @@
 
 WARM_MS = 6_000
 DRAIN_MS = 30_000
+PAUSE_MS = 500
+FLOOD_FACTOR = 10
 PACES = tuple(1.0 + 3.0 * index / 23 for index in range(24))
 MEMBERS = ("m0", "m1", "m2", "m3")
 SHAPES = {
@@ -190,5 +193,89 @@
             run_trace(plan, world, build_jobs(plan, world)).show()
 
 
+@app.command()
+def black_hole(
+    deployment: str = "hielo",
+    load: float = 0.7,
+    policy: list[str] = [catalogue.Policy.LEAST_FINISH],  # noqa: B006
+    seed: list[int] = [1, 2, 3],  # noqa: B006
+    seconds: float = 12.0,
+) -> None:
+    """One endpoint fails everything in 1 ms from the first second on."""
+    for name in policy:
+        for each in seed:
+            plan = Plan(deployment, name, load, each, seconds)
+            world = build_world(plan)
+            endpoint = world.endpoints[f"e{each}"]
+            fail = functools.partial(setattr, endpoint, "failing", True)
+            world.at(WARM_MS + 1_000, fail)
+            figures = run_trace(plan, world, build_jobs(plan, world))
+            figures.extra["lost_tasks"] = endpoint.failures
+            figures.extra["lost_before_pause"] = count_before_pause(endpoint)
+            figures.show()
+
+
+def count_before_pause(endpoint: dispatch_world.Endpoint) -> int:
+    """Return the failures before the first pause of half a second."""
+    times = endpoint.failed_ms
+    for place, (one, other) in enumerate(itertools.pairwise(times)):
+        if other - one > PAUSE_MS:
+            return place + 1
+    return len(times)
+
+
+@app.command()
+def straggler(
+    deployment: str = "hielo",
+    load: float = 0.7,
+    policy: list[str] = [catalogue.Policy.LEAST_FINISH],  # noqa: B006
+    seed: int = 1,
+    seconds: float = 12.0,
+) -> None:
+    """One endpoint becomes ten times slower in the middle."""
+    for name in policy:
+        plan = Plan(deployment, name, load, seed, seconds)
+        world = build_world(plan)
+        endpoint = world.endpoints["e0"]
+        slow = functools.partial(setattr, endpoint, "pace", endpoint.pace / 10)
+        world.at(WARM_MS + seconds * 500, slow)
+        run_trace(plan, world, build_jobs(plan, world)).show()
+
+
+@app.command()
+def flood(
+    deployment: str = "hielo",
+    load: float = 0.7,
+    policy: list[str] = [catalogue.Policy.LEAST_FINISH],  # noqa: B006
+    seed: int = 1,
+    seconds: float = 12.0,
+) -> None:
+    """One member sends ten times its share; how do the others fare."""
+    for name in policy:
+        means = []
+        for factor in (1, FLOOD_FACTOR):
+            plan = Plan(deployment, name, load, seed, seconds)
+            world = build_world(plan)
+            jobs = build_jobs(plan, world)
+            flooding = [job for job in jobs if job.member == MEMBERS[0]]
+            copies = [
+                trace.shift(tuple(flooding), 0.1 * n, len(jobs) * (n + 1))
+                for n in range(factor - 1)
+            ]
+            records = feed(world, [*jobs, *itertools.chain(*copies)], seed)
+            world.run(WARM_MS + seconds * 1_000 + DRAIN_MS)
+            others = [job.number for job in jobs if job.member != MEMBERS[0]]
+            done = [records[n] for n in others if is_complete(records[n])]
+            means.append(statistics.fmean(get_response(record) for record in done))
+            print(f"{name} x{factor}: {len(done)}/{len(others)} others complete")
+        print(f"{name}: others {means[0]:.1f} ms, flooded {means[1]:.1f} ms,", end=" ")
+        print(f"ratio {means[1] / means[0]:.3f}")
+
+
+def is_complete(record: dispatch_world.JobRecord) -> bool:
+    """Say whether a job was answered whole."""
+    return isinstance(record.outcome, outcomes.Complete)
+
+
 if __name__ == "__main__":
     app()
--- a/bench/scenarios/overhead.py
+++ b/bench/scenarios/overhead.py
@@ -27,6 +27,8 @@
 from knapweedbeam_core import clock
 
 ROUNDS = 3
+IDLE_S = 3.0
+PERCENT = 100
 JOB_TASKS = 100
 JOBS = 60
 OPEN_JOBS = 4
@@ -46,10 +48,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Cost:
-    """Processor milliseconds a task, and messages a task."""
+    """Processor milliseconds and messages a task, and tasks a second."""
 
     cpu_ms: float
     messages: float = 0.0
+    rate: float = 0.0
 
 
 class Overhead:
@@ -84,6 +87,7 @@
     jobs = measure_jobs(running, JOBS, JOB_TASKS, OPEN_JOBS, forward=False)
     singles = measure_jobs(running, SINGLES, 1, OPEN_SINGLES, forward=True)
     progress.say(f"bare {bare.cpu_ms:.3f}, {jobs.cpu_ms:.3f}, {singles.cpu_ms:.3f} ms")
+    idle = measure_idle(running)
     return {
         "bare_cpu_ms": bare.cpu_ms,
         "jobs_cpu_ms": jobs.cpu_ms,
@@ -91,9 +95,20 @@
         "cpu_ratio_jobs_100": measure.divide(jobs.cpu_ms, bare.cpu_ms),
         "cpu_ratio_single_forwarded": measure.divide(singles.cpu_ms, bare.cpu_ms),
         "messages_per_task_jobs_100": jobs.messages,
+        "jobs_tasks_per_s": jobs.rate,
+        "singles_per_s": singles.rate,
+        "idle_core_percent": idle,
     }
 
 
+def measure_idle(running: stage.Stage) -> float:
+    """Return the share of a core, in percent, of the busiest idle entry VM."""
+    usage = running.get_usage()
+    gevent.sleep(IDLE_S)
+    spent = [now.cpu_s - usage[name].cpu_s for name, now in running.get_usage().items()]
+    return max(spent) / IDLE_S * PERCENT
+
+
 def measure_bare(plan: deployment.Deployment, count: int) -> Cost:
     """Send tasks straight to the endpoints, as many at once as there are slots."""
     clients = [
@@ -130,12 +145,12 @@
     """Send jobs through the entry VMs and count client and entry VMs' time."""
     traffic = running.get_traffic()
     usage = running.get_usage()
-    started_s = time.process_time()
+    started_s, begun_s = time.process_time(), time.monotonic()
     pool = gevent.pool.Pool(at_once)
     for _ in range(jobs):
         pool.spawn(send_job, running, tasks, forward)
     pool.join()
-    spent_s = time.process_time() - started_s
+    spent_s, took_s = time.process_time() - started_s, time.monotonic() - begun_s
     spent_s += sum(
         now.cpu_s - usage[name].cpu_s for name, now in running.get_usage().items()
     )
@@ -143,7 +158,8 @@
     carrying = sum(sent.messages.get(kind, 0) for kind in measure.CARRYING_KINDS)
     total = sum(sent.messages.values())
     count = jobs * tasks
-    return Cost(spent_s * clock.SECOND_MS / count, (total - carrying) / count)
+    cpu_ms = spent_s * clock.SECOND_MS / count
+    return Cost(cpu_ms, (total - carrying) / count, count / took_s)
 
 
 def send_job(running: stage.Stage, tasks: int, forward: bool) -> None:
