Tell outcomes at once while stopping, and answer a cancel once

Outcomes of repeatable services waited for the next tick to reach their witness, also in a process about to exit. A remote cancel of a job under way was answered twice, first as pending; the outcome alone follows now, one message less for each cancel.

--- a/packages/core/src/knapweedbeam_core/tickets/owner.py
+++ b/packages/core/src/knapweedbeam_core/tickets/owner.py
@@ -129,10 +129,10 @@
             record = records.Record(wanted, member, b"", False, retention_ms)
             record.add_asker(asker.name)
             return self.add_not_run(record, reasons.Reason.CANCELLED)
-        asked = self.ask(record, asker)
-        if record.outcome is None:
-            asked.append(effects.CancelJob(wanted.text))
-        return asked
+        if record.outcome is not None:
+            return self.ask(record, asker)
+        record.add_asker(asker.name)
+        return [effects.CancelJob(wanted.text)]
 
     def ask(self, record: records.Record, asker: ids.ProcessId) -> parts.Effects:
         """Answer `asker` now, or note that it waits."""
@@ -210,6 +210,8 @@
             record.apply(records.Event.ENDED)
             return self.close(record)
         done = self.recording.send_settle(record)
+        if self.stopping:
+            done += self.recording.flush()
         if record.repeatable or not self.witnesses.is_usable(witness):
             done += self.reply(record)
         return done
--- a/packages/core/tests/tickets/test_failures.py
+++ b/packages/core/tests/tickets/test_failures.py
@@ -217,6 +217,22 @@
         self.assertEqual(stopping.reason, Reason.STOPPING)
         self.assertIsInstance(run.outcomes[self.text][0], outcomes.Complete)
 
+    def test_stopping_owner_tells_outcomes_at_once(self) -> None:
+        run = self.run_
+        while not world.is_repeatable(text := run.mint(OWNER)[0]):
+            pass
+        run_to(run, text, Stage.STARTED)
+        run.up[OWNER].part.stop()
+        while text in run.up[OWNER].held:
+            run.work(OWNER, text)
+        run.flush()
+        run.crash(OWNER)
+        run.detect()
+        run.submit("b1", text)
+        run.settle_down()
+        complete = outcomes.Complete(world.get_answers(text))
+        self.assertEqual(run.outcomes[text], [complete] * 2)
+
     def test_memory_is_asked_for_before_a_job_is_taken(self) -> None:
         run = self.run_
         account = run.up[OWNER].part.account
