Lose few tasks to an endpoint that fails fast, and weigh met members in full

A keeper granted a failing endpoint's returned slots to one entry VM after the other, each of which lost a whole burst. After one failure it now grants single slots, after a second none until a pause is over. Members whose demand was met were weighed by the little that they had; they are weighed like the one with most. Trials take jobs that can be run again where there are any.

--- a/packages/core/src/knapweedbeam_core/dispatch/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/dispatcher.py
@@ -7,7 +7,7 @@
 import typing
 
 from knapweedbeam_core import clock, effects, ids, jobs, outcomes, rules
-from knapweedbeam_core.dispatch import ending, intake, placement, starting, state, usage
+from knapweedbeam_core.dispatch import ending, intake, placement, starting, state
 from knapweedbeam_core.dispatch import health as endpoint_health
 from knapweedbeam_core.dispatch.policies import catalogue
 from knapweedbeam_core.entry import parts
@@ -185,22 +185,37 @@
         known = self.state.health.get(record.endpoint, record.incarnation)
         if not grant.revoked:
             self.state.health.take_told(known, record.service, grant.trial)
+            known.reported = known.reported or grant.trial
         endpoint.limit = endpoint_health.LIMITS[known.state]
+        endpoint.on_trial = known.state == endpoint_health.TRIAL
 
     def shares_changed(self, service: str) -> None:
-        """Weigh the members by their parts where slots are scarce."""
+        """Weigh the members by their parts where slots are scarce.
+
+        A member whose demand was met is weighed like the one with most, since
+        it may claim as much: only those that got less than they want are held
+        to their parts.
+        """
         queue = self.state.queues.get(service)
         if queue is None:
             return
-        parts_of: dict[str, int] = {}
+        shares: dict[str, int] = {}
+        told: dict[str, int] = {}
         for link in self.exchange.holder.links.values():
             bound = link.bounds.get(service)
-            for share in bound.shares if bound is not None else ():
-                parts_of[share.member] = parts_of.get(share.member, 0) + share.slots
+            if bound is None or not bound.bounded:
+                continue
+            for share in bound.shares:
+                name = share.member
+                shares[name] = shares.get(name, 0) + share.slots
+                wanted = link.told.get(service, {}).get(name, 0)
+                told[name] = told.get(name, 0) + wanted
+        most = float(max(shares.values(), default=0))
         for member, line in queue.lines.items():
-            weight = float(parts_of.get(member, 0))
-            standing = line.account.standing
-            line.weight = max(MIN_WEIGHT, weight) if parts_of else standing
+            part = shares.get(member, 0)
+            is_met = part >= told.get(member, 0)
+            weight = line.account.standing * most if is_met else float(part)
+            line.weight = max(MIN_WEIGHT, weight) if most else line.account.standing
 
     # Helpers.
 
@@ -208,9 +223,13 @@
         """Return how many slots each member's tasks could use here."""
         return self.state.get_wants(service)
 
-    def fits(self, endpoint: held.HeldEndpoint, need: usage.Need) -> bool:
-        """Say whether a worker has room for a task."""
-        return self.state.usage.fits(endpoint.record.worker, need)
+    def fits(self, endpoint: held.HeldEndpoint, request: placement.Request) -> bool:
+        """Say whether a task may go to an endpoint and has room there."""
+        if endpoint.on_trial and not request.may_try:
+            return False
+        if endpoint.record.endpoint == request.avoid:
+            return False
+        return self.state.usage.fits(endpoint.record.worker, request.need)
 
     def finish(self) -> parts.Effects:
         """Start, begin and ask what this turn made possible."""
--- a/packages/core/src/knapweedbeam_core/dispatch/ending.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/ending.py
@@ -165,13 +165,14 @@
     ) -> None:
         """Obey an endpoint's new state, and tell its keeper what matters."""
         endpoint.limit = health.LIMITS[known.state]
+        endpoint.on_trial = known.state == health.TRIAL
         self.state.holder.changed(endpoint)
-        if known.state == health.EJECTED:
+        if known.state == health.HEALTHY:
+            known.reported = False
+        elif known.state == health.EJECTED or not known.reported:
             known.reported = True
-        elif known.state != health.HEALTHY or not known.reported:
-            return
         else:
-            known.reported = False
+            return
         record = endpoint.record
         note = messages.HealthNote(
             record.endpoint,
--- a/packages/core/src/knapweedbeam_core/dispatch/placement.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/placement.py
@@ -13,17 +13,22 @@
 
 @dataclasses.dataclass(slots=True)
 class Request:
-    """A task to place; `slots` is what each endpoint must have free."""
+    """A task to place; `may_try` allows an endpoint whose health is on trial.
+
+    `avoid` names the endpoint that failed it before.
+    """
 
     job: jobs.Job
     need: usage.Need
+    may_try: bool
+    avoid: str = ""
 
 
 class Fits(typing.Protocol):
     """Says whether a task may go to an endpoint now."""
 
-    def __call__(self, endpoint: held.HeldEndpoint, need: usage.Need) -> bool:
-        """Return whether the endpoint's worker has room for the task."""
+    def __call__(self, endpoint: held.HeldEndpoint, request: Request) -> bool:
+        """Return whether the task may be tried there and its worker has room."""
 
 
 class Placement(typing.Protocol):
--- a/packages/core/src/knapweedbeam_core/dispatch/policies/least_finish.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/policies/least_finish.py
@@ -53,7 +53,7 @@
             if endpoint.stamp != entry[1]:
                 continue
             passed.append(entry)
-            if not self.tools.fits(endpoint, request.need):
+            if not self.tools.fits(endpoint, request):
                 continue
             finish = entry[0] * self.get_ratio(endpoint, request)
             if best is None or finish < best_finish:
@@ -69,7 +69,7 @@
         self, pool: held.Pool, request: placement.Request
     ) -> held.HeldEndpoint | None:
         """Return the best of all free endpoints, when the first have no room."""
-        fitting = [e for e in pool.free if self.tools.fits(e, request.need)]
+        fitting = [e for e in pool.free if self.tools.fits(e, request)]
         return min(fitting, key=self.get_score, default=None)
 
     def get_score(self, endpoint: held.HeldEndpoint) -> float:
--- a/packages/core/src/knapweedbeam_core/dispatch/policies/random_choice.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/policies/random_choice.py
@@ -24,7 +24,7 @@
         free = pool.free
         for _ in range(min(TRIES, len(free))):
             endpoint = free[int(self.tools.rng.random() * len(free))]
-            if self.tools.fits(endpoint, request.need):
+            if self.tools.fits(endpoint, request):
                 return endpoint
-        fitting = [e for e in free if self.tools.fits(e, request.need)]
+        fitting = [e for e in free if self.tools.fits(e, request)]
         return self.tools.rng.choice(fitting) if fitting else None
--- a/packages/core/src/knapweedbeam_core/dispatch/policies/round_robin.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/policies/round_robin.py
@@ -24,6 +24,6 @@
         for _ in range(count):
             self.turn += 1
             endpoint = pool.free[self.turn % count]
-            if self.tools.fits(endpoint, request.need):
+            if self.tools.fits(endpoint, request):
                 return endpoint
         return None
--- a/packages/core/src/knapweedbeam_core/dispatch/starting.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/starting.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from knapweedbeam_core import effects, ids
+from knapweedbeam_core import effects, ids, jobs
 from knapweedbeam_core.dispatch import fair_queue, job_run, placement, state
 from knapweedbeam_core.slots import held
 
 HOLD_MS = 40
+REPEATABLE_MS = 10_000
 
 
 class Starting:
@@ -36,6 +37,17 @@
                 due = make_line_due(line)
                 state.timers.add(now_ms + HOLD_MS, due)
 
+    def may_try(self, job: jobs.Job, now_ms: int) -> bool:
+        """Say whether a job may go to an endpoint on trial.
+
+        One that can be run again may; the others do where there is none such.
+        """
+        if job.repeatable and len(job.tasks) == 1:
+            self.state.repeatable_ms[job.service] = now_ms
+            return True
+        last_ms = self.state.repeatable_ms.get(job.service, -REPEATABLE_MS)
+        return now_ms - last_ms >= REPEATABLE_MS
+
     def start_next(self, pool: held.Pool, run: job_run.JobRun, now_ms: int) -> bool:
         """Start a job's next task; false when it must wait."""
         state = self.state
@@ -43,7 +55,9 @@
         index = run.order[-1]
         spec = job.tasks[index]
         need = state.get_size(job, spec)
-        endpoint = state.placement.choose(pool, placement.Request(job, need))
+        avoid = run.avoid if len(pool.free) > 1 else ""
+        request = placement.Request(job, need, self.may_try(job, now_ms), avoid)
+        endpoint = state.placement.choose(pool, request)
         if endpoint is None:
             return False
         lease = endpoint.lease
--- a/packages/core/src/knapweedbeam_core/dispatch/state.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/state.py
@@ -64,6 +64,7 @@
         self.open_jobs = 0
         self.queued_tasks = 0
         self.queued_bytes = 0
+        self.repeatable_ms: dict[str, int] = {}
         self.stopping = False
         self.ticking = False
         self.placement: placement.Placement
--- a/packages/core/src/knapweedbeam_core/slots/held.py
+++ b/packages/core/src/knapweedbeam_core/slots/held.py
@@ -37,6 +37,7 @@
     running: int = 0
     revoked: bool = False
     limit: int = FOREVER_MS
+    on_trial: bool = False
     speed: float = 1.0
     place: int = -1
     stamp: int = 0
--- a/packages/core/src/knapweedbeam_core/slots/keeper.py
+++ b/packages/core/src/knapweedbeam_core/slots/keeper.py
@@ -263,13 +263,31 @@
         known.speed = note.speed_percent / 100.0
         if note.health is messages.Health.EJECTED:
             self.doubt(known)
-        elif known.doubtful and note.health is messages.Health.HEALTHY:
+        elif note.health is messages.Health.SUSPECT:
+            self.suspect(known)
+        elif note.health is messages.Health.HEALTHY:
+            self.trust(known)
+        else:
+            self.refresh(known)
+
+    def trust(self, known: kept.KeptEndpoint) -> None:
+        """Grant all slots of an endpoint again."""
+        known.suspect = False
+        if known.doubtful:
             known.doubtful = False
             known.pause_ms = max(kept.FIRST_PAUSE_MS, known.pause_ms // 2)
             self.changed(known)
         else:
             self.refresh(known)
 
+    def suspect(self, known: kept.KeptEndpoint) -> None:
+        """Grant single slots of an endpoint until one does well; then doubt it."""
+        if known.suspect:
+            self.doubt(known)
+            return
+        known.suspect = True
+        self.refresh(known)
+
     def doubt(self, known: kept.KeptEndpoint) -> None:
         """Stop an endpoint that failed, until a pause before one trial is over."""
         service = self.services[known.record.service]
@@ -420,7 +438,7 @@
             known.record,
             charge.granted,
             self.is_stopped(known),
-            known.doubtful,
+            known.doubtful or known.suspect,
             round(known.speed * 100),
         )
 
--- a/packages/core/src/knapweedbeam_core/slots/kept.py
+++ b/packages/core/src/knapweedbeam_core/slots/kept.py
@@ -100,6 +100,7 @@
     open_ms: int
     silent: bool = False
     doubtful: bool = False
+    suspect: bool = False
     pause_ms: int = FIRST_PAUSE_MS
     moved: bool = False
     speed: float = 1.0
@@ -128,7 +129,10 @@
         """Return how many slots may be granted now."""
         if self.moved or now_ms < self.open_ms:
             return 0
-        return max(0, self.capacity - self.used)
+        if self.suspect and self.used:
+            return 0
+        free = max(0, self.capacity - self.used)
+        return min(1, free) if self.suspect else free
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
