Join the views that processes have of an endpoint

A process knows the endpoints that it keeps or holds slots of. The command asks all named servers and shows each endpoint once, with the worst state known.

--- a/packages/ctl/src/knapweedbeam_ctl/__main__.py
+++ b/packages/ctl/src/knapweedbeam_ctl/__main__.py
@@ -110,7 +110,10 @@
     token_file: options.TokenFile = None,
     as_json: options.Json = False,
 ) -> None:
-    """List the endpoints that a process knows, for operators."""
+    """List the endpoints that the named servers know together, for operators.
+
+    A process knows those that it keeps or holds slots of.
+    """
     access = options.connect(server, token_file, as_json, options.OPERATOR_SERVER)
     raise typer.Exit(status_command.show_endpoints(access))
 
--- a/packages/ctl/tests/commands/test_calls.py
+++ b/packages/ctl/tests/commands/test_calls.py
@@ -91,6 +91,18 @@
         found = json.loads(result.stdout)["series"]
         self.assertEqual([2], [series["count"] for series in found])
 
+    def test_endpoints_are_joined_with_the_worst_that_is_known(self) -> None:
+        one = {"endpoint": "e1", "service": "quotes", "domain": "a", "state": "up"}
+        one |= {"health": "ejected", "running": 2}
+        two = one | {"state": "leaving", "health": "healthy", "running": 3}
+        views = [build_handler((200, {"endpoints": [view]})) for view in (one, two)]
+        with fakes.serve(views[0]) as (near, _), fakes.serve(views[1]) as (far, _):
+            result = self.run_command("endpoints", "--server", near, "--server", far)
+        self.assertEqual(0, result.exit_code, result.output)
+        (found,) = json.loads(result.stdout)["endpoints"]
+        seen = (found["state"], found["health"], found["running"])
+        self.assertEqual(("leaving", "ejected", 5), seen)
+
     def test_limits_are_added_up_over_servers(self) -> None:
         use = {"limit": "quarter", "dimension": "task_starts", "total": 216}
         use |= {"share": 108, "used": 5, "window_ms": 900_000}
