Use own free slots at once, and look at usable slots only

A task that was not started waited for a slot of the endpoint in doubt while others were free: slots that may not be used counted as held, and a demand told was capped by what is wanted beside them.

--- a/packages/core/src/knapweedbeam_core/membership/roster.py
+++ b/packages/core/src/knapweedbeam_core/membership/roster.py
@@ -83,16 +83,19 @@
         }
         self.epoch = 0
         self.names: dict[str, tuple[str, ...]] = {}
+        self.live: frozenset[ids.ProcessId] = frozenset()
         self.rebuild()
 
     def rebuild(self) -> None:
-        """Work out the live names per failure domain after a change."""
+        """Work out who is live after a change."""
         self.epoch += 1
         names = {self.domain: [self.me.name]}
         for contact in self.contacts.values():
             if contact.live:
                 names.setdefault(contact.peer.domain, []).append(contact.peer.name)
         self.names = {domain: tuple(sorted(n)) for domain, n in names.items()}
+        near = (c.known for c in self.contacts.values() if c.near and c.live)
+        self.live = frozenset((self.me, *(known for known in near if known)))
 
     def get_names(self, domain: str) -> tuple[str, ...]:
         """Return the names of the live entry VMs of a failure domain."""
@@ -100,10 +103,7 @@
 
     def get_live(self) -> frozenset[ids.ProcessId]:
         """Return the live entry VMs of this failure domain."""
-        near = {
-            c.known for c in self.contacts.values() if c.near and c.live and c.known
-        }
-        return frozenset(near | {self.me})
+        return self.live
 
     def get_process(self, name: str) -> ids.ProcessId | None:
         """Return the live run under a name."""
--- a/packages/core/src/knapweedbeam_core/slots/asking.py
+++ b/packages/core/src/knapweedbeam_core/slots/asking.py
@@ -53,13 +53,17 @@
         self.hungry_ms: dict[str, int] = {}
         self.quiet_ms: dict[str, int] = {}
 
-    def is_short(self, service: str, backlog: int) -> bool:
-        """Say whether a backlog is worth a message now.
+    def is_short(self, service: str, backlog: int, own_free: int) -> bool:
+        """Say whether to look for slots now.
 
-        A few tasks get a slot soon when many run. Where nobody had a free slot
-        a moment ago, nobody is asked again at once.
+        Own free ones cost nothing. Else a few tasks get a slot soon when many
+        run, and where nobody had a free one, nobody is asked again at once.
         """
         pool = self.holder.get_pool(service)
+        if backlog <= pool.spare:
+            return False
+        if own_free:
+            return True
         if backlog <= PATIENCE * pool.running + pool.spare:
             return False
         now_ms = self.clock.now_ms()
@@ -70,10 +74,11 @@
         now_ms = self.clock.now_ms()
         running = self.holder.get_pool(service).running
         missing = backlog - self.get_expected(service, now_ms)
-        if missing <= PATIENCE * running:
-            return
         counts: dict[ids.ProcessId, int] = {}
+        patience = PATIENCE * running
         for offer, link in self.get_offers(service):
+            if missing <= patience and link.lease.keeper != self.holder.me:
+                continue
             count = min(missing, offer.slots)
             offer.slots -= count
             keeper = link.lease.keeper
@@ -155,7 +160,8 @@
     def settle(self, link: links.KeeperLink, service: str, wants: Wants) -> None:
         """Bring the demand that a keeper knows down to what is left of it."""
         own = link.held.get(service, 0)
-        missing = sum(wants.values()) - self.holder.get_pool(service).held
+        pool = self.holder.get_pool(service)
+        missing = sum(wants.values()) - pool.running - pool.spare
         target = own + max(0, missing)
         if link.get_told(service) > target:
             link.tell(service, split(target, wants))
@@ -177,7 +183,8 @@
 
 def split(total: int, wants: Wants) -> dict[str, int]:
     """Split a demand over members in proportion to what they want."""
-    parts = [grants.Want(min(slots, MAX_WANT), slots) for slots in wants.values()]
+    total = min(total, MAX_WANT)
+    parts = [grants.Want(total, slots) for slots in wants.values()]
     shares = grants.share(total, parts)
     return {m: n for m, n in zip(wants, shares, strict=True) if n}
 
--- a/packages/core/src/knapweedbeam_core/slots/exchange.py
+++ b/packages/core/src/knapweedbeam_core/slots/exchange.py
@@ -320,7 +320,9 @@
 
     def ask(self, service: str, backlog: int) -> None:
         """Ask for the slots that a backlog lacks."""
-        if not self.asking.is_short(service, backlog):
+        kept_here = self.keeper.services.get(service)
+        own_free = kept_here.free if kept_here is not None else 0
+        if not self.asking.is_short(service, backlog, own_free):
             return
         self.asking.take_free(self.me, self.keeper.get_free())
         self.asking.ask(service, backlog, self.get_wants)
--- a/packages/core/src/knapweedbeam_core/slots/holder.py
+++ b/packages/core/src/knapweedbeam_core/slots/holder.py
@@ -182,6 +182,7 @@
         if link is None:
             return
         link.applied.take(delta.since, delta.version)
+        link.pending.clear()
         for grant in delta.grants:
             self.take_grant(link, grant)
         if delta.echo_ms and link.applied.version >= delta.version:
