Log roles, keepers and endpoints as they change

People on call could not see from the log who leads, which endpoints are lost or ejected, or that a process mints without a witness. Events that nothing emits yet are marked on their page.

--- a/packages/server/src/knapweedbeam_server/logs/catalogue.py
+++ b/packages/server/src/knapweedbeam_server/logs/catalogue.py
@@ -248,7 +248,7 @@
     4013,
     "replica_learner",
     Level.INFO,
-    "learner in the replicated log, {behind} entries behind",
+    "learner in the replicated log in term {term}",
     "The replica holds no vote until it has every entry.",
 )
 REPLICA_NO_QUORUM = Event(
@@ -310,15 +310,15 @@
     5003,
     "endpoint_lost",
     Level.WARNING,
-    "endpoint {endpoint} is lost: its lease lapsed",
-    "It has not announced itself in time; its tasks may have run.",
+    "endpoint {endpoint} is lost: it does not announce itself",
+    "Its announcements stopped; tasks that it had may have run.",
     "Look at the worker.",
 )
 ENDPOINT_EJECTED = Event(
     5004,
     "endpoint_ejected",
     Level.WARNING,
-    "endpoint {endpoint} ejected after {failures} failures",
+    "endpoint {endpoint} ejected",
     "Tasks of several jobs failed there; it gets only trials.",
     "Follow the page on a bad endpoint.",
 )
@@ -333,7 +333,7 @@
     5010,
     "keeper_changed",
     Level.INFO,
-    "{keeper} keeps {endpoints} endpoints of {domain}",
+    "live in {domain}: {live}; {keeper} keeps {endpoints} endpoints",
     "An entry VM came or went, so endpoints have another keeper.",
 )
 
@@ -363,6 +363,27 @@
 )
 
 
+NOT_EMITTED_YET: frozenset[Event] = frozenset(
+    {
+        FAULT,
+        LINK_REFUSED_MAC,
+        LINK_QUEUE_FULL,
+        PEER_RESTARTED,
+        REQUEST_MALFORMED,
+        REQUEST_UNAUTHENTICATED,
+        CONNECTIONS_FULL,
+        MEMORY_REFUSAL,
+        CALLER_SLOW,
+        BUNDLE_REFUSED,
+        REPLICA_WIPED,
+        STORE_REPAIRED,
+        LIMIT_LEASE_LOST,
+        OWNER_LOST,
+        WITNESS_LOST,
+    }
+)
+
+
 def get_events() -> tuple[Event, ...]:
     """Return all events by number."""
     events = (value for value in globals().values() if isinstance(value, Event))
--- a/packages/server/src/knapweedbeam_server/process.py
+++ b/packages/server/src/knapweedbeam_server/process.py
@@ -11,7 +11,7 @@
 
 from knapweedbeam_core.entry import parts
 from knapweedbeam_core.log import records as log_records
-from knapweedbeam_server import assembly, shell
+from knapweedbeam_server import assembly, shell, watch
 from knapweedbeam_server.config import settings as settings_
 from knapweedbeam_server.http import serving
 from knapweedbeam_server.logs import catalogue, emit
@@ -56,6 +56,10 @@
         gevent.signal_handler(signal.SIGINT, self.on_signal)
         gevent.spawn(self.shell.run_ticks)
         gevent.spawn(self.shell.flush_records)
+        own = self.settings.process
+        neighbours = [p for p in self.settings.peers if p.domain == own.domain]
+        watching = watch.Watch(own.name, own.domain, bool(neighbours))
+        gevent.spawn(watching.run, self.shell.control, self.shell.dispatcher)
         if self.disk is not None:
             gevent.spawn(self.shell.run_saves, self.disk)
         self.stop_asked.wait()
--- a/packages/server/tests/logs/test_catalogue.py
+++ b/packages/server/tests/logs/test_catalogue.py
@@ -34,6 +34,11 @@
     def test_page_is_as_generated(self) -> None:
         self.assertEqual(docs.build_events(), docs.EVENTS_PAGE.read_text())
 
+    def test_what_the_page_claims_is_emitted(self) -> None:
+        sources = "".join(path.read_text() for path in SOURCES.rglob("*.py"))
+        for event in set(catalogue.get_events()) - catalogue.NOT_EMITTED_YET:
+            self.assertIn(f"catalogue.{event.name.upper()}", sources)
+
     def test_every_emit_gives_the_fields_of_its_event(self) -> None:
         for path in SOURCES.rglob("*.py"):
             for name, keywords in find_emits(path):
--- a/tools/docs.py
+++ b/tools/docs.py
@@ -24,8 +24,10 @@
 
 def build_event(event: catalogue.Event) -> str:
     """Return the paragraph of one event."""
+    is_planned = event in catalogue.NOT_EMITTED_YET
+    planned = "Declared; nothing emits it yet.\n\n" if is_planned else ""
     return (
-        f"\n## {event.number} {event.name}\n\n"
+        f"\n## {event.number} {event.name}\n\n{planned}"
         f"Level {event.level}: `{event.template}`\n\n"
         f"{event.meaning}\n\nWhat to do: {event.action}\n"
     )
