Take an owner's word that it has no submission as a sign of life

An asker that thought an owner dead asked it too, was told that it had no submission, sent the body, and still counted the owner as silent: after 2 s the outcome was given as unknown while the owner ran the job.

--- a/packages/core/src/knapweedbeam_core/tickets/resolver.py
+++ b/packages/core/src/knapweedbeam_core/tickets/resolver.py
@@ -162,10 +162,8 @@
         if watch is None or sender != watch.ticket.owner:
             return []
         watch.job = None
-        watch.asks_witness = False
-        watch.silent_ms = None
         self.watches.hold(watch, answers.RECORD_BYTES)
-        self.hear(watch)
+        self.hear_owner(watch)
         return []
 
     def on_answered(
@@ -186,7 +184,7 @@
     ) -> parts.Effects:
         """Submit again where the owner has no submission yet; else pass it on."""
         if refusal.reason is reasons.Reason.NOT_FOUND and watch.job is not None:
-            self.hear(watch)
+            self.hear_owner(watch)
             submit = self.build_submit(watch.job)
             return [effects.Send(watch.ticket.owner.name, submit)]
         if refusal.reason is reasons.Reason.NOT_FOUND and watch.digest:
@@ -252,6 +250,12 @@
         pause_ms = min(doubled, MAX_POLL_MS)
         self.timers.set(watch.ticket.text, self.clock.now_ms() + pause_ms)
 
+    def hear_owner(self, watch: watches.Watch) -> None:
+        """Ask the owner alone from now on, as it has answered."""
+        watch.asks_witness = False
+        watch.silent_ms = None
+        self.hear(watch)
+
     def tick(self) -> parts.Effects:
         """Ask again where no answer came, or somebody else."""
         done: parts.Effects = []
--- a/packages/core/tests/tickets/test_failures.py
+++ b/packages/core/tests/tickets/test_failures.py
@@ -144,6 +144,25 @@
         complete = outcomes.Complete(world.get_answers(self.text))
         self.assertEqual(run.outcomes[self.text], [complete] * 2)
 
+    def test_owner_wrongly_thought_dead_is_asked_while_it_answers(self) -> None:
+        for witness_ended in (False, True):
+            run = world.World(random.Random(5), prompt=True)
+            text = find_ticket(run)
+            process = run.up["a3"]
+            run.take(process, process.part.on_live(frozenset({process.id})))
+            run.submit("a3", text)
+            if witness_ended:
+                run.crash(WITNESS)
+                run.start(WITNESS)
+            run.flush()
+            for _ in range(10):
+                run.advance(500)
+            self.assertEqual(run.outcomes, {})
+            run.settle_down()
+            (outcome,) = run.outcomes[text]
+            kind = outcomes.NotRun if witness_ended else outcomes.Complete
+            self.assertIsInstance(outcome, kind)
+
     def test_submissions_at_one_moment_start_once(self) -> None:
         for name in world.DOMAINS:
             self.run_.submit(name, self.text)
