--- a/packages/server/src/knapweedbeam_server/shell.py
+++ b/packages/server/src/knapweedbeam_server/shell.py
@@ -21,6 +21,7 @@
 from knapweedbeam_wire import store
 
 STALL_MS = 250
+IDLE_TICK_MS = 100
 MS_PER_S = 1_000
 
 
@@ -266,7 +267,7 @@
         """Tick the node; say when the loop stood still."""
         due_ms = self.clock.now_ms()
         while True:
-            due_ms += parts.TICK_MS
+            due_ms += parts.TICK_MS if self.is_busy() else IDLE_TICK_MS
             gevent.sleep(max(due_ms - self.clock.now_ms(), 0) / MS_PER_S)
             late_ms = self.clock.now_ms() - due_ms
             if late_ms > STALL_MS:
@@ -276,6 +277,10 @@
             self.carry_out(self.node.tick())
             self.follow_readiness()
 
+    def is_busy(self) -> bool:
+        """Say whether callers wait, so that ticks must come often."""
+        return bool(self.counters.open_requests or self.recorder.get_open_jobs())
+
     def follow_readiness(self) -> None:
         """Note when the process becomes ready, or is so no more."""
         ready = self.is_ready()
