Weigh messages against response time when slots are asked for

Where messages weigh more, a longer backlog is borne and the keeper that can do most work is asked instead of the fastest ones. The keeper's module is split by what it decides and what it tells.

--- a/bench/dispatch_world.py
+++ b/bench/dispatch_world.py
@@ -106,6 +106,7 @@
     home_share: float = 1.0
     policy: str = "least_finish"
     members: int = 2
+    message_weight: int = 1
     drift: float = 0.0
     loss: float = 0.0
     disorder_ms: float = 0.0
@@ -136,6 +137,7 @@
         self.incarnations = itertools.count(1)
         self.rules = rules.Rules(
             version=1,
+            weights=rules.Weights(1, settings.message_weight),
             members={f"m{i}": rules.MemberRules(f"m{i}") for i in range(60)},
             services={SERVICE: rules.ServiceRules(SERVICE)},
         )
--- a/bench/policy_runs.py
+++ b/bench/policy_runs.py
@@ -44,6 +44,7 @@
     load: float
     seed: int
     seconds: float = 12.0
+    message_weight: int = 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -80,7 +81,10 @@
 def build_world(plan: Plan) -> dispatch_world.World:
     """Build a warm world."""
     settings = dataclasses.replace(
-        SHAPES[plan.deployment], policy=plan.policy, paces=spread_paces()
+        SHAPES[plan.deployment],
+        policy=plan.policy,
+        paces=spread_paces(),
+        message_weight=plan.message_weight,
     )
     world = dispatch_world.World(settings, plan.seed)
     world.run(WARM_MS)
@@ -184,11 +188,12 @@
     policy: list[str] = [catalogue.Policy.LEAST_FINISH],  # noqa: B006
     seed: int = 1,
     seconds: float = 12.0,
+    message_weight: int = 1,
 ) -> None:
     """Steady load, against one central queue that knows everything."""
     for each in load:
         for name in policy:
-            plan = Plan(deployment, name, each, seed, seconds)
+            plan = Plan(deployment, name, each, seed, seconds, message_weight)
             world = build_world(plan)
             run_trace(plan, world, build_jobs(plan, world)).show()
 
--- a/packages/core/src/knapweedbeam_core/dispatch/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/dispatcher.py
@@ -82,6 +82,8 @@
         self.state.rules = new
         standing = {name: float(m.standing) for name, m in new.members.items()}
         self.exchange.keeper.standing = standing
+        weights = new.weights
+        self.exchange.asking.set_weights(weights.response, weights.messages)
         for account in self.state.accounts.values():
             account.standing = self.state.get_standing(account.member)
         for service in self.state.queues:
--- a/packages/core/src/knapweedbeam_core/slots/asking.py
+++ b/packages/core/src/knapweedbeam_core/slots/asking.py
@@ -26,6 +26,7 @@
 MAX_WANT = 4_096
 OWN_FACTOR = 0.9
 FAR_FACTOR = 1.05
+MAX_THRIFT = 16.0
 
 Wants = collections.abc.Mapping[str, int]
 GetWants = collections.abc.Callable[[str], Wants]
@@ -52,6 +53,7 @@
         self.directory = directory
         self.hungry_ms: dict[str, int] = {}
         self.quiet_ms: dict[str, int] = {}
+        self.thrift = 1.0
 
     def is_short(self, service: str, backlog: int, own_free: int) -> bool:
         """Say whether to look for slots now.
@@ -64,7 +66,7 @@
             return False
         if own_free:
             return True
-        if backlog <= PATIENCE * pool.running + pool.spare:
+        if backlog <= PATIENCE * self.thrift * pool.running + pool.spare:
             return False
         now_ms = self.clock.now_ms()
         return now_ms >= self.quiet_ms.get(service, 0)
@@ -75,7 +77,7 @@
         running = self.holder.get_pool(service).running
         missing = backlog - self.get_expected(service, now_ms)
         counts: dict[ids.ProcessId, int] = {}
-        patience = PATIENCE * running
+        patience = PATIENCE * self.thrift * running
         for offer, link in self.get_offers(service):
             if missing <= patience and link.lease.keeper != self.holder.me:
                 continue
@@ -86,7 +88,7 @@
             missing -= count
             if missing <= 0:
                 break
-        is_starved = missing > STARVED * running
+        is_starved = missing > STARVED * self.thrift * running
         is_hungry = is_starved and now_ms >= self.hungry_ms.get(service, 0)
         if not counts and not is_hungry:
             self.quiet_ms[service] = now_ms + QUIET_MS
@@ -106,24 +108,41 @@
                 expected += link.pending.get(service, 0)
         return expected
 
+    def set_weights(self, response: int, messages: int) -> None:
+        """Weigh a message against response time from now on."""
+        self.thrift = min(MAX_THRIFT, max(1.0, messages / max(1, response)))
+
     def get_offers(self, service: str) -> list[tuple[links.Offer, links.KeeperLink]]:
-        """Return what keepers said is free, the fastest first."""
+        """Return what keepers said is free, best first."""
         offers = [
             (offer, link)
             for link in self.holder.links.values()
             for offer in link.free.get(service, [])
             if offer.slots > 0
         ]
-        offers.sort(key=lambda pair: self.rank(pair[0], pair[1]))
+        rank = self.rank_by_speed if self.thrift <= 1.0 else self.rank_by_keeper
+        offers.sort(key=lambda pair: rank(pair[0], pair[1]))
         return offers
 
-    def rank(self, offer: links.Offer, link: links.KeeperLink) -> tuple[float, int]:
-        """Return the order of offers: fast, then near, then large ones."""
+    def rank_by_speed(
+        self, offer: links.Offer, link: links.KeeperLink
+    ) -> tuple[float, float]:
+        """Return an order in which fast slots go first, then large offers."""
+        return offer.speed * self.get_distance(link), -offer.slots
+
+    def rank_by_keeper(
+        self, offer: links.Offer, link: links.KeeperLink
+    ) -> tuple[float, float]:
+        """Return an order in which few keepers are asked: who can do most work."""
+        rate = link.get_rate(offer.service)
+        return self.get_distance(link) / rate, offer.speed
+
+    def get_distance(self, link: links.KeeperLink) -> float:
+        """Return a factor that prefers own slots, then near ones."""
         keeper = link.lease.keeper
-        distance = 1.0 if self.directory.is_near(keeper) else FAR_FACTOR
         if keeper == self.holder.me:
-            distance = OWN_FACTOR
-        return offer.speed * distance, -offer.slots
+            return OWN_FACTOR
+        return 1.0 if self.directory.is_near(keeper) else FAR_FACTOR
 
     def tell(
         self,
@@ -177,7 +196,8 @@
             return
         link.free = {}
         for slots in free:
-            offer = links.Offer(slots.slots, slots.speed_percent / 100.0)
+            speed = slots.speed_percent / 100.0
+            offer = links.Offer(slots.service, slots.slots, speed)
             link.free.setdefault(slots.service, []).append(offer)
 
 
--- a/packages/core/src/knapweedbeam_core/slots/exchange.py
+++ b/packages/core/src/knapweedbeam_core/slots/exchange.py
@@ -18,6 +18,7 @@
     directory,
     holder,
     keeper,
+    keeper_news,
     kept,
     lease_times,
     links,
@@ -307,7 +308,7 @@
             held_session=link.lease.session if link else 0,
             grants_applied=link.applied.version if link else 0,
             capacity_known=capacity_known,
-            free=self.keeper.get_free(),
+            free=keeper_news.get_free(self.keeper),
         )
 
     def get_reports(self, contact: roster.Contact) -> Sends:
@@ -324,7 +325,7 @@
         own_free = kept_here.free if kept_here is not None else 0
         if not self.asking.is_short(service, backlog, own_free):
             return
-        self.asking.take_free(self.me, self.keeper.get_free())
+        self.asking.take_free(self.me, keeper_news.get_free(self.keeper))
         self.asking.ask(service, backlog, self.get_wants)
 
     def settle(self, link: links.KeeperLink) -> None:
@@ -348,7 +349,7 @@
 
     def build_capacity(self) -> messages.Capacity:
         """Build what is kept here, by service."""
-        services = self.keeper.get_capacities(self.usage)
+        services = keeper_news.get_capacities(self.keeper, self.usage)
         return messages.Capacity(self.keeper.capacity_version, services)
 
     def collect(self) -> Sends:
--- a/packages/core/src/knapweedbeam_core/slots/keeper.py
+++ b/packages/core/src/knapweedbeam_core/slots/keeper.py
@@ -6,15 +6,22 @@
 import dataclasses
 
 from knapweedbeam_core import clock, effects, ids, outcomes, reasons
-from knapweedbeam_core.dispatch import timers, usage
+from knapweedbeam_core.dispatch import timers
 from knapweedbeam_core.entry import parts
-from knapweedbeam_core.membership import messages as roster_messages
-from knapweedbeam_core.slots import balance, book, held, kept, lease_times, messages
+from knapweedbeam_core.slots import (
+    balance,
+    book,
+    doubts,
+    held,
+    keeper_news,
+    kept,
+    lease_times,
+    messages,
+)
 
 MAX_ENDPOINTS = 8_192
 RESEND_MS = 200
 EXPIRE_MS = 100
-MAX_SHARE = 0.5
 LINGER_MS = 60_000
 IDLE_SESSION_MS = 30_000
 
@@ -222,7 +229,7 @@
                 members.pop(demand.member, None)
             self.hungry.add(demand.service)
         for note in delta.notes:
-            self.take_note(session, note)
+            doubts.take_note(self, note)
 
     def take_return(
         self, session: kept.HolderSession, returned: messages.Returned
@@ -255,51 +262,6 @@
         if left and not session.charges[key].held:
             del session.charges[key]
 
-    def take_note(self, session: kept.HolderSession, note: messages.HealthNote) -> None:
-        """Take what a holder saw of an endpoint."""
-        known = self.endpoints.get(note.endpoint)
-        if known is None or known.record.incarnation != note.incarnation:
-            return
-        known.speed = note.speed_percent / 100.0
-        if note.health is messages.Health.EJECTED:
-            self.doubt(known)
-        elif note.health is messages.Health.SUSPECT:
-            self.suspect(known)
-        elif note.health is messages.Health.HEALTHY:
-            self.trust(known)
-        else:
-            self.refresh(known)
-
-    def trust(self, known: kept.KeptEndpoint) -> None:
-        """Grant all slots of an endpoint again."""
-        known.suspect = False
-        if known.doubtful:
-            known.doubtful = False
-            known.pause_ms = max(kept.FIRST_PAUSE_MS, known.pause_ms // 2)
-            self.changed(known)
-        else:
-            self.refresh(known)
-
-    def suspect(self, known: kept.KeptEndpoint) -> None:
-        """Grant single slots of an endpoint until one does well; then doubt it."""
-        if known.suspect:
-            self.doubt(known)
-            return
-        known.suspect = True
-        self.refresh(known)
-
-    def doubt(self, known: kept.KeptEndpoint) -> None:
-        """Stop an endpoint that failed, until a pause before one trial is over."""
-        service = self.services[known.record.service]
-        doubtful = sum(other.doubtful for other in service.endpoints.values())
-        if not known.doubtful and doubtful + 1 > MAX_SHARE * len(service.endpoints):
-            return
-        known.doubtful = True
-        known.open_ms = max(known.open_ms, self.clock.now_ms() + known.pause_ms)
-        known.pause_ms = min(kept.MAX_PAUSE_MS, known.pause_ms * 2)
-        self.opening.add(known.open_ms, known.record.endpoint)
-        self.changed(known)
-
     def take_shown(
         self, holder: ids.ProcessId, shown: collections.abc.Iterable[messages.HeldSlots]
     ) -> None:
@@ -400,103 +362,24 @@
             if service is not None:
                 balance.serve(self, service)
         dirty, self.dirty = self.dirty, {}
-        return [self.build_delta(session, resend=False) for session in dirty.values()]
-
-    def build_delta(self, session: kept.HolderSession, resend: bool) -> effects.Send:
-        """Build the message that brings a holder up to date."""
-        stream = session.stream
-        batch = stream.take_unacked() if resend else stream.take_unsent()
-        session.sent_ms = self.clock.now_ms()
-        grants = []
-        allotments = []
-        for key in batch.keys:
-            if isinstance(key, kept.EndpointKey):
-                if key in session.charges:
-                    grants.append(self.build_grant(session.charges[key], key))
-            else:
-                allotments.append(session.bounds[key.service])
-        delta = messages.KeeperDelta(
-            session.holder.incarnation,
-            session.number,
-            session.echo_ms,
-            self.stalest_ms,
-            batch.since,
-            batch.version,
-            tuple(grants),
-            tuple(allotments),
-            self.get_free(),
-        )
-        return effects.Send(session.holder.name, delta)
-
-    def build_grant(self, charge: kept.Charge, key: kept.EndpointKey) -> messages.Grant:
-        """Build what a holder must know of one endpoint."""
-        known = self.endpoints.get(key.endpoint)
-        if known is None or known.key != key:
-            return messages.Grant(charge.record, charge.granted, True, False, 100)
-        charge.record = known.record
-        return messages.Grant(
-            known.record,
-            charge.granted,
-            self.is_stopped(known),
-            known.doubtful or known.suspect,
-            round(known.speed * 100),
-        )
-
-    def is_stopped(self, known: kept.KeptEndpoint) -> bool:
-        """Say whether holders must start nothing at an endpoint now."""
-        if not known.capacity:
-            return True
-        return known.doubtful and self.clock.now_ms() < known.open_ms
+        return [
+            keeper_news.build_delta(self, session, resend=False)
+            for session in dirty.values()
+        ]
 
     def resend(self, session: kept.HolderSession, applied: int) -> list[effects.Send]:
         """Take a holder's acknowledgement and repeat what it lacks."""
         session.stream.ack(applied)
         lacking = session.stream.acked < session.stream.sent
         if lacking and self.clock.now_ms() - session.sent_ms >= RESEND_MS:
-            return [self.build_delta(session, resend=True)]
+            return [keeper_news.build_delta(self, session, resend=True)]
         return []
 
     def worker_changed(self) -> None:
         """Have the capacity told anew, since sizes of workers became known."""
         self.capacity_version += 1
 
-    def get_capacities(
-        self, sizes: usage.Usage
-    ) -> tuple[messages.ServiceCapacity, ...]:
-        """Return what is kept here, by service."""
-        return tuple(
-            build_capacity(service, sizes) for service in self.services.values()
-        )
-
-    def get_free(self) -> tuple[roster_messages.FreeSlots, ...]:
-        """Return how many slots of each service could be granted now."""
-        return tuple(
-            roster_messages.FreeSlots(
-                service.service, slots, kept.get_step_percent(step)
-            )
-            for service in self.services.values()
-            for step, slots in service.by_speed.items()
-            if slots
-        )
-
 
 def is_alike(new: parts.Announcement, old: parts.Announcement) -> bool:
     """Say whether two announcements differ in nothing but their sequence."""
     return dataclasses.replace(new, sequence=old.sequence) == old
-
-
-def build_capacity(
-    service: kept.KeptService, sizes: usage.Usage
-) -> messages.ServiceCapacity:
-    """Return what is kept of one service, with its largest worker."""
-    live = [known for known in service.endpoints.values() if known.capacity]
-    reports = [sizes.get_report(known.record.worker) for known in live]
-    known_sizes = [report for report in reports if report is not None]
-    complete = bool(live) and len(known_sizes) == len(live)
-    return messages.ServiceCapacity(
-        service.service,
-        len(live),
-        sum(known.capacity for known in live),
-        max(report.cpu_millis for report in known_sizes) if complete else 0,
-        max(report.memory_mib for report in known_sizes) if complete else 0,
-    )
--- a/packages/core/src/knapweedbeam_core/slots/links.py
+++ b/packages/core/src/knapweedbeam_core/slots/links.py
@@ -39,6 +39,7 @@
 class Offer:
     """Free slots of one speed at a keeper, less those asked for since."""
 
+    service: str
     slots: int
     speed: float
 
@@ -73,6 +74,10 @@
         """Return the demand that the keeper knows of."""
         return sum(self.told.get(service, {}).values())
 
+    def get_rate(self, service: str) -> float:
+        """Return how much work the keeper's free slots can do at once."""
+        return sum(offer.slots / offer.speed for offer in self.free.get(service, []))
+
     def tell(self, service: str, demands: collections.abc.Mapping[str, int]) -> None:
         """Have the keeper learn the members' demand for a service."""
         told = self.told.setdefault(service, {})
