--- a/packages/server/tests/config/test_load.py
+++ b/packages/server/tests/config/test_load.py
@@ -173,6 +173,15 @@
         found = self.load(FULL.replace(line, f"{key}={text}"))
         self.assertIsInstance(found, settings.Settings | problems.SettingsProblems)
 
+    @hypothesis.settings(derandomize=True, deadline=None, database=None)
+    @hypothesis.given(strategies.binary(max_size=400))
+    def test_any_bytes_give_settings_or_problems(self, content: bytes) -> None:
+        cut = len(content) % len(FULL)
+        mixed = FULL[:cut].encode() + content + FULL[cut:].encode()
+        for text in (content, mixed):
+            found = load.load_settings(self.write("any.ini", text))
+            self.assertIsInstance(found, settings.Settings | problems.SettingsProblems)
+
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/packages/server/tests/test_memory_settings.py
@@ -0,0 +1,28 @@
+from __future__ import annotations
+
+import dataclasses
+import unittest
+
+from knapweedbeam_core.log import records
+from knapweedbeam_server import assembly
+from knapweedbeam_server.config import load, settings
+
+
+class MemorySettingsTest(unittest.TestCase):
+    def test_the_coordinator_obeys_the_memory_limits(self) -> None:
+        found = load.load_settings(None)
+        assert isinstance(found, settings.Settings)
+        callers = dataclasses.replace(found.caller_limits, memory_bytes=7_000)
+        members = settings.MemberLimits(memory_bytes=3_000)
+        found = dataclasses.replace(found, caller_limits=callers, member_limits=members)
+        built = assembly.build_shell(found, records.RestoredState())
+        account = built.node.coordinator.account
+        self.assertTrue(account.has_room("north", 3_000))
+        self.assertFalse(account.has_room("north", 3_001))
+        account.add("north", 3_000)
+        account.add("south", 3_000)
+        self.assertFalse(account.has_room("west", 1_001))
+
+
+if __name__ == "__main__":
+    unittest.main()
