Lease the rest of each limit through the log

With fixed shares alone a busy entry VM could use a sixth of a limit of six, and a restarted one nothing for a whole window. Half of a limit (floor_percent) stays divided; the rest is granted in parts by the replicated log, counts there for the lease and a window, and goes back unused when the lease lapses.

--- a/packages/core/src/knapweedbeam_core/bundles/model.py
+++ b/packages/core/src/knapweedbeam_core/bundles/model.py
@@ -136,13 +136,19 @@
 
 
 class Limit(Model):
-    """An amount of a unit in each window; concurrent tasks have no window."""
+    """An amount of a unit in each window; concurrent tasks have no window.
+
+    `floor_percent` of it is divided among the entry VMs for good; the control
+    VMs lease out the rest to those who need it, where the window is at
+    least 240 s long.
+    """
 
     name: Name
     amount: Factor
     unit: Name
     window_s: int = pydantic.Field(default=0, ge=0, le=MAX_WINDOW_S)
     alignment: Alignment = Alignment.SLIDING
+    floor_percent: int = pydantic.Field(default=50, ge=0, le=100)
 
 
 class Contract(Model):
--- a/packages/core/src/knapweedbeam_core/control/control.py
+++ b/packages/core/src/knapweedbeam_core/control/control.py
@@ -9,12 +9,12 @@
 from knapweedbeam_core import clock, effects, ids, outcomes, reasons, rules
 from knapweedbeam_core.bundles import compile
 from knapweedbeam_core.control import (
-    claiming,
     deciding,
     ledger,
     messages,
     proposing,
     rolling,
+    sharing,
     spreading,
     table,
 )
@@ -48,8 +48,6 @@
         self.clock = timer
         self.spread = spreading.Spread(me, domain, peers, timer)
         self.table = table.Table(self.spread, domain, peers, timer)
-        self.gate = gate.Gate(me.name, timer)
-        self.claimer = claiming.Claimer(me, self.gate, self.spread, timer)
         self.ledger = ledger.Ledger()
         self.founders = self.get_founders(peers, is_replica)
         self.replica: replica.Replica | None = None
@@ -61,6 +59,9 @@
             self.decider = deciding.Decider(
                 self.replica, self.ledger, timer, operator_keys, needed_signatures
             )
+        self.sharing = sharing.Sharing(
+            me, self.spread, self.ledger, self.replica, timer
+        )
         self.rolling = rolling.Rolling(me, self.spread, self.table, self.decider, timer)
         self.handlers = self.build_handlers()
 
@@ -102,8 +103,7 @@
             messages.ProposeBundle: self.rolling.on_propose,
             messages.BundleProposed: self.rolling.on_proposed,
             messages.InForceTable: self.on_table,
-            messages.ShareAsk: self.on_share_ask,
-            messages.ShareReply: self.on_share_reply,
+            **self.sharing.handlers,
         }
 
     def get_message_classes(self) -> tuple[type, ...]:
@@ -166,21 +166,6 @@
             self.table.keep(held)
         return []
 
-    def on_share_ask(
-        self, sender: ids.ProcessId, ask: messages.ShareAsk
-    ) -> parts.Effects:
-        """Have the log note an entry VM's claim, if this is the leader."""
-        if self.replica is None or not self.replica.is_settled:
-            return []
-        return claiming.take_ask(self.replica, self.ledger, sender)
-
-    def on_share_reply(
-        self, sender: ids.ProcessId, reply: messages.ShareReply
-    ) -> parts.Effects:
-        """Learn whether an earlier run of this entry VM had shares."""
-        self.claimer.take_reply(reply)
-        return []
-
     def on_rules(self, new: rules.Rules) -> parts.Effects:
         """Do nothing: the bundle came from here."""
         return []
@@ -191,25 +176,11 @@
         if self.replica is not None:
             produced += self.replica.tick()
         produced += self.spread.tick()
-        if self.claimer.tick():
-            produced += self.claim_shares()
+        produced += self.sharing.tick()
         if self.led_term:
             produced += self.table.push_again()
         return self.go_on(produced)
 
-    def claim_shares(self) -> parts.Effects:
-        """Ask the leader to note that this run uses its shares."""
-        leader = self.spread.leader.name
-        if leader == self.me.name:
-            known = self.ledger.claims.get(self.me.name)
-            if known is None or known.incarnation != self.me.incarnation:
-                return self.on_share_ask(self.me, messages.ShareAsk())
-            self.claimer.take_reply(
-                messages.ShareReply(known.incarnation, known.is_first)
-            )
-            return []
-        return [effects.Send(leader, messages.ShareAsk())] if leader else []
-
     def go_on(self, produced: parts.Effects) -> parts.Effects:
         """Add what follows from what was applied, decided and answered."""
         produced += self.follow_leader()
@@ -243,28 +214,17 @@
         if not self.ledger.events:
             return []
         events = self.ledger.take_events()
-        claimed = [e for e in events if isinstance(e, ledger.ShareClaimed)]
         rolled = [e.bundle for e in events if isinstance(e, ledger.BundleApplied)]
-        produced = self.confirm_claims(claimed)
+        produced: parts.Effects = []
+        for event in events:
+            if isinstance(event, ledger.ShareClaimed):
+                produced += self.sharing.note_claim(event)
+            if isinstance(event, ledger.TokensGranted):
+                produced += self.sharing.note_grant(event.grant)
         if rolled:
             produced += self.put_in_force(rolled[-1])
         return produced
 
-    def confirm_claims(
-        self, claimed: collections.abc.Sequence[ledger.ShareClaimed]
-    ) -> parts.Effects:
-        """Tell entry VMs that the log has their claims, if this is the leader."""
-        if not self.is_leader():
-            return []
-        sent: parts.Effects = []
-        for event in claimed:
-            reply = messages.ShareReply(event.claim.incarnation, event.claim.is_first)
-            if event.holder == self.me.name:
-                self.claimer.take_reply(reply)
-            else:
-                sent.append(effects.Send(event.holder, reply))
-        return sent
-
     def put_in_force(self, newest: ledger.RollBundle) -> parts.Effects:
         """Put a bundle in force that the log has as accepted."""
         before = self.spread.current
@@ -287,7 +247,7 @@
             self.decider.obey(current.bundle)
         if self.replica is not None:
             self.replica.targets = current.bundle.control_vms or self.founders
-        self.gate.obey(current.bundle)
+        self.sharing.obey(current.bundle)
         compiled = compile.compile_rules(current.bundle, current.digest)
         return [parts.RulesInForce(compiled)]
 
@@ -335,11 +295,11 @@
 
     def get_gate(self) -> parts.LimitGate:
         """Return the limits as the dispatcher meets them."""
-        return self.gate
+        return self.sharing.gate
 
     def get_use(self, member: str) -> tuple[gate.Use, ...]:
         """Return a member's limits, and what it used of them at this node."""
-        return self.gate.get_use(member)
+        return self.sharing.gate.get_use(member)
 
     def persisted(self, batch: int) -> parts.Effects:
         """Go on after a `Persist` that is synced."""
--- a/packages/core/src/knapweedbeam_core/control/ledger.py
+++ b/packages/core/src/knapweedbeam_core/control/ledger.py
@@ -10,6 +10,10 @@
 DIGESTS_KEPT = 65_536
 TEXTS_KEPT = 8
 CLAIMS_KEPT = 4_096
+GRANTS_KEPT = 65_536
+
+
+GrantName = tuple[str, int, int]
 
 
 class RollBundle(msgspec.Struct, frozen=True, array_like=True, tag="roll"):
@@ -31,7 +35,47 @@
     incarnation: int
 
 
-Command = RollBundle | ClaimShare
+class TokenGrant(msgspec.Struct, frozen=True, array_like=True):
+    """Part of a limit's pool that one run may use up; `number` is that run's own.
+
+    `pool` is what the pool holds, and the grant counts for `hold_ms`.
+    """
+
+    holder: str
+    incarnation: int
+    number: int
+    member: str
+    limit: str
+    amount: int
+    pool: int
+    hold_ms: int
+
+    @property
+    def name(self) -> GrantName:
+        """Return what no other grant is named by."""
+        return (self.holder, self.incarnation, self.number)
+
+
+class GrantTokens(msgspec.Struct, frozen=True, array_like=True, tag="grant"):
+    """Lease out parts of pools, as far as they hold."""
+
+    grants: list[TokenGrant]
+
+
+class GrantUse(msgspec.Struct, frozen=True, array_like=True):
+    """How much of a grant is to count from now on."""
+
+    name: GrantName
+    amount: int
+
+
+class CountTokens(msgspec.Struct, frozen=True, array_like=True, tag="count"):
+    """Take back what was not used, or what counts no more."""
+
+    uses: list[GrantUse]
+
+
+Command = RollBundle | ClaimShare | GrantTokens | CountTokens
 
 
 class Claim(msgspec.Struct, frozen=True, array_like=True):
@@ -48,6 +92,7 @@
     digests: bytes
     texts: list[RollBundle]
     claims: dict[str, Claim]
+    grants: list[TokenGrant]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,7 +110,14 @@
     claim: Claim
 
 
-Event = BundleApplied | ShareClaimed
+@dataclasses.dataclass(frozen=True, slots=True)
+class TokensGranted:
+    """A grant was made; its amount may be less than was asked for."""
+
+    grant: TokenGrant
+
+
+Event = BundleApplied | ShareClaimed | TokensGranted
 ENCODER = msgspec.msgpack.Encoder()
 COMMAND_DECODER = msgspec.msgpack.Decoder(Command)
 STATE_DECODER = msgspec.msgpack.Decoder(State)
@@ -84,6 +136,8 @@
         self.digests = bytearray()
         self.texts: dict[int, RollBundle] = {}
         self.claims: dict[str, Claim] = {}
+        self.grants: dict[GrantName, TokenGrant] = {}
+        self.taken: dict[tuple[str, str], int] = {}
         self.events: list[Event] = []
 
     def apply(self, index: int, data: bytes) -> None:
@@ -94,6 +148,12 @@
                 self.roll(command)
             case ClaimShare():
                 self.claim(command)
+            case GrantTokens():
+                for grant in command.grants:
+                    self.grant(grant)
+            case CountTokens():
+                for use in command.uses:
+                    self.count(use)
 
     def roll(self, bundle: RollBundle) -> None:
         """Accept a bundle, if it still follows the newest one."""
@@ -117,6 +177,38 @@
             self.claims.pop(next(iter(self.claims)))
         self.events.append(ShareClaimed(command.holder, claim))
 
+    def grant(self, asked: TokenGrant) -> None:
+        """Lease out part of a pool; a repeated command changes nothing."""
+        made = self.grants.get(asked.name)
+        if made is None:
+            left = asked.pool - self.taken.get((asked.member, asked.limit), 0)
+            amount = max(0, min(asked.amount, left))
+            if len(self.grants) >= GRANTS_KEPT:
+                amount = 0
+            made = msgspec.structs.replace(asked, amount=amount)
+            if amount:
+                self.keep_grant(made)
+        self.events.append(TokensGranted(made))
+
+    def keep_grant(self, grant: TokenGrant) -> None:
+        """Count a grant against its pool."""
+        key = (grant.member, grant.limit)
+        self.grants[grant.name] = grant
+        self.taken[key] = self.taken.get(key, 0) + grant.amount
+
+    def count(self, use: GrantUse) -> None:
+        """Let less of a grant count, or drop it."""
+        known = self.grants.pop(use.name, None)
+        if known is None:
+            return
+        key = (known.member, known.limit)
+        self.taken[key] -= known.amount
+        if not self.taken[key]:
+            del self.taken[key]
+        amount = min(use.amount, known.amount)
+        if amount > 0:
+            self.keep_grant(msgspec.structs.replace(known, amount=amount))
+
     def get_digest(self, version: int) -> str:
         """Return an accepted version's digest, empty when it is not kept."""
         end = len(self.digests) - (self.version - version) * DIGEST_BYTES
@@ -132,7 +224,8 @@
     def take_snapshot(self) -> bytes:
         """Return the whole state."""
         texts = list(self.texts.values())
-        state = State(self.version, bytes(self.digests), texts, self.claims)
+        grants = list(self.grants.values())
+        state = State(self.version, bytes(self.digests), texts, self.claims, grants)
         return ENCODER.encode(state)
 
     def restore(self, data: bytes) -> None:
@@ -142,5 +235,10 @@
         self.digests = bytearray(state.digests)
         self.texts = {bundle.version: bundle for bundle in state.texts}
         self.claims = dict(state.claims)
+        self.grants = {}
+        self.taken = {}
+        for grant in state.grants:
+            self.keep_grant(grant)
+            self.events.append(TokensGranted(grant))
         if state.version in self.texts:
             self.events.append(BundleApplied(self.texts[state.version]))
--- a/packages/core/src/knapweedbeam_core/control/messages.py
+++ b/packages/core/src/knapweedbeam_core/control/messages.py
@@ -128,6 +128,47 @@
     is_first: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TokenAsk:
+    """One run needs more of a limit; `number` grows with each of its asks."""
+
+    number: int
+    member: str
+    limit: str
+    amount: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TokenAsks:
+    """What the sender needs of the pools."""
+
+    asks: tuple[TokenAsk, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TokenReply:
+    """What was granted for one ask; it may be nothing."""
+
+    incarnation: int
+    number: int
+    amount: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TokenUse:
+    """How much of a grant was used when its lease lapsed."""
+
+    number: int
+    used: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TokenReturn:
+    """The rest of these grants may go back to their pools."""
+
+    uses: tuple[TokenUse, ...]
+
+
 Message = (
     BundleAsk
     | BundleNotice
@@ -138,6 +179,9 @@
     | InForceTable
     | ShareAsk
     | ShareReply
+    | TokenAsks
+    | TokenReply
+    | TokenReturn
 )
 CLASSES: tuple[type, ...] = (
     BundleAsk,
@@ -149,4 +193,7 @@
     InForceTable,
     ShareAsk,
     ShareReply,
+    TokenAsks,
+    TokenReply,
+    TokenReturn,
 )
--- a/packages/core/src/knapweedbeam_core/limits/gate.py
+++ b/packages/core/src/knapweedbeam_core/limits/gate.py
@@ -7,7 +7,7 @@
 from knapweedbeam_core import clock, ids, jobs, outcomes, reasons
 from knapweedbeam_core.bundles import model
 from knapweedbeam_core.entry import parts
-from knapweedbeam_core.limits import meters, shares, windows
+from knapweedbeam_core.limits import meters, shares, tokens, windows
 
 RESERVED = parts.Reserved()
 LONGEST_LEASE_MS = 60_000
@@ -23,11 +23,35 @@
 
 @dataclasses.dataclass(slots=True)
 class Hold:
-    """What a job has reserved of one meter."""
+    """What a job has reserved of one meter: of the share, and of tokens."""
 
     meter: meters.Meter
     dimension: model.Dimension
     left: int
+    parts: list[tokens.Part]
+
+    def is_lapsed(self, now_ms: int) -> bool:
+        """Say whether tokens that this job relies on may be used no more."""
+        return any(p.amount and p.token.until_ms <= now_ms for p in self.parts)
+
+    def start(self, amount: int) -> SlotCharge:
+        """Use an amount, of the share first."""
+        own = min(self.left, amount)
+        self.left -= own
+        bucket = self.meter.start(own)
+        rest = amount - own
+        for part in self.parts:
+            used = min(rest, part.amount)
+            part.amount -= used
+            part.token.used += used
+            rest -= used
+        return SlotCharge(self.meter, bucket, amount, own)
+
+    def give_back(self) -> None:
+        """Give back what was not used."""
+        self.meter.reserved -= self.left
+        for part in self.parts:
+            part.token.left += part.amount
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,11 +65,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotCharge:
-    """Slot time charged at a task's start, to be set right at its end."""
+    """Slot time charged at a task's start, to be set right at its end.
+
+    Of `amount`, `own` was charged to this entry VM's share.
+    """
 
     meter: meters.Meter
     bucket: windows.Bucket
     amount: int
+    own: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,6 +114,7 @@
         self.version = 0
         self.started_ms = timer.now_ms()
         self.is_fresh = False
+        self.is_lacking = False
         self.accounts: dict[str, Account] = {}
         self.run_ms: dict[str, int] = {}
         self.reservations: dict[str, Reservation] = {}
@@ -121,7 +150,7 @@
         """Return the meter of a limit, the old one where there is one."""
         known = old.windowed.get(share.key) if old else None
         if known is not None:
-            known.holder.change(share, version)
+            known.change(share, version)
             return known
         meter = meters.Meter(share, self.clock)
         used = [
@@ -167,28 +196,37 @@
             for counter in account.concurrency.values():
                 counter.holder.settle(settled, LONGEST_LEASE_MS)
 
+    def get_wallets(self) -> list[tuple[str, str, tokens.Wallet]]:
+        """Return the wallets in use, by member and limit."""
+        return [
+            (member, key.name, meter.wallet)
+            for member, account in self.accounts.items()
+            for key, meter in account.windowed.items()
+            if meter.wallet.pool or meter.wallet.tokens
+        ]
+
     def reserve(self, job: jobs.Job) -> parts.Reserved | parts.Wait | outcomes.NotRun:
         """Charge a whole job before it begins, or say why not."""
         account = self.accounts.get(job.member)
         if account is None:
             return RESERVED
         run_ms = self.run_ms.get(job.service, 0)
-        holds = []
+        needs = []
         wait_ms = 0
         for key, meter in account.windowed.items():
             need = sum(get_size(key.dimension, task, run_ms) for task in job.tasks)
-            if need > meter.holder.share.amount:
+            share = meter.holder.share
+            if need > share.amount + share.pool:
                 return outcomes.NotRun(reasons.Reason.LIMIT)
-            if need > meter.get_left():
-                wait_ms = max(wait_ms, meter.get_wait_ms())
-            holds.append(Hold(meter, key.dimension, need))
+            wait_ms = max(wait_ms, meter.find_wait_ms(need, job.due_ms))
+            needs.append((key, meter, need))
         counters = tuple(account.concurrency.values())
         if any(counter.holder.share.amount < 1 for counter in counters):
             return outcomes.NotRun(reasons.Reason.LIMIT)
         if wait_ms:
+            self.is_lacking = True
             return self.build_wait(job, wait_ms)
-        for hold in holds:
-            hold.meter.reserved += hold.left
+        holds = [build_hold(key, meter, need, job.due_ms) for key, meter, need in needs]
         self.reservations[job.ticket] = Reservation(holds, counters, run_ms)
         return RESERVED
 
@@ -204,6 +242,9 @@
         reservation = self.reservations.get(task.ticket)
         if reservation is None:
             return True
+        now_ms = self.clock.now_ms()
+        if any(hold.is_lapsed(now_ms) for hold in reservation.holds):
+            return False
         for place, counter in enumerate(reservation.concurrency):
             if not counter.start():
                 for earlier in reservation.concurrency[:place]:
@@ -212,10 +253,9 @@
         charges = []
         for hold in reservation.holds:
             amount = get_size(hold.dimension, size, reservation.run_ms)
-            hold.left -= amount
-            bucket = hold.meter.start(amount)
+            charge = hold.start(amount)
             if hold.dimension == model.Dimension.SLOT_MS:
-                charges.append(SlotCharge(hold.meter, bucket, amount))
+                charges.append(charge)
         if charges or reservation.concurrency:
             self.running[task] = Running(tuple(charges), reservation.concurrency)
         return True
@@ -230,7 +270,7 @@
             if over > 0:
                 charge.meter.window.charge(over)
             else:
-                charge.bucket.amount += over
+                charge.bucket.amount -= min(-over, charge.own)
         for counter in running.concurrency:
             counter.end(lease_left_ms)
 
@@ -240,7 +280,7 @@
         if reservation is None:
             return
         for hold in reservation.holds:
-            hold.meter.reserved -= hold.left
+            hold.give_back()
 
     def get_use(self, member: str) -> tuple[Use, ...]:
         """Return a member's limits and what it used of them here."""
@@ -256,6 +296,15 @@
         )
 
 
+def build_hold(
+    key: shares.LimitKey, meter: meters.Meter, need: int, due_ms: int
+) -> Hold:
+    """Reserve what is there, of the share first."""
+    own = min(need, meter.get_left())
+    meter.reserved += own
+    return Hold(meter, key.dimension, own, meter.wallet.take(need - own, due_ms))
+
+
 def build_use(key: shares.LimitKey, holder: meters.ShareHolder, used: int) -> Use:
     """Return the use of one limit."""
     return Use(
--- a/packages/core/src/knapweedbeam_core/limits/meters.py
+++ b/packages/core/src/knapweedbeam_core/limits/meters.py
@@ -7,7 +7,7 @@
 
 from knapweedbeam_core import clock
 from knapweedbeam_core.bundles import model
-from knapweedbeam_core.limits import shares, windows
+from knapweedbeam_core.limits import shares, tokens, windows
 
 POLL_MS = 50
 
@@ -67,13 +67,25 @@
         self.holder = ShareHolder(share, timer)
         self.reserved = 0
         self.window: windows.Window = build_window(share.key, timer)
+        self.wallet = tokens.Wallet(share.pool, share.key.window_ms, timer)
 
-    def get_left(self) -> int:
-        """Return what is neither reserved nor used."""
-        return self.holder.get_amount() - self.reserved - self.window.get_used()
+    def change(self, share: shares.Share, version: int) -> None:
+        """Take the share and the pool of a newer bundle."""
+        self.holder.change(share, version)
+        self.wallet.pool = share.pool
 
-    def get_wait_ms(self) -> int:
-        """Return when to ask again."""
+    def get_left(self) -> int:
+        """Return what of the share is neither reserved nor used."""
+        used = self.reserved + self.window.get_used()
+        return max(0, self.holder.get_amount() - used)
+
+    def find_wait_ms(self, need: int, due_ms: int) -> int:
+        """Return when to ask again for what is not there, 0 when it is."""
+        lacking = need - self.get_left() - self.wallet.get_left(due_ms)
+        if lacking <= 0:
+            return 0
+        if self.wallet.pool:
+            return self.wallet.want(lacking)
         now_ms = self.clock.now_ms()
         return max(now_ms + POLL_MS, self.window.get_next_free_ms())
 
--- a/packages/core/src/knapweedbeam_core/limits/shares.py
+++ b/packages/core/src/knapweedbeam_core/limits/shares.py
@@ -7,6 +7,8 @@
 from knapweedbeam_core.bundles import explain, model
 
 MS_PER_S = 1_000
+PERCENT = 100
+SHORTEST_POOLED_S = 240
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -21,11 +23,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Share:
-    """What one entry VM may use of one limit, and the whole limit."""
+    """What one entry VM may use of one limit, the whole limit, and its pool.
+
+    The pool is the part that no entry VM owns: it is leased out.
+    """
 
     key: LimitKey
     amount: int
     total: int
+    pool: int = 0
 
 
 def split(total: int, weights: tuple[int, ...]) -> tuple[int, ...]:
@@ -72,4 +78,13 @@
     total = explain.get_amount(limit, unit)
     window_ms = limit.window_s * MS_PER_S
     key = LimitKey(limit.name, unit.dimension, window_ms, limit.alignment)
-    return Share(key, get_part(bundle, vm, total), total)
+    pool = get_pool(limit, unit)
+    return Share(key, get_part(bundle, vm, total - pool), total, pool)
+
+
+def get_pool(limit: model.Limit, unit: model.Unit) -> int:
+    """Return the part of a limit that is leased out; short windows have none."""
+    if limit.window_s < SHORTEST_POOLED_S:
+        return 0
+    total = explain.get_amount(limit, unit)
+    return total - total * limit.floor_percent // PERCENT
--- a/packages/wire/src/knapweedbeam_wire/schema/control.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/control.capnp
@@ -143,3 +143,29 @@
   incarnation @0 :UInt64;
   isFirst @1 :Bool;
 }
+
+struct TokenAsk {
+  number @0 :UInt64;
+  member @1 :Text;
+  limit @2 :Text;
+  amount @3 :UInt64;
+}
+
+struct TokenAsks {
+  asks @0 :List(TokenAsk);
+}
+
+struct TokenReply {
+  incarnation @0 :UInt64;
+  number @1 :UInt64;
+  amount @2 :UInt64;
+}
+
+struct TokenUse {
+  number @0 :UInt64;
+  used @1 :UInt64;
+}
+
+struct TokenReturn {
+  uses @0 :List(TokenUse);
+}
