--- a/packages/core/tests/control/test_control.py
+++ b/packages/core/tests/control/test_control.py
@@ -1,10 +1,12 @@
 from __future__ import annotations
 
+import random
 import unittest
 
 from control import cluster
 from knapweedbeam_core import outcomes, reasons
 from knapweedbeam_core.entry import parts
+from knapweedbeam_core.log import leading
 
 DOMAINS = {"a0": "d0", "a1": "d0", "b0": "d1", "b1": "d1", "c0": "d2", "c1": "d2"}
 REPLICAS = ("a0", "b0", "c0")
@@ -174,3 +176,19 @@
         self.assertTrue(all(n.control.is_ready() for n in self.group.nodes.values()))
         answer = self.accept(self.group, "a1", cluster.build_bundle(7, "x" * 500))
         self.assertTrue(answer.again)
+
+    def test_a_wiped_replica_catches_up_in_parts(self) -> None:
+        noise = random.Random(1).randbytes(45_000).hex()
+        for version in range(1, 13):
+            self.accept(self.group, "a1", cluster.build_bundle(version, noise))
+        leader = self.get_leader()
+        name = next(other for other in REPLICAS if other != leader)
+        self.group.crash(name, wipe=True)
+        self.group.start(name)
+        self.group.run(10_000)
+        own = self.group.nodes[leader].control.replica.journal
+        self.assertGreater(len(own.snapshot_bytes), 2 * leading.CHUNK_BYTES)
+        voters = {voter.identity for voter in own.group.voters}
+        self.assertIn(self.group.nodes[name].disk.identity, voters)
+        newest = self.group.nodes[name].control.replica.journal
+        self.assertEqual(newest.committed, own.committed)
