Start a new group sooner

Before they have a group, replicas say hello four times a second and hold the first election within 1 s.

--- a/packages/core/src/knapweedbeam_core/log/election.py
+++ b/packages/core/src/knapweedbeam_core/log/election.py
@@ -37,6 +37,10 @@
             wait_ms = 0
         self.due_ms = self.clock.now_ms() + wait_ms
 
+    def arm_first(self) -> None:
+        """Wait a little before the first election of a new group."""
+        self.due_ms = self.clock.now_ms() + self.rng.randint(0, ELECTION_MIN_MS)
+
     def hear_leader(self) -> None:
         """Note that a leader is there."""
         self.heard_ms = self.clock.now_ms()
--- a/packages/core/src/knapweedbeam_core/log/founding.py
+++ b/packages/core/src/knapweedbeam_core/log/founding.py
@@ -8,6 +8,7 @@
 from knapweedbeam_core.log import grouping, members, messages
 
 HELLO_MS = 1_000
+FIRST_HELLO_MS = 250
 
 
 class Founding:
@@ -44,7 +45,7 @@
         now_ms = self.clock.now_ms()
         if now_ms < self.due_ms:
             return []
-        self.due_ms = now_ms + HELLO_MS
+        self.due_ms = now_ms + (HELLO_MS if is_founded else FIRST_HELLO_MS)
         hello = messages.ReplicaHello(self.me, is_founded)
         others = [name for name in self.founders if name != self.me.name]
         return [effects.Send(name, hello) for name in others]
--- a/packages/core/src/knapweedbeam_core/log/replica.py
+++ b/packages/core/src/knapweedbeam_core/log/replica.py
@@ -122,7 +122,7 @@
             return []
         self.journal.founded = group
         self.move("founded")
-        self.election.arm()
+        self.election.arm_first()
         return self.journal.write([records.encode(records.Founded(group))], [])
 
     def start_pre_vote(self) -> parts.Effects:
