Read a bundle once and find a VM's place once

A process that takes, decides and obeys one bundle parsed it three times, and each limit searched for the VM. The last four texts stay parsed; a place is found once a bundle.

--- a/packages/core/src/knapweedbeam_core/bundles/model.py
+++ b/packages/core/src/knapweedbeam_core/bundles/model.py
@@ -7,6 +7,7 @@
 import dataclasses
 import enum
 import fractions
+import functools
 import tomllib
 import typing
 
@@ -17,6 +18,7 @@
 MAX_BUNDLE_BYTES = 1024 * 1024
 MAX_WINDOW_S = 366 * 24 * 3600
 MAX_ITEMS = 4_096
+PARSED_KEPT = 4
 SIGNATURE_PREFIX = "#signature "
 
 Name = typing.Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9_.-]{0,63}$")]
@@ -191,6 +193,7 @@
     contracts: tuple[Contract, ...] = pydantic.Field(default=(), max_length=MAX_ITEMS)
 
 
+@functools.lru_cache(maxsize=PARSED_KEPT)
 def parse_bundle(text: str) -> Bundle | tuple[BundleError, ...]:
     """Read a bundle, signed or not; return every error at once."""
     if len(text.encode()) > MAX_BUNDLE_BYTES:
--- a/packages/core/src/knapweedbeam_core/limits/shares.py
+++ b/packages/core/src/knapweedbeam_core/limits/shares.py
@@ -34,52 +34,61 @@
     pool: int = 0
 
 
-def split(total: int, weights: tuple[int, ...]) -> tuple[int, ...]:
-    """Split a whole number by weights; the parts add up to it exactly."""
-    whole = sum(weights)
-    parts = []
-    passed = 0
-    given = 0
-    for weight in weights:
-        passed += weight
-        reached = total * passed // whole if whole else 0
-        parts.append(reached - given)
-        given = reached
-    return tuple(parts)
-
-
-def get_part(bundle: model.Bundle, vm: str, total: int) -> int:
-    """Return what an entry VM gets of a whole number."""
-    domains = bundle.failure_domains
-    parts = split(total, tuple(domain.share for domain in domains))
-    for domain, part in zip(domains, parts, strict=True):
-        if vm in domain.entry_vms:
-            own = split(part, (1,) * len(domain.entry_vms))
-            return own[domain.entry_vms.index(vm)]
-    return 0
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Where an entry VM stands among all that a limit is divided among.
+
+    Its failure domain has `weight` of `whole`, after `before` of earlier ones; the
+    VM is the one at `index` of `count`.
+    """
+
+    before: int
+    weight: int
+    whole: int
+    index: int
+    count: int
+
+
+def find_place(bundle: model.Bundle, vm: str) -> Place | None:
+    """Return an entry VM's place, none where the bundle does not name it."""
+    whole = sum(domain.share for domain in bundle.failure_domains)
+    before = 0
+    for domain in bundle.failure_domains:
+        if vm in domain.entry_vms and whole:
+            index = domain.entry_vms.index(vm)
+            return Place(before, domain.share, whole, index, len(domain.entry_vms))
+        before += domain.share
+    return None
+
+
+def get_part(place: Place | None, total: int) -> int:
+    """Return a place's part of a whole number; all parts add up to it exactly."""
+    if place is None:
+        return 0
+    reached = total * (place.before + place.weight) // place.whole
+    own = reached - total * place.before // place.whole
+    return own * (place.index + 1) // place.count - own * place.index // place.count
 
 
 def get_shares(bundle: model.Bundle, vm: str) -> dict[str, tuple[Share, ...]]:
     """Return an entry VM's share of every limit, by member."""
     units = {unit.name: unit for unit in bundle.units}
+    place = find_place(bundle, vm)
     return {
         contract.member: tuple(
-            build_share(bundle, vm, limit, units[limit.unit])
-            for limit in contract.limits
+            build_share(place, limit, units[limit.unit]) for limit in contract.limits
         )
         for contract in bundle.contracts
     }
 
 
-def build_share(
-    bundle: model.Bundle, vm: str, limit: model.Limit, unit: model.Unit
-) -> Share:
+def build_share(place: Place | None, limit: model.Limit, unit: model.Unit) -> Share:
     """Return an entry VM's share of one limit."""
     total = explain.get_amount(limit, unit)
     window_ms = limit.window_s * MS_PER_S
     key = LimitKey(limit.name, unit.dimension, window_ms, limit.alignment)
     pool = get_pool(limit, unit)
-    return Share(key, get_part(bundle, vm, total - pool), total, pool)
+    return Share(key, get_part(place, total - pool), total, pool)
 
 
 def get_pool(limit: model.Limit, unit: model.Unit) -> int:
--- a/packages/core/tests/limits/test_gate.py
+++ b/packages/core/tests/limits/test_gate.py
@@ -223,9 +223,8 @@
     def test_parts_add_up_exactly(self) -> None:
         bundle = build_bundle(1, 31, 100, 7, 3)
         for total in (0, 1, 7, 31, 10**15 + 1):
-            self.assertEqual(
-                sum(shares.get_part(bundle, name, total) for name in NAMES), total
-            )
+            places = [shares.find_place(bundle, name) for name in NAMES]
+            self.assertEqual(sum(shares.get_part(p, total) for p in places), total)
 
     def test_what_can_never_fit_is_not_run_and_the_rest_waits(self) -> None:
         timer = clock.ManualClock()
