Prune a worker's past tasks rarely, and read two headers of an answer

Once 256 tasks had run on a worker, every start rebuilt its usage. Change: rebuild after twice as many; look at two headers of an answer, not all.

--- a/packages/core/src/knapweedbeam_core/dispatch/usage.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/usage.py
@@ -130,7 +130,7 @@
         load = Load(need, wall_ms)
         use.loads.append(load)
         use.add(need, 1)
-        if len(use.loads) > MAX_ENDED:
+        if len(use.loads) > 2 * MAX_ENDED:
             use.rebuild()
             use.loads = use.loads[-MAX_ENDED:]
         return load
--- a/packages/server/src/knapweedbeam_server/tasks/exchange.py
+++ b/packages/server/src/knapweedbeam_server/tasks/exchange.py
@@ -19,6 +19,8 @@
 MAX_CONNECTIONS = 4_096
 DEFAULT_PORT = 80
 RECEIVE_BYTES = 64 * 1024
+STARTED_HEADER = "task-started"
+TASK_HEADER = "task"
 
 
 class NotSentError(Exception):
@@ -31,11 +33,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
-    """A whole answer; `headers` are by lower-case name."""
+    """A whole answer; `started` and `task` are headers, empty where not sent."""
 
     status: int
     body: bytes
-    headers: dict[str, str]
+    started: str = ""
+    task: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -120,5 +123,6 @@
     body = response.read(max_bytes + 1)
     if not response.message_complete or len(body) > max_bytes:
         raise BrokenError("no whole answer")
-    headers = {name.lower(): value for name, value in response.items()}
-    return Answer(response.status_code, body, headers)
+    started = str(response.get(STARTED_HEADER, ""))
+    task = str(response.get(TASK_HEADER, ""))
+    return Answer(response.status_code, body, started, task)
--- a/packages/server/src/knapweedbeam_server/tasks/starter.py
+++ b/packages/server/src/knapweedbeam_server/tasks/starter.py
@@ -18,8 +18,7 @@
 MAX_STOPS = 64
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 MS_PER_S = 1_000
-NOT_STARTED_HEADER = "task-started"
-TASK_HEADER = "task"
+NOT_STARTED = "no"
 
 TaskEnded = collections.abc.Callable[[effects.TaskEnd], None]
 
@@ -88,10 +87,9 @@
 
 def read_result(task: ids.TaskId, answer: exchange.Answer) -> effects.TaskResult:
     """Return the result that an answer stands for."""
-    headers = answer.headers
-    if answer.status == 503 and headers.get(NOT_STARTED_HEADER) == "no":
+    if answer.status == 503 and answer.started == NOT_STARTED:
         return effects.TaskNotStarted(reasons.Reason.OVERLOADED)
-    if headers.get(TASK_HEADER) not in (None, f"{task.ticket}/{task.index}"):
+    if answer.task and answer.task != f"{task.ticket}/{task.index}":
         return effects.TaskFailed(reasons.Reason.CONFLICT)
     if not 200 <= answer.status < 300:
         return effects.TaskFailed(reasons.Reason.TASK_FAILED)
