Let a member that rested have a burst of its own

A member that comes back after a rest was put level with one that floods, and a large job that met its share was refused by the few slots it had used before. It now lags by up to 3 s of slot time, and admission counts on its whole part.

--- a/packages/core/src/knapweedbeam_core/dispatch/fair_queue.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/fair_queue.py
@@ -14,6 +14,7 @@
 from knapweedbeam_core.dispatch import job_run
 
 ACTIVE_MS = 20
+MAX_LAG_MS = 3_000.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -148,12 +149,16 @@
         self.join(line)
 
     def join(self, line: Line) -> None:
-        """Let a member take part from now on; idle time earns it nothing."""
+        """Let a member take part from now on.
+
+        Its idle time earns it at most `MAX_LAG_MS`, for a burst of its own.
+        """
         if line.in_order:
             return
         line.in_order = True
         account = line.account
-        account.virtual_ms = max(account.virtual_ms, self.virtual_ms)
+        earliest_ms = self.virtual_ms - MAX_LAG_MS
+        account.virtual_ms = max(account.virtual_ms, earliest_ms)
         self.count += 1
         heapq.heappush(self.heap, (account.virtual_ms, self.count, line))
 
--- a/packages/core/src/knapweedbeam_core/dispatch/intake.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/intake.py
@@ -95,26 +95,27 @@
     def get_member_slots(self, queue: fair_queue.FairQueue, member: str) -> float:
         """Return how many slots a member may have at once.
 
-        Where slots are scarce its keepers said so; else it can count on what is
-        held here, or its part of half of all slots.
+        Where slots are scarce its keepers said so, and its weight is its part;
+        else it can count on what is held here, or its part of half of all slots.
         """
         state = self.state
         service = queue.service
-        bounds = [link.bounds.get(service) for link in state.holder.links.values()]
-        bounded = [bound for bound in bounds if bound is not None and bound.bounded]
-        if bounded:
-            shares = [share for bound in bounded for share in bound.shares]
-            own = sum(share.slots for share in shares if share.member == member)
-            if own:
-                return float(own)
-        pool_slots = state.holder.get_pool(service).held
-        slots = max(pool_slots, self.directory.get_total(service).slots / 2)
+        held_slots = state.holder.get_pool(service).held
+        line = queue.lines.get(member)
+        is_active = line is not None and (line.running_slots or line.get_backlog())
         weight = state.get_standing(member)
         others = queue.get_active_weight(state.clock.now_ms())
-        line = queue.lines.get(member)
-        if line is not None and (line.running_slots or line.get_backlog()):
+        if is_active:
             others = max(0.0, others - weight)
-        return slots * weight / (weight + others)
+        part = weight / (weight + others)
+        if line is not None and self.is_bounded(service):
+            return max(line.weight, held_slots * part)
+        return max(held_slots, self.directory.get_total(service).slots / 2) * part
+
+    def is_bounded(self, service: str) -> bool:
+        """Say whether any keeper said that slots are scarce."""
+        bounds = [link.bounds.get(service) for link in self.state.holder.links.values()]
+        return any(bound is not None and bound.bounded for bound in bounds)
 
     def begin_ahead(self, service: str) -> None:
         """Have the next jobs begun, as many as slots are soon there for."""
