--- a/packages/core/src/knapweedbeam_core/limits/gate.py
+++ b/packages/core/src/knapweedbeam_core/limits/gate.py
@@ -86,7 +86,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Use:
-    """One limit of a member as this entry VM sees it."""
+    """One limit of a member as this entry VM sees it.
+
+    Beside `share`, it may use what is left of its leases now: `leased`.
+    """
 
     limit: str
     dimension: str
@@ -94,6 +97,7 @@
     share: int
     used: int
     window_ms: int
+    leased: int = 0
 
 
 def get_size(dimension: model.Dimension, task: jobs.TaskSpec, run_ms: int) -> int:
@@ -288,7 +292,7 @@
         if account is None:
             return ()
         return tuple(
-            build_use(key, meter.holder, meter.reserved + meter.window.get_used())
+            build_use(key, meter.holder, meter.get_used(), meter.wallet.get_left(0))
             for key, meter in account.windowed.items()
         ) + tuple(
             build_use(key, counter.holder, counter.get_used())
@@ -305,7 +309,9 @@
     return Hold(meter, key.dimension, own, meter.wallet.take(need - own, due_ms))
 
 
-def build_use(key: shares.LimitKey, holder: meters.ShareHolder, used: int) -> Use:
+def build_use(
+    key: shares.LimitKey, holder: meters.ShareHolder, used: int, leased: int = 0
+) -> Use:
     """Return the use of one limit."""
     return Use(
         key.name,
@@ -314,4 +320,5 @@
         holder.get_amount(),
         used,
         key.window_ms,
+        leased,
     )
--- a/packages/core/src/knapweedbeam_core/limits/meters.py
+++ b/packages/core/src/knapweedbeam_core/limits/meters.py
@@ -79,6 +79,11 @@
         used = self.reserved + self.window.get_used()
         return max(0, self.holder.get_amount() - used)
 
+    def get_used(self) -> int:
+        """Return what is reserved or used, of the share and of current leases."""
+        leased = sum(token.used for token in self.wallet.tokens)
+        return self.reserved + self.window.get_used() + leased
+
     def find_wait_ms(self, need: int, due_ms: int) -> int:
         """Return when to ask again for what is not there, 0 when it is."""
         lacking = need - self.get_left() - self.wallet.get_left(due_ms)
