Send tasks' real sizes to the fakes and judge kills by a job's owner

Usage reports said that nothing was used, so that sizes learned were zero. A job of a killed owner that another entry VM answered counted among the others' jobs.

--- a/bench/client.py
+++ b/bench/client.py
@@ -60,7 +60,8 @@
 class JobResult:
     """What became of a job; `response_ms` counts from the intended time.
 
-    An empty `outcome` says that the client gave up.
+    An empty `outcome` says that the client gave up. `entry` gave the answer,
+    `owner` minted the ticket.
     """
 
     number: int
@@ -72,6 +73,7 @@
     outcome: str
     reason: str
     entry: str
+    owner: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,11 +89,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Declared:
-    """What a client says of one task."""
+    """What a client says of one task, and what the task really uses."""
 
     cpu_millis: int = 0
     memory_mib: int = 0
     run_ms: int = 0
+    used_cpu_millis: int = 0
+    used_memory_mib: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -212,7 +216,8 @@
 
         Not run is a promise, so that a new ticket starts nothing twice.
         """
-        ended = Ended(FinalBody(reason="no ticket"), "", self.clock.now_ms())
+        entry = ""
+        ended = Ended(FinalBody(reason="no ticket"), entry, self.clock.now_ms())
         for _ in range(MAX_TICKETS):
             taken = self.wait_for_ticket(job.member)
             if taken is None:
@@ -224,7 +229,7 @@
             if not is_ticket_at_fault(ended.final):
                 break
             self.tickets.pop((entry, job.member), None)
-        self.add_result(job, ended)
+        self.add_result(job, ended, entry)
 
     def serve_ticket(self, job: trace.TraceJob, ticket: str, entry: str) -> Ended:
         """Send a job, and a second time elsewhere where that is due."""
@@ -238,7 +243,7 @@
             again.join()
         return ended
 
-    def add_result(self, job: trace.TraceJob, ended: Ended) -> None:
+    def add_result(self, job: trace.TraceJob, ended: Ended, owner: str) -> None:
         """Keep a job's result, with the way back to the client."""
         end_ms = ended.at_ms + self.plan.client_delay_ms
         response_ms = end_ms - self.started_ms - job.at_ms
@@ -253,6 +258,7 @@
                 outcome=ended.final.outcome,
                 reason=ended.final.reason,
                 entry=ended.entry,
+                owner=owner,
             )
         )
 
@@ -266,10 +272,19 @@
         declare = self.options.declare
         tasks: list[dict[str, typing.Any]] = []
         for index, work_ms in enumerate(job.work_ms):
-            payload = {"work_ms": work_ms, "echo": job.first_echo + index}
-            task: dict[str, typing.Any] = {"payload": payload}
-            if declare is not None:
-                task |= dataclasses.asdict(declare(job, work_ms))
+            said = declare(job, work_ms) if declare is not None else Declared()
+            payload = {
+                "work_ms": work_ms,
+                "echo": job.first_echo + index,
+                "cpu_millis": said.used_cpu_millis,
+                "memory_mib": said.used_memory_mib,
+            }
+            task: dict[str, typing.Any] = {
+                "payload": payload,
+                "cpu_millis": said.cpu_millis,
+                "memory_mib": said.memory_mib,
+                "run_ms": said.run_ms,
+            }
             tasks.append(task)
         return msgspec.json.encode(
             {
--- a/bench/scenarios/black_hole.py
+++ b/bench/scenarios/black_hole.py
@@ -35,7 +35,7 @@
     ]
     return {
         "tasks_lost_until_trials": max(count_until_gap(each) for each in losses),
-        "tasks_lost_worst": max(len(each) for each in losses),
+        "tasks_lost_worst": float(max(len(each) for each in losses)),
         "tasks_lost_late": max(count_late(each) for each in losses),
     }
 
--- /dev/null
+++ b/bench/scenarios/bundles.py
@@ -0,0 +1,271 @@
+"""Roll many bundles under races and failures, then kill and restart everything."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+import time
+import typing
+
+import gevent
+
+from bench import calls, cluster, deployment, files, measure, progress
+from bench.check import reader, report
+from bench.scenarios import model
+from knapweedbeam_core import clock
+from knapweedbeam_server import history
+
+MEMBERS = 60
+TIMED_ROLLS = 200
+ALL_ROLLS = 1_000
+PROPOSAL_TIMEOUT_S = 20.0
+RESEND_PAUSE_S = 0.2
+IDLE_S = 15.0
+CUT_S = 8.0
+ACCEPTED = frozenset({200, 201})
+CONFLICT = 409
+SHAPE = deployment.Shape(
+    name="bundles",
+    domains=("alajuela", "heredia", "cartago"),
+    vms=9,
+    endpoints=3,
+    members=tuple(f"distributor-{number:02d}" for number in range(MEMBERS)),
+    service="despacho",
+    domain_delay_ms=0.5,
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Roller:
+    """Rolls bundles on a running cluster and notes when each was sent."""
+
+    running: cluster.Cluster
+    version: int = 1
+    sent_ms: dict[int, int] = dataclasses.field(default_factory=dict)
+
+    def build(self, version: int, standing: int = 1) -> bytes:
+        """Return a signed bundle; `standing` makes texts of one version differ."""
+        plan = self.running.plan
+        first = dataclasses.replace(plan.members[0], standing=standing)
+        changed = dataclasses.replace(plan, members=(first, *plan.members[1:]))
+        text = files.build_bundle(changed, self.running.secrets, version)
+        return text.encode()
+
+    def post(self, vm: deployment.EntryVm, text: bytes) -> calls.Reply | calls.Lost:
+        """Send a proposal once."""
+        caller = calls.Caller(
+            vm.operators,
+            self.running.secrets.operator_token,
+            PROPOSAL_TIMEOUT_S,
+            connections=1,
+        )
+        answer = caller.call("POST", "/v1/bundles", text)
+        caller.close()
+        return answer
+
+    def roll(self, vm: deployment.EntryVm) -> None:
+        """Roll the next version through one entry VM, with resends.
+
+        Raises `cluster.ClusterError` when it is never accepted.
+        """
+        text = self.build(self.version + 1)
+        self.sent_ms[self.version + 1] = self.running.clock.now_ms()
+        end_s = time.monotonic() + PROPOSAL_TIMEOUT_S
+        answer = self.post(vm, text)
+        while not is_accepted(answer):
+            if time.monotonic() > end_s:
+                raise cluster.ClusterError(f"no acceptance: {answer}")
+            gevent.sleep(RESEND_PAUSE_S)
+            answer = self.post(vm, text)
+        self.version += 1
+
+    def roll_many(self, until: int) -> None:
+        """Roll one version after the other, through every entry VM in turn."""
+        vms = self.running.plan.vms
+        while self.version < until:
+            self.roll(vms[self.version % len(vms)])
+
+    def get_leader(self) -> deployment.EntryVm:
+        """Return the entry VM that leads the log."""
+        plan = self.running.plan
+        for vm in plan.vms:
+            name = self.running.get_status(vm).get("leader")
+            found = [each for each in plan.vms if each.name == name]
+            if found:
+                return found[0]
+        raise cluster.ClusterError("nobody knows a leader")
+
+    def wait_until_spread(self, timeout_s: float) -> None:
+        """Wait until the newest version is in force at every running entry VM."""
+        end_s = time.monotonic() + timeout_s
+        running = [
+            vm for vm in self.running.plan.vms if vm.name in self.running.entries
+        ]
+        while time.monotonic() < end_s:
+            statuses = [self.running.get_status(vm) for vm in running]
+            if all(status.get("version") == self.version for status in statuses):
+                return
+            gevent.sleep(cluster.POLL_S)
+        raise cluster.ClusterError(f"version {self.version} is not in force everywhere")
+
+
+def is_accepted(answer: calls.Reply | calls.Lost) -> bool:
+    """Say whether a proposal was accepted, now or before."""
+    return isinstance(answer, calls.Reply) and answer.status in ACCEPTED
+
+
+def race(roller: Roller) -> None:
+    """Send two bundles of one version at once; just one may be accepted."""
+    version = roller.version + 1
+    texts = [roller.build(version, standing) for standing in (2, 3)]
+    vms = roller.running.plan.vms
+    posts = [
+        gevent.spawn(roller.post, vms[place], text) for place, text in enumerate(texts)
+    ]
+    gevent.joinall(posts)
+    answers = [post.value for post in posts]
+    statuses = sorted(
+        answer.status if isinstance(answer, calls.Reply) else 0 for answer in answers
+    )
+    if statuses != [201, CONFLICT]:
+        raise cluster.ClusterError(f"a race of two was answered {answers}")
+    winner = texts[0] if is_accepted(answers[0]) else texts[1]
+    if not is_accepted(roller.post(vms[-1], winner)):
+        raise cluster.ClusterError("the accepted bundle was refused when sent again")
+    roller.version = version
+
+
+def kill_leader(roller: Roller) -> None:
+    """Kill the leader while a roll is on its way, and start it again."""
+    leader = roller.get_leader()
+    other = next(vm for vm in roller.running.plan.vms if vm.name != leader.name)
+    rolling = gevent.spawn(roller.roll, other)
+    gevent.sleep(0)
+    roller.running.kill(leader.name)
+    rolling.get()
+    roller.running.start_entry(leader)
+    roller.running.wait_until_ready(leader)
+    roller.wait_until_spread(PROPOSAL_TIMEOUT_S)
+
+
+def cut_leader(roller: Roller) -> None:
+    """Cut the leader's failure domain off; the others go on, it accepts nothing."""
+    leader = roller.get_leader()
+    roller.running.cut(leader.domain)
+    gevent.sleep(CUT_S / 2)
+    answer = roller.post(leader, roller.build(roller.version + 1, standing=9))
+    if is_accepted(answer):
+        raise cluster.ClusterError("a leader that was cut off accepted a bundle")
+    other = next(vm for vm in roller.running.plan.vms if vm.domain != leader.domain)
+    roller.roll(other)
+    gevent.sleep(CUT_S / 2)
+    roller.running.heal(leader.domain)
+    roller.wait_until_spread(PROPOSAL_TIMEOUT_S)
+
+
+def restart_all(roller: Roller) -> float:
+    """Kill every entry VM, start them again, and return when the last was ready."""
+    running = roller.running
+    for vm in running.plan.vms:
+        running.kill(vm.name)
+    started_s = time.monotonic()
+    for vm in running.plan.vms:
+        running.start_entry(vm)
+    waits = [gevent.spawn(running.wait_until_ready, vm) for vm in running.plan.vms]
+    gevent.joinall(waits, raise_error=True)
+    took_s = time.monotonic() - started_s
+    roller.wait_until_spread(PROPOSAL_TIMEOUT_S)
+    return took_s * clock.SECOND_MS
+
+
+def get_data_ratio(running: cluster.Cluster, bundle_bytes: int) -> float:
+    """Return the largest data folder's size over that of the newest bundle."""
+    sizes = []
+    for vm in running.plan.vms:
+        folder = running.folder.root / f"{vm.name}.data"
+        if vm.has_disk:
+            sizes.append(sum(file.stat().st_size for file in folder.iterdir()))
+    return measure.divide(max(sizes), bundle_bytes)
+
+
+def measure_idle(running: cluster.Cluster) -> model.Figures:
+    """Return what the busiest process uses while nothing happens."""
+    plan = running.plan
+    cpu = {name: child.get_usage().cpu_s for name, child in running.entries.items()}
+    sent = get_sent(running)
+    gevent.sleep(IDLE_S)
+    cpu_s = [
+        running.entries[vm.name].get_usage().cpu_s - cpu[vm.name] for vm in plan.vms
+    ]
+    now = get_sent(running)
+    moved = [now[vm.name] - sent[vm.name] for vm in plan.vms]
+    return {
+        "idle_core_percent": round(100 * max(cpu_s) / IDLE_S, 3),
+        "idle_bytes_per_s": round(max(moved) / IDLE_S, 1),
+    }
+
+
+def get_sent(running: cluster.Cluster) -> dict[str, int]:
+    """Return the bytes that each entry VM sent on its links."""
+    sent = {}
+    for vm in running.plan.vms:
+        status: dict[str, typing.Any] = running.get_status(vm)
+        sent[vm.name] = status["links"]["sent"]["frame_bytes"]
+    return sent
+
+
+def get_in_force_ms(merged: reader.History, sent_ms: dict[int, int]) -> list[int]:
+    """Return, for each timed version, when the last process had it in force."""
+    last: dict[int, int] = {}
+    for record in merged.get(history.InForce):
+        version = record.event.version
+        last[version] = max(last.get(version, 0), record.at_ms)
+    return [last[version] - sent for version, sent in sent_ms.items()]
+
+
+class Bundles:
+    """Rolls, races, kills, cuts and restarts."""
+
+    name = "bundles"
+    summary = "Bundles in force everywhere, under races, kills, cuts and restarts."
+
+    def run(self, options: model.Options, root: pathlib.Path) -> model.Outcome:
+        """Run every part in turn on one cluster."""
+        root.mkdir(parents=True, exist_ok=True)
+        block = cluster.reserve_block()
+        try:
+            plan = deployment.build_deployment(SHAPE, block.number)
+            with cluster.Cluster(plan, root) as running:
+                running.start()
+                figures, sent_ms = self.play(Roller(running))
+        finally:
+            block.release()
+        merged = reader.read_history(root / "histories")
+        checked = report.check_history(merged)
+        for breach in checked.found[:5]:
+            progress.say(breach.describe())
+        in_force_ms = get_in_force_ms(merged, sent_ms)
+        figures["in_force_worst_ms"] = float(max(in_force_ms))
+        figures["in_force_mean_ms"] = round(measure.mean(in_force_ms), 1)
+        return model.Outcome(figures, checked.get_counts())
+
+    def play(self, roller: Roller) -> tuple[model.Figures, dict[int, int]]:
+        """Return the figures, and when each timed version was sent."""
+        figures = measure_idle(roller.running)
+        progress.say(f"{TIMED_ROLLS} rolls")
+        roller.roll_many(1 + TIMED_ROLLS)
+        sent_ms, roller.sent_ms = roller.sent_ms, {}
+        for step in (race, kill_leader, cut_leader):
+            progress.say(step.__name__.replace("_", " "))
+            step(roller)
+        progress.say(f"{ALL_ROLLS} rolls in all")
+        roller.roll_many(1 + ALL_ROLLS)
+        roller.wait_until_spread(PROPOSAL_TIMEOUT_S)
+        size = len(roller.build(roller.version))
+        figures["data_to_snapshot"] = round(get_data_ratio(roller.running, size), 2)
+        progress.say("kill and restart all")
+        figures["restart_ready_ms"] = round(restart_all(roller), 1)
+        return figures, sent_ms
+
+
+SCENARIO = Bundles()
--- a/bench/scenarios/cut.py
+++ b/bench/scenarios/cut.py
@@ -61,8 +61,8 @@
     ]
     figures = {}
     for side, own in (
-        ("inside", [each for each in during if each.entry in inside]),
-        ("outside", [each for each in during if each.entry not in inside]),
+        ("inside", [each for each in during if each.owner in inside]),
+        ("outside", [each for each in during if each.owner not in inside]),
     ):
         whole = [each for each in own if each.outcome == "complete"]
         figures[f"{side}_complete_share"] = measure.divide(len(whole), len(own))
--- a/bench/scenarios/kill.py
+++ b/bench/scenarios/kill.py
@@ -57,7 +57,7 @@
     """Return what the others' jobs met, and how soon the slots were used again."""
     (phase,) = played.phases
     victims = frozenset(pick_victims(played.plan))
-    others = [each for each in phase.results if each.entry not in victims]
+    others = [each for each in phase.results if each.owner not in victims]
     starts = [
         record.at_ms
         for record in played.merged.get(history.Started, history.Role.ENDPOINT)
--- a/bench/scenarios/registry.py
+++ b/bench/scenarios/registry.py
@@ -4,6 +4,7 @@
 
 from bench.scenarios import (
     black_hole,
+    bundles,
     burst,
     cancel_wave,
     cut,
@@ -20,6 +21,7 @@
 ALL: tuple[model.Scenario, ...] = (
     steady.SCENARIO,
     overhead.SCENARIO,
+    bundles.SCENARIO,
     burst.SCENARIO,
     black_hole.SCENARIO,
     straggler.SCENARIO,
--- a/bench/scenarios/wrong_sizes.py
+++ b/bench/scenarios/wrong_sizes.py
@@ -37,12 +37,16 @@
 def declare(job: trace.TraceJob, work_ms: float) -> client.Declared:
     """Declare a task wrongly, the same way for all tasks of a job."""
     if job.job_class == NEVER_CLASS:
-        return client.Declared(cpu_millis=NEVER_CPU_MILLIS)
+        return client.Declared(
+            cpu_millis=NEVER_CPU_MILLIS, used_cpu_millis=NEVER_CPU_MILLIS
+        )
     factor = random.Random(job.number).choice(FACTORS)
     return client.Declared(
         cpu_millis=round(CPU_MILLIS * factor),
         memory_mib=round(MEMORY_MIB * factor),
         run_ms=max(1, round(work_ms * factor)),
+        used_cpu_millis=CPU_MILLIS,
+        used_memory_mib=MEMORY_MIB,
     )
 
 
@@ -51,11 +55,13 @@
     (phase,) = played.phases
     never = [each for each in phase.results if each.job_class == NEVER_CLASS]
     refused = [each for each in never if each.outcome == "not_run"]
+    others = [each for each in phase.results if each.job_class != NEVER_CLASS]
     late = [each.response_ms for each in never]
     return {
         "never_fit_jobs": float(len(never)),
         "never_fit_not_run": float(len(refused)),
         "never_fit_worst_ms": max(late, default=0.0),
+        "others_not_run": float(sum(each.outcome == "not_run" for each in others)),
     }
 
 
