--- a/packages/core/src/knapweedbeam_core/control/deciding.py
+++ b/packages/core/src/knapweedbeam_core/control/deciding.py
@@ -86,7 +86,7 @@
         self.ledger = state
         self.clock = timer
         self.keys = first_keys
-        self.needed = first_needed
+        self.needed = max(1, first_needed)
         self.seen: dict[str, tuple[int, int]] = {}
         self.queue: collections.deque[Request] = collections.deque()
         self.pending: Pending | None = None
