Take tickets that start with a dash on the command line

One run in six of the tour's test failed: a ticket began with -3 and job show took it for an option.

--- a/packages/ctl/src/knapweedbeam_ctl/__main__.py
+++ b/packages/ctl/src/knapweedbeam_ctl/__main__.py
@@ -78,7 +78,7 @@
     raise typer.Exit(submit_command.submit(access, job, ticket))
 
 
-@job_app.command("show")
+@job_app.command("show", context_settings=options.TICKET_SETTINGS)
 def show_job(
     ticket: options.Ticket,
     wait_ms: options.WaitMs = 0,
@@ -91,7 +91,7 @@
     raise typer.Exit(submit_command.call_job(access, "GET", ticket, wait_ms))
 
 
-@job_app.command("cancel")
+@job_app.command("cancel", context_settings=options.TICKET_SETTINGS)
 def cancel_job(
     ticket: options.Ticket,
     wait_ms: options.WaitMs = 5_000,
--- a/packages/ctl/src/knapweedbeam_ctl/options.py
+++ b/packages/ctl/src/knapweedbeam_ctl/options.py
@@ -12,6 +12,8 @@
 
 CALLER_SERVER = "127.0.0.1:8080"
 OPERATOR_SERVER = "127.0.0.1:8081"
+# Without it a ticket that starts with a dash would be read as an option.
+TICKET_SETTINGS = {"ignore_unknown_options": True}
 TOKEN_VARIABLE = "KNAPWEEDCTL_TOKEN_FILE"
 
 CallerServers = typing.Annotated[
--- a/packages/ctl/tests/commands/test_calls.py
+++ b/packages/ctl/tests/commands/test_calls.py
@@ -67,6 +67,18 @@
         methods = [call[:2] for call in fake.calls]
         self.assertEqual([("POST", "/v1/tickets"), ("PUT", "/v1/jobs/t1")], methods)
 
+    def test_tickets_that_start_with_a_dash_are_no_options(self) -> None:
+        calls = [("job", "show"), ("job", "cancel"), ("submit", "--ticket")]
+        for ticket in ("-3NXrU", "--NXrU", "-jsonX"):
+            for words in calls:
+                handler = build_handler(ANSWERS["complete"])
+                with fakes.serve(handler) as (server, fake):
+                    job = ["--service", "quotes", "--payload", "1"]
+                    tail = job if "submit" in words else []
+                    result = self.run_command(*words, ticket, *tail, "--server", server)
+                self.assertEqual(0, result.exit_code, result.output)
+                self.assertEqual(f"/v1/jobs/{ticket}", fake.calls[-1][1])
+
     def test_nobody_answers(self) -> None:
         self.assertEqual(4, self.submit(CLOSED_SERVER).exit_code)
 
