--- a/packages/core/src/knapweedbeam_core/entry/parts.py
+++ b/packages/core/src/knapweedbeam_core/entry/parts.py
@@ -132,6 +132,9 @@
     def settle(self, ticket: str, outcome: outcomes.Outcome) -> Effects:
         """Keep a job's outcome and answer those who wait."""
 
+    def is_idle(self) -> bool:
+        """Say whether every outcome is recorded and nobody waits for another."""
+
     def stop(self) -> Effects:
         """Start a graceful stop: mint and take nothing more."""
 
--- a/packages/server/src/knapweedbeam_server/http/callers.py
+++ b/packages/server/src/knapweedbeam_server/http/callers.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
-import hashlib
+import collections.abc
+import contextlib
 import typing
 
 import gevent.event
 import msgspec
 
 from knapweedbeam_core import jobs, outcomes, reasons, rules
+from knapweedbeam_core.tickets import answers
 from knapweedbeam_server import waiters
 from knapweedbeam_server.http import auth, bodies, replies, router
 
@@ -104,10 +106,9 @@
         wait_ms = self.get_wait_ms(request, job)
         if isinstance(wait_ms, outcomes.Refusal):
             return replies.build_refusal(wait_ms)
-        group = self.service.job_waiters.join(ticket, get_digest(request.body))
-        if isinstance(group, outcomes.Refusal):
-            return replies.build_refusal(group)
-        return self.wait(ticket, group, self.service.submit(job), wait_ms)
+        with self.waiting(ticket, answers.get_digest(job)) as group:
+            refusal = self.service.submit(job)
+            return self.wait(ticket, group, refusal, wait_ms)
 
     def submit_new(self, request: router.Request) -> replies.Reply:
         """Submit a job without a ticket, under the caller's key or none."""
@@ -123,10 +124,8 @@
         handle = self.service.submit_new(job, request.key)
         if isinstance(handle, outcomes.Refusal):
             return replies.build_refusal(handle)
-        group = self.service.job_waiters.join(handle, get_digest(request.body))
-        if isinstance(group, outcomes.Refusal):
-            return replies.build_refusal(group)
-        return self.wait(handle, group, None, wait_ms)
+        with self.waiting(handle, answers.get_digest(job)) as group:
+            return self.wait(handle, group, None, wait_ms)
 
     def look_up(self, request: router.Request) -> replies.Reply:
         """Ask for the outcome of a job."""
@@ -144,12 +143,21 @@
         wait_ms = request.get_int("wait_ms", default_wait_ms)
         if isinstance(wait_ms, outcomes.Refusal):
             return replies.build_refusal(wait_ms)
-        group = self.service.job_waiters.join(ticket, b"")
-        if isinstance(group, outcomes.Refusal):
-            return replies.build_refusal(group)
-        refusal = call(ticket, request.bearer.member)
-        bounded_ms = min(wait_ms, self.bounds.wait_ms)
-        return self.wait(ticket, group, refusal, bounded_ms)
+        with self.waiting(ticket, b"") as group:
+            refusal = call(ticket, request.bearer.member)
+            bounded_ms = min(wait_ms, self.bounds.wait_ms)
+            return self.wait(ticket, group, refusal, bounded_ms)
+
+    @contextlib.contextmanager
+    def waiting(
+        self, ticket: str, digest: bytes
+    ) -> collections.abc.Iterator[waiters.Group]:
+        """Wait for a ticket within a block."""
+        group = self.service.job_waiters.join(ticket, digest)
+        try:
+            yield group
+        finally:
+            self.service.job_waiters.leave(ticket, digest, group)
 
     def wait(
         self,
@@ -159,17 +167,15 @@
         wait_ms: int,
     ) -> replies.Reply:
         """Return the answer, or that there is none yet."""
+        if refusal is not None:
+            return replies.build_refusal(refusal)
         try:
-            if refusal is not None:
-                return replies.build_refusal(refusal)
-            answer = group.result.get(timeout=wait_ms / MS_PER_S)
+            resolved = group.result.get(timeout=wait_ms / MS_PER_S)
         except gevent.Timeout:
             return replies.build_pending(ticket)
-        finally:
-            self.service.job_waiters.leave(ticket, group)
-        if isinstance(answer, outcomes.Refusal):
-            return replies.build_refusal(answer)
-        return replies.build_outcome(ticket, answer)
+        if isinstance(resolved.answer, outcomes.Refusal):
+            return replies.build_refusal(resolved.answer)
+        return replies.build_outcome(resolved.ticket, resolved.answer)
 
     def get_wait_ms(
         self, request: router.Request, job: jobs.Job
@@ -214,8 +220,3 @@
         task.memory_mib or service.memory_mib,
         task.run_ms or service.run_ms,
     )
-
-
-def get_digest(body: bytes) -> bytes:
-    """Return what tells one body from another."""
-    return hashlib.sha256(body).digest()
--- a/packages/server/src/knapweedbeam_server/shell.py
+++ b/packages/server/src/knapweedbeam_server/shell.py
@@ -232,8 +232,8 @@
                     self.start_task(effect)
                 case effects.StopTask():
                     self.stop_task(effect)
-                case effects.Answer(ticket, outcome):
-                    self.answer(ticket, outcome)
+                case effects.Answer():
+                    self.answer(effect)
                 case parts.Persist():
                     self.to_save.put(effect)
                 case parts.ProposalAnswered(call, answer):
@@ -249,11 +249,12 @@
         self.recorder.stopped()
         self.starter.stop(stop)
 
-    def answer(self, ticket: str, outcome: outcomes.Outcome | outcomes.Refusal) -> None:
+    def answer(self, answer: effects.Answer) -> None:
         """Give an answer to those who wait."""
-        if not isinstance(outcome, outcomes.Refusal):
-            self.recorder.answered(ticket, outcome)
-        self.job_waiters.resolve(ticket, outcome)
+        if not isinstance(answer.outcome, outcomes.Refusal):
+            ticket = answer.key_ticket or answer.ticket
+            self.recorder.answered(ticket, answer.outcome)
+        self.job_waiters.resolve(answer)
 
     def observe(self, effect: parts.Effect) -> None:
         """Note what the parts of the node tell each other."""
@@ -331,6 +332,7 @@
         """Say whether nothing is left to answer."""
         return (
             self.node.dispatcher.is_idle()
+            and self.node.coordinator.is_idle()
             and not self.starter.running
             and not self.counters.open_requests
         )
--- a/packages/server/src/knapweedbeam_server/waiters.py
+++ b/packages/server/src/knapweedbeam_server/waiters.py
@@ -7,18 +7,25 @@
 
 import gevent.event
 
-from knapweedbeam_core import outcomes, reasons
+from knapweedbeam_core import effects, outcomes
 from knapweedbeam_core.entry import parts
 
 JobAnswer = outcomes.Outcome | outcomes.Refusal
 ProposalAnswer = parts.Accepted | outcomes.Refusal
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resolved:
+    """An answer, under the ticket that the caller should keep."""
+
+    ticket: str
+    answer: JobAnswer
+
+
 @dataclasses.dataclass(slots=True)
 class Group:
     """All calls at this process that wait for one ticket with one body."""
 
-    digest: bytes
     result: gevent.event.AsyncResult = dataclasses.field(
         default_factory=gevent.event.AsyncResult
     )
@@ -26,42 +33,49 @@
 
 
 class JobWaiters:
-    """Who waits for which ticket; a group ends with its last call."""
+    """Who waits for which ticket; a group ends with its last call.
+
+    Calls that brought a body are grouped by its digest, so that the refusal of
+    one body never reaches those who sent another, or only asked.
+    """
 
     def __init__(self) -> None:
-        self.groups: dict[str, Group] = {}
-
-    def join(self, ticket: str, digest: bytes) -> Group | outcomes.Refusal:
-        """Wait for a ticket; an empty digest is a call that brings no body.
-
-        Another body under the same ticket is a conflict: the answer to one of
-        the two must not reach the other.
-        """
-        group = self.groups.get(ticket)
-        if group is None:
-            group = self.groups[ticket] = Group(digest)
-        if digest and group.digest and digest != group.digest:
-            detail = "the ticket was submitted with another body"
-            return outcomes.Refusal(reasons.Reason.CONFLICT, detail)
-        group.digest = group.digest or digest
+        self.tickets: dict[str, dict[bytes, Group]] = {}
+
+    def join(self, ticket: str, digest: bytes) -> Group:
+        """Wait for a ticket; an empty digest is a call that brings no body."""
+        groups = self.tickets.setdefault(ticket, {})
+        group = groups.setdefault(digest, Group())
         group.count += 1
         return group
 
-    def leave(self, ticket: str, group: Group) -> None:
+    def leave(self, ticket: str, digest: bytes, group: Group) -> None:
         """Stop waiting."""
         group.count -= 1
-        if not group.count and self.groups.get(ticket) is group:
-            del self.groups[ticket]
-
-    def resolve(self, ticket: str, answer: JobAnswer) -> None:
-        """Give the answer to all who wait."""
-        group = self.groups.pop(ticket, None)
-        if group is not None:
-            group.result.set(answer)
+        groups = self.tickets.get(ticket, {})
+        if group.count or groups.get(digest) is not group:
+            return
+        del groups[digest]
+        if not groups:
+            del self.tickets[ticket]
+
+    def resolve(self, answer: effects.Answer) -> None:
+        """Give the answer to all whom it concerns."""
+        kept = answer.key_ticket or answer.ticket
+        resolved = Resolved(kept, answer.outcome)
+        is_refusal = isinstance(answer.outcome, outcomes.Refusal)
+        if is_refusal and answer.body_digest:
+            group = self.tickets.get(answer.ticket, {}).get(answer.body_digest)
+            if group is not None:
+                group.result.set(resolved)
+            return
+        for group in self.tickets.pop(answer.ticket, {}).values():
+            group.result.set(resolved)
 
     def get_count(self) -> int:
         """Return how many calls wait."""
-        return sum(group.count for group in self.groups.values())
+        groups = [group for known in self.tickets.values() for group in known.values()]
+        return sum(group.count for group in groups)
 
 
 class ProposalWaiters:
