--- a/packages/core/src/knapweedbeam_core/dispatch/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/dispatcher.py
@@ -181,6 +181,7 @@
     def granted(self, endpoint: held.HeldEndpoint, grant: messages.Grant) -> None:
         """Take what a keeper says of an endpoint's health and speed."""
         record = grant.announcement
+        self.state.note_worker(record.worker, endpoint)
         times = self.state.times
         times.set_speed(record.endpoint, grant.speed_percent / 100.0)
         endpoint.speed = times.get_speed(record.endpoint)
@@ -191,6 +192,12 @@
         endpoint.limit = endpoint_health.LIMITS[known.state]
         endpoint.on_trial = known.state == endpoint_health.TRIAL
 
+    def worker_reported(self, worker: str) -> None:
+        """Learn sizes where a worker's slots are all held here."""
+        endpoint = self.state.by_worker.get(worker)
+        if endpoint is not None and endpoint.held >= endpoint.record.slots:
+            self.state.sizes.learn_report(self.state.usage.workers[worker])
+
     def shares_changed(self, service: str) -> None:
         """Weigh the members by their parts where slots are scarce.
 
--- a/packages/core/src/knapweedbeam_core/dispatch/health.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/health.py
@@ -29,6 +29,7 @@
 MAX_EJECTED_SHARE = 0.5
 CLASS_GAIN = 0.1
 MAX_CLASSES = 4_096
+MAX_ENDPOINTS = 16_384
 FAIL_GAIN = 0.05
 MIN_CLASS_SAMPLES = 3
 
@@ -72,6 +73,8 @@
         """Return an endpoint's health; a new run starts healthy."""
         known = self.endpoints.get(endpoint)
         if known is None or known.incarnation < incarnation:
+            if len(self.endpoints) >= MAX_ENDPOINTS:
+                del self.endpoints[next(iter(self.endpoints))]
             known = EndpointHealth(endpoint, incarnation)
             self.endpoints[endpoint] = known
         return known
@@ -145,11 +148,6 @@
             self.ejected.setdefault(service, set()).discard(known.endpoint)
         return changed
 
-    def forget(self, endpoint: str, service: str) -> None:
-        """Drop an endpoint that is gone."""
-        self.endpoints.pop(endpoint, None)
-        self.ejected.get(service, set()).discard(endpoint)
-
 
 LIMITS = {HEALTHY: 1 << 60, SUSPECT: 1, EJECTED: 0, TRIAL: 1}
 NOTES = {
--- a/packages/core/src/knapweedbeam_core/dispatch/service_times.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/service_times.py
@@ -20,6 +20,7 @@
 FIRST_SAMPLES = 8
 MAX_CLASSES = 4_096
 MAX_PAIRS = 65_536
+MAX_ENDPOINTS = 16_384
 OUTLIER = 16.0
 
 
@@ -102,6 +103,8 @@
         actual_ms = max(MIN_RUN_MS, float(run_ms))
         mean = self.speeds.get(endpoint)
         if mean is None:
+            if len(self.speeds) >= MAX_ENDPOINTS:
+                del self.speeds[next(iter(self.speeds))]
             mean = self.speeds[endpoint] = Mean(1.0)
         speed = mean.value
         sample = min(MAX_SPEED, max(MIN_SPEED, actual_ms / base_ms))
@@ -122,7 +125,3 @@
                 del self.pairs[next(iter(self.pairs))]
             mean = self.pairs[key] = Mean(1.0)
         mean.add(ratio, SPEED_GAIN)
-
-    def forget(self, endpoint: str) -> None:
-        """Drop what was learned of an endpoint that is gone."""
-        self.speeds.pop(endpoint, None)
--- a/packages/core/src/knapweedbeam_core/dispatch/sizes.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/sizes.py
@@ -16,7 +16,6 @@
 MAX_CLASSES = 4_096
 MIN_RATIO = 1.0 / 64.0
 MAX_RATIO = 64.0
-TRUSTED_SAMPLES = 4
 
 
 @dataclasses.dataclass(slots=True)
@@ -66,19 +65,27 @@
             int(memory_mib * ratios.memory.value),
         )
 
-    def learn(self, service: str, job_class: str, ratio: SizeSample) -> None:
-        """Take one observation of a class."""
-        ratios = self.get_ratios(service, job_class)
-        ratios.cpu.add(clamp(ratio.cpu), GAIN)
-        ratios.memory.add(clamp(ratio.memory), GAIN)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SizeSample:
-    """Actual over declared, as seen once."""
-
-    cpu: float
-    memory: float
+    def learn_report(self, use: usage.WorkerUse) -> None:
+        """Learn from a report of a worker that runs nothing but tasks from here.
+
+        The tasks must be of one class: together they take what is in use.
+        """
+        report = use.report
+        loads = use.get_at(report.as_of_ms)
+        groups = {load.group for load in loads}
+        if len(groups) != 1:
+            return
+        ratios = self.get_ratios(*groups.pop())
+        cpu_millis = sum(load.need.cpu_millis for load in loads)
+        memory_mib = sum(load.need.memory_mib for load in loads)
+        correct(ratios.cpu, report.cpu_millis_in_use, cpu_millis)
+        correct(ratios.memory, report.memory_mib_in_use, memory_mib)
+
+
+def correct(ratio: service_times.Mean, seen: int, expected: int) -> None:
+    """Move a ratio by what was seen beside what it made one expect."""
+    if seen > 0 and expected > 0:
+        ratio.add(clamp(ratio.value * seen / expected), GAIN)
 
 
 def clamp(ratio: float) -> float:
--- a/packages/core/src/knapweedbeam_core/dispatch/starting.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/starting.py
@@ -80,7 +80,9 @@
         record = endpoint.record
         base_ms = state.times.get_base_ms(job, spec.run_ms)
         expected_ms = base_ms * endpoint.speed
-        load = state.usage.start(record.worker, need, state.clock.wall_ms())
+        group = (job.service, job.job_class)
+        wall_ms = state.clock.wall_ms()
+        load = state.usage.start(record.worker, need, wall_ms, group)
         run.running[index] = job_run.RunningTask(endpoint, now_ms, expected_ms, load)
         fair_queue.charge(line, expected_ms)
         state.budget.earn()
--- a/packages/core/src/knapweedbeam_core/dispatch/state.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/state.py
@@ -18,9 +18,10 @@
     usage,
 )
 from knapweedbeam_core.entry import parts
-from knapweedbeam_core.slots import holder
+from knapweedbeam_core.slots import held, holder
 
 WORKER_LEASE_MS = 10_000
+MAX_WORKERS = 16_384
 
 
 class DueKind(enum.Enum):
@@ -64,12 +65,19 @@
         self.open_jobs = 0
         self.queued_tasks = 0
         self.queued_bytes = 0
+        self.by_worker: dict[str, held.HeldEndpoint] = {}
         self.repeatable_ms: dict[str, int] = {}
         self.stopping = False
         self.ticking = False
         self.placement: placement.Placement
         self.holder: holder.Holder
 
+    def note_worker(self, worker: str, endpoint: held.HeldEndpoint) -> None:
+        """Know which endpoint runs on a worker; the oldest gives way."""
+        if worker not in self.by_worker and len(self.by_worker) >= MAX_WORKERS:
+            del self.by_worker[next(iter(self.by_worker))]
+        self.by_worker[worker] = endpoint
+
     def get_queue(self, service: str) -> fair_queue.FairQueue:
         """Return the queue of a service."""
         queue = self.queues.get(service)
--- a/packages/core/src/knapweedbeam_core/dispatch/usage.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/usage.py
@@ -28,10 +28,14 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Load:
-    """One task on a worker; `ended_ms` is 0 while it runs."""
+    """One task on a worker; `ended_ms` is 0 while it runs.
+
+    `group` is the service and class whose size it shows.
+    """
 
     need: Need
     started_ms: int
+    group: tuple[str, str]
     ended_ms: int = 0
 
 
@@ -122,12 +126,14 @@
         use = self.workers.get(worker)
         return use is None or use.can_ever(need)
 
-    def start(self, worker: str, need: Need, wall_ms: int) -> Load | None:
+    def start(
+        self, worker: str, need: Need, wall_ms: int, group: tuple[str, str]
+    ) -> Load | None:
         """Count a task that starts; none where the worker never reported."""
         use = self.workers.get(worker)
         if use is None:
             return None
-        load = Load(need, wall_ms)
+        load = Load(need, wall_ms, group)
         use.loads.append(load)
         use.add(need, 1)
         if len(use.loads) > 2 * MAX_ENDED:
--- a/packages/core/src/knapweedbeam_core/slots/announcing.py
+++ b/packages/core/src/knapweedbeam_core/slots/announcing.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 
-from knapweedbeam_core import effects
+from knapweedbeam_core import effects, outcomes, reasons
 from knapweedbeam_core.entry import parts
 from knapweedbeam_core.slots import messages
 
@@ -103,3 +103,13 @@
     """Say whether an announcement differs in more than its sequence."""
     same = dataclasses.replace(announcement, sequence=last.announcement.sequence)
     return same != last.announcement
+
+
+def check(record: parts.Announcement) -> outcomes.Refusal | None:
+    """Return why an announcement makes no sense, none when it does."""
+    for name in ("endpoint", "service", "address", "domain"):
+        if not getattr(record, name):
+            return outcomes.Refusal(reasons.Reason.INVALID, f"{name} is empty")
+    if record.slots < 1 or record.connections < 0 or record.sequence < 0:
+        return outcomes.Refusal(reasons.Reason.INVALID, "a count is out of range")
+    return None
--- a/packages/core/src/knapweedbeam_core/slots/exchange.py
+++ b/packages/core/src/knapweedbeam_core/slots/exchange.py
@@ -26,6 +26,8 @@
     moving,
 )
 
+MAX_OWN_ROUNDS = 8
+
 Sends = list[effects.Send]
 GetWants = collections.abc.Callable[[str], dict[str, int]]
 
@@ -72,7 +74,7 @@
         self, record: parts.Announcement
     ) -> tuple[parts.EndpointLease | outcomes.Refusal, Sends]:
         """Take an endpoint's announcement and bring it to its keeper."""
-        refusal = check_announcement(record)
+        refusal = announcing.check(record)
         if refusal is not None:
             return refusal, []
         name = record.endpoint
@@ -135,6 +137,7 @@
         sizes = self.get_sizes(report.worker)
         if not self.usage.take_report(report):
             return False
+        self.holder.watcher.worker_reported(report.worker)
         if sizes != self.get_sizes(report.worker):
             self.keeper.worker_changed()
         return True
@@ -258,6 +261,7 @@
         now_ms = self.clock.now_ms()
         self.keeper.tick()
         self.holder.tick()
+        self.end_old_links()
         for gone in self.roster.find_silent(now_ms):
             self.directory.drop(gone)
         sends = self.moving.tick(now_ms)
@@ -268,6 +272,14 @@
             sends += self.beat(contact, now_ms)
         return [*sends, *self.announcing.take_late(now_ms)]
 
+    def end_old_links(self) -> None:
+        """Forget what ended runs of keepers granted, once it has lapsed."""
+        for keeper_id, link in list(self.holder.links.items()):
+            if not link.lease.lapsed or keeper_id == self.me:
+                continue
+            if self.roster.contacts[keeper_id.name].known != keeper_id:
+                self.holder.end_link(link)
+
     def beat(self, contact: roster.Contact, now_ms: int) -> Sends:
         """Return a heartbeat and all that rides with it."""
         name = contact.peer.name
@@ -376,16 +388,3 @@
             effects.Send(contact.peer.name, roster_messages.Stopping())
             for contact in self.roster.contacts.values()
         ]
-
-
-MAX_OWN_ROUNDS = 8
-
-
-def check_announcement(record: parts.Announcement) -> outcomes.Refusal | None:
-    """Return why an announcement makes no sense, none when it does."""
-    for name in ("endpoint", "service", "address", "domain"):
-        if not getattr(record, name):
-            return outcomes.Refusal(reasons.Reason.INVALID, f"{name} is empty")
-    if record.slots < 1 or record.connections < 0 or record.sequence < 0:
-        return outcomes.Refusal(reasons.Reason.INVALID, "a count is out of range")
-    return None
--- a/packages/core/src/knapweedbeam_core/slots/holder.py
+++ b/packages/core/src/knapweedbeam_core/slots/holder.py
@@ -40,6 +40,9 @@
     def granted(self, endpoint: held.HeldEndpoint, grant: messages.Grant) -> None:
         """Take what a keeper says of an endpoint's health and speed."""
 
+    def worker_reported(self, worker: str) -> None:
+        """Act on a newer usage report of a worker."""
+
 
 class Holder:
     """Takes grants, gives slots back and stops when leases end."""
--- a/packages/core/tests/dispatch/test_dispatcher.py
+++ b/packages/core/tests/dispatch/test_dispatcher.py
@@ -210,6 +210,29 @@
         alone.advance(60)
         self.assertEqual(len(alone.started), 2)
 
+    def test_declared_sizes_are_corrected_both_ways(self) -> None:
+        for seen_mib, fits in ((400, True), (40_000, False)):
+            alone = Alone(endpoints=1)
+            alone.clock.advance(100)
+            wall_ms = alone.clock.wall_ms()
+            report = parts.UsageReport("w-e0", wall_ms, 64_000, 0, 64_000, 0)
+            alone.carry(alone.dispatcher.report_usage(report))
+            alone.advance(40)
+            alone.submit("t", 4, size={"memory_mib": 1_000})
+            for _ in range(30):
+                alone.advance(100)
+                alone.announce("e0", sequence=alone.clock.now_ms())
+                wall_ms = alone.clock.wall_ms()
+                use = (64_000, 0, 64_000, seen_mib)
+                report = parts.UsageReport("w-e0", wall_ms, *use)
+                alone.carry(alone.dispatcher.report_usage(report))
+            for start in alone.started:
+                alone.end(start, GOOD)
+            alone.advance(40)
+            alone.submit("u", size={"memory_mib": 6_500})
+            never = outcomes.NotRun(reasons.Reason.NEVER_FITS)
+            self.assertEqual(alone.ended.get("u"), None if fits else never)
+
     def test_late_job_is_refused_at_once(self) -> None:
         alone = Alone(endpoints=1, slots=2)
         for number in range(12):
