Let all entry VMs get in sync on a first start, and test real processes

Cause: own keys never opened on real processes. The first entry VM to conclude that nobody was in sync got in sync at once; the others then saw one in sync, could not conclude the same, and one was too few to learn from. Change: everybody concludes first and says so; nobody acts before all have, and once one is in sync those who concluded need only that the rest is no quorum.

--- a/bench/scenarios/overhead.py
+++ b/bench/scenarios/overhead.py
@@ -176,7 +176,11 @@
     if forward:
         entry = load.pick_other(entry)
     task = {"payload": {"work_ms": WORK_MS, "echo": 1}}
-    body = {"service": SHAPE.service, "class": "overhead", "tasks": [task] * tasks}
+    body = {
+        "service": running.plan.services[0].name,
+        "class": "overhead",
+        "tasks": [task] * tasks,
+    }
     path = f"/v1/jobs/{ticket}?wait_ms={client.WAIT_MS}"
     answer = load.callers[entry].call(
         "PUT", path, msgspec.json.encode(body), member.token
--- /dev/null
+++ b/bench/scenarios/slopes.py
@@ -0,0 +1,154 @@
+"""What a process costs as the system grows: the slopes behind docs/CAPACITY.md."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import pathlib
+
+import gevent
+
+from bench import client, cluster, deployment, files, measure, progress, stage
+from bench.scenarios import bundles, model, overhead
+
+IDLE_S = 8.0
+MIB = 2**20
+JOB_SIZES = (1, 20, 100, 450)
+TASKS_PER_SIZE = 4_500
+SMALL_TASKS = 900
+OPEN_TASKS = 400
+MAX_OPEN_JOBS = 32
+CHANGES = 40
+DOMAINS = ("alajuela", "heredia", "cartago")
+BASE = deployment.Shape(
+    name="slopes",
+    domains=DOMAINS[:1],
+    vms=3,
+    endpoints=24,
+    members=("distributor-00", "distributor-01"),
+    service="despacho",
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Point:
+    """One deployment at which idle cost is measured."""
+
+    label: str
+    shape: deployment.Shape
+
+
+def build_points() -> tuple[Point, ...]:
+    """Return the deployments, each differing from the base in one size."""
+    members = tuple(f"distributor-{number:02d}" for number in range(58))
+    shapes = {
+        "base": BASE,
+        "endpoints_96": dataclasses.replace(BASE, endpoints=96),
+        "endpoints_240": dataclasses.replace(BASE, endpoints=240),
+        "members_58": dataclasses.replace(BASE, members=members),
+        "vms_6": dataclasses.replace(BASE, vms=6),
+        "vms_12": dataclasses.replace(BASE, vms=12),
+        "domains_3_vms_9": dataclasses.replace(BASE, domains=DOMAINS, vms=9),
+        "domains_3_vms_18": dataclasses.replace(BASE, domains=DOMAINS, vms=18),
+    }
+    return tuple(Point(label, shape) for label, shape in shapes.items())
+
+
+def measure_idle(running: stage.Stage) -> model.Figures:
+    """Return mean and worst idle cost of the entry VMs."""
+    names = [vm.name for vm in running.plan.vms]
+    cpu = {name: use.cpu_s for name, use in running.get_usage().items()}
+    sent = bundles.get_sent(running.cluster)
+    frames = running.get_traffic().frames
+    gevent.sleep(IDLE_S)
+    usage = running.get_usage()
+    now = bundles.get_sent(running.cluster)
+    cpu_percent = [100 * (usage[name].cpu_s - cpu[name]) / IDLE_S for name in names]
+    bytes_per_s = [(now[name] - sent[name]) / IDLE_S for name in names]
+    frames_per_s = (running.get_traffic().frames - frames) / IDLE_S / len(names)
+    return {
+        "idle_core_percent_mean": measure.mean(cpu_percent),
+        "idle_core_percent_worst": max(cpu_percent),
+        "idle_bytes_per_s_mean": measure.mean(bytes_per_s),
+        "idle_bytes_per_s_worst": max(bytes_per_s),
+        "idle_frames_per_s_mean": frames_per_s,
+        "memory_mib_worst": max(usage[name].memory_bytes for name in names) / MIB,
+    }
+
+
+def measure_changes(running: stage.Stage) -> model.Figures:
+    """Return what one bundle change costs a process, and sends."""
+    roller = bundles.Roller(running.cluster)
+    names = [vm.name for vm in running.plan.vms]
+    cpu = {name: use.cpu_s for name, use in running.get_usage().items()}
+    sent = bundles.get_sent(running.cluster)
+    roller.roll_many(1 + CHANGES)
+    roller.wait_until_spread(bundles.PROPOSAL_TIMEOUT_S)
+    usage = running.get_usage()
+    now = bundles.get_sent(running.cluster)
+    return {
+        "change_cpu_ms_worst": max(
+            1_000 * (usage[name].cpu_s - cpu[name]) / CHANGES for name in names
+        ),
+        "change_bytes_worst": max((now[name] - sent[name]) / CHANGES for name in names),
+    }
+
+
+def measure_job_sizes(running: stage.Stage) -> model.Figures:
+    """Return processor time and messages a task for jobs of several sizes."""
+    figures: model.Figures = {}
+    for size in JOB_SIZES:
+        tasks = SMALL_TASKS if size == 1 else TASKS_PER_SIZE
+        at_once = max(1, min(MAX_OPEN_JOBS, OPEN_TASKS // size))
+        cost = overhead.measure_jobs(
+            running, tasks // size, size, at_once, forward=False
+        )
+        figures[f"task_cpu_ms_jobs_{size}"] = cost.cpu_ms
+        figures[f"messages_per_task_jobs_{size}"] = cost.messages
+    return figures
+
+
+def play(
+    point: Point,
+    root: pathlib.Path,
+    steps: collections.abc.Sequence[
+        collections.abc.Callable[[stage.Stage], model.Figures]
+    ],
+) -> model.Figures:
+    """Start one deployment and return its figures by label."""
+    progress.say(point.label)
+    root.mkdir(parents=True)
+    block = cluster.reserve_block()
+    try:
+        plan = deployment.build_deployment(point.shape, block.number)
+        own = client.ClientOptions(point.shape.service)
+        server = files.ServerOptions(keep_history=False)
+        figures: model.Figures = {}
+        with stage.Stage(plan, root, server, own) as running:
+            for step in steps:
+                figures |= step(running)
+    finally:
+        block.release()
+    return {f"{point.label}_{key}": round(v, 4) for key, v in figures.items()}
+
+
+class Slopes:
+    """Measures each size apart from the others."""
+
+    name = "slopes"
+    summary = "Idle cost, cost a task and cost a change as each size grows."
+
+    def run(self, options: model.Options, root: pathlib.Path) -> model.Outcome:
+        """Measure every point."""
+        figures: model.Figures = {}
+        for point in build_points():
+            steps = [measure_idle]
+            if point.label == "base":
+                steps += [measure_job_sizes, measure_changes]
+            if point.label in ("members_58", "domains_3_vms_9"):
+                steps.append(measure_changes)
+            figures |= play(point, root / point.label, steps)
+        return model.Outcome(figures, {})
+
+
+SCENARIO = Slopes()
--- /dev/null
+++ b/bench/tests/test_processes.py
@@ -0,0 +1,158 @@
+"""Failures of real processes, judged by the endpoints' own records."""
+
+from __future__ import annotations
+
+import collections
+import json
+import pathlib
+import signal
+import tempfile
+import typing
+import unittest
+
+import gevent
+
+from bench import calls, cluster, deployment
+from bench.check import reader, report
+from bench.scenarios import bundles
+from knapweedbeam_server import history
+
+WAIT_S = 30.0
+TASK_MS = 3_000
+SHAPE = deployment.Shape(
+    name="processes",
+    domains=("alajuela",),
+    vms=3,
+    endpoints=3,
+    members=("depots", "bars"),
+    service="despacho",
+)
+
+
+class ProcessesTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.root = pathlib.Path(folder.name)
+        block = cluster.reserve_block()
+        self.addCleanup(block.release)
+        self.plan = deployment.build_deployment(SHAPE, block.number)
+        self.running = cluster.Cluster(self.plan, self.root)
+        self.addCleanup(self.running.stop_all)
+        self.running.start()
+
+    def call(
+        self, vm: int, method: str, path: str, body: typing.Any, key: str = ""
+    ) -> tuple[int, dict[str, typing.Any]]:
+        """Call one entry VM as the first member, until it takes work at all."""
+        address = self.plan.vms[vm].callers
+        token = self.plan.members[0].token
+        if key:
+            token += f"\r\nIdempotency-Key: {key}"
+        caller = calls.Caller(address, token, WAIT_S, connections=1)
+        answer = caller.call(method, path, json.dumps(body).encode())
+        caller.close()
+        if isinstance(answer, calls.Lost):
+            return 0, {}
+        return answer.status, answer.get_json()
+
+    def build_job(self, work_ms: int, tasks: int = 2) -> dict[str, typing.Any]:
+        payload = {"work_ms": work_ms, "echo": 1}
+        return {
+            "service": SHAPE.service,
+            "tasks": [{"payload": payload}] * tasks,
+            "deadline_ms": 25_000,
+        }
+
+    def warm_up(self) -> None:
+        """Wait until a job runs and own keys are open."""
+        with gevent.Timeout(WAIT_S):
+            for number in range(1_000):
+                body = self.build_job(1)
+                status, _ = self.call(0, "POST", "/v1/jobs", body, f"warm-{number}")
+                if status == 200:
+                    return
+                gevent.sleep(0.1)
+
+    def mint(self, vm: int) -> str:
+        _, content = self.call(vm, "POST", "/v1/tickets", {"count": 1})
+        return str(content["tickets"][0])
+
+    def end(self) -> reader.History:
+        """Stop everything and check all promises."""
+        self.running.stop_all()
+        merged = reader.read_history(self.root / "histories")
+        checked = report.check_history(merged)
+        self.assertEqual([breach.describe() for breach in checked.found], [])
+        return merged
+
+    def count_starts(self, merged: reader.History, ticket: str) -> dict[int, int]:
+        starts = merged.get(history.Started, history.Role.ENDPOINT)
+        own = [start.event.index for start in starts if start.event.ticket == ticket]
+        return dict(collections.Counter(own))
+
+    def test_one_key_at_three_entry_vms_starts_one_job(self) -> None:
+        self.warm_up()
+        body = self.build_job(50)
+        posts = [
+            gevent.spawn(self.call, vm, "POST", "/v1/jobs", body, "batch-7")
+            for vm in range(3)
+        ]
+        gevent.joinall(posts, timeout=WAIT_S)
+        answers = [post.value for post in posts]
+        self.assertEqual([status for status, _ in answers], [200] * 3)
+        tickets = {content["ticket"] for _, content in answers}
+        self.assertEqual(len(tickets), 1)
+        merged = self.end()
+        self.assertEqual(self.count_starts(merged, tickets.pop()), {0: 1, 1: 1})
+
+    def test_killed_owner_is_answered_by_its_witness(self) -> None:
+        self.warm_up()
+        ticket = self.mint(0)
+        body = self.build_job(TASK_MS)
+        path = f"/v1/jobs/{ticket}?wait_ms=25000"
+        first = gevent.spawn(self.call, 0, "PUT", path, body)
+        gevent.sleep(1.0)
+        self.running.kill(self.plan.vms[0].name)
+        again = [gevent.spawn(self.call, vm, "PUT", path, body) for vm in (1, 2)]
+        gevent.joinall([first, *again], timeout=WAIT_S)
+        for post in again:
+            status, content = post.value
+            self.assertIn(status, (502, 504), content)
+            self.assertTrue(content["may_have_run"])
+        merged = self.end()
+        counts = self.count_starts(merged, ticket)
+        self.assertTrue(set(counts.values()) <= {1}, counts)
+
+    def test_stop_answers_what_began_and_a_second_signal_ends_it(self) -> None:
+        self.warm_up()
+        name = self.plan.vms[1].name
+        ticket = self.mint(1)
+        path = f"/v1/jobs/{ticket}?wait_ms=25000"
+        running = gevent.spawn(self.call, 1, "PUT", path, self.build_job(TASK_MS))
+        gevent.sleep(1.0)
+        self.assertEqual(self.running.stop(name), 0)
+        self.assertEqual(running.get(timeout=WAIT_S)[0], 200)
+        self.end()
+
+    def test_second_signal_cuts_and_says_so(self) -> None:
+        self.warm_up()
+        ticket = self.mint(2)
+        path = f"/v1/jobs/{ticket}?wait_ms=25000"
+        cut = gevent.spawn(self.call, 2, "PUT", path, self.build_job(TASK_MS * 4))
+        gevent.sleep(1.0)
+        child = self.running.entries.pop(self.plan.vms[2].name)
+        child.send(signal.SIGTERM)
+        gevent.sleep(0.5)
+        child.send(signal.SIGTERM)
+        self.assertEqual(child.wait(WAIT_S), 1)
+        cut.join(timeout=WAIT_S)
+        self.assertIn("requests cut", child.get_log_tail())
+
+    def test_two_operators_with_one_version(self) -> None:
+        roller = bundles.Roller(self.running)
+        for _ in range(5):
+            bundles.race(roller)
+        bundles.kill_leader(roller)
+        roller.wait_until_spread(WAIT_S)
+        self.end()
--- a/packages/core/src/knapweedbeam_core/tickets/key_messages.py
+++ b/packages/core/src/knapweedbeam_core/tickets/key_messages.py
@@ -104,6 +104,7 @@
     turn: int
     synced: bool
     notes: tuple[OpenedRanges, ...]
+    concluded: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/knapweedbeam_core/tickets/opening.py
+++ b/packages/core/src/knapweedbeam_core/tickets/opening.py
@@ -23,6 +23,7 @@
     process: ids.ProcessId
     turn: int
     synced: bool
+    concluded: bool
 
 
 class Opening:
@@ -36,6 +37,7 @@
         self.told: dict[str, Told] = {}
         self.unsynced: dict[str, Told] = {}
         self.synced = not self.others
+        self.concluded = False
 
     def get_quorum(self) -> int:
         """Return how many processes must know of an opening, the opener too."""
@@ -67,7 +69,7 @@
             for domain, indexes in self.notes.items()
         )
         told = key_messages.NotesTold(
-            sender.incarnation, message.turn, self.synced, notes
+            sender.incarnation, message.turn, self.synced, notes, self.concluded
         )
         return [effects.Send(sender.name, told)]
 
@@ -79,11 +81,12 @@
             return []
         for noted in message.notes:
             self.add(noted.domain, noted.ranges)
-        told = Told(sender, message.turn, message.synced)
+        told = Told(sender, message.turn, message.synced, message.concluded)
         last = self.told.get(sender.name)
         if last is None or last.turn <= told.turn:
             self.told[sender.name] = told
-        self.synced = self.synced or self.knows_all() or self.is_first_start()
+        self.concluded = self.concluded or self.is_first_start()
+        self.synced = self.synced or self.knows_all() or self.may_start()
         return []
 
     def knows_all(self) -> bool:
@@ -92,6 +95,27 @@
         synced = sum(told.synced for told in self.told.values())
         return synced > total - self.get_quorum()
 
+    def may_start(self) -> bool:
+        """Say whether the conclusion that this is a first start may be acted on.
+
+        Nobody does before all have concluded the same: whoever saw one in sync
+        too early could never conclude it. Once somebody is in sync, it is enough
+        that those who are not heard of, or run anew, are no quorum alone.
+        """
+        if not self.concluded:
+            return False
+        if all(told.synced or told.concluded for told in self.told.values()):
+            return True
+        if not any(told.synced for told in self.told.values()):
+            return False
+        runs = {name: told.process for name, told in self.unsynced.items()}
+        missing = [
+            name
+            for name, told in self.told.items()
+            if not told.synced and told.process != runs.get(name)
+        ]
+        return len(missing) < self.get_quorum()
+
     def is_first_start(self) -> bool:
         """Say whether all were out of sync at one moment.
 
@@ -121,9 +145,9 @@
         self, sender: ids.ProcessId, message: key_messages.NoteOpened
     ) -> parts.Effects:
         """Note an opening; only a process in sync may count for the quorum."""
+        self.add(message.domain, message.ranges)
         if not self.synced:
             return []
-        self.add(message.domain, message.ranges)
         noted = key_messages.OpenedNoted(sender.incarnation, message.ranges)
         return [effects.Send(sender.name, noted)]
 
--- a/packages/wire/src/knapweedbeam_wire/schema/tickets.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/tickets.capnp
@@ -177,6 +177,7 @@
   turn @1 :Int64;
   synced @2 :Bool;
   notes @3 :List(OpenedRanges);
+  concluded @4 :Bool;
 }
 
 struct NoteOpened {
