Send replies without delay, and take signals before the ports open

Cause: head and body of a reply are two writes, so kept connections waited for the client's delayed acknowledgement of some 40 ms. A signal before the handlers were set ended a process at once. An operator's histograms stalled the loop for all members in one go.

--- a/packages/server/src/knapweedbeam_server/http/records.py
+++ b/packages/server/src/knapweedbeam_server/http/records.py
@@ -4,6 +4,7 @@
 
 import typing
 
+import gevent
 import msgspec
 
 from knapweedbeam_core.dispatch import listing
@@ -87,9 +88,12 @@
         return replies.build_reply(replies.OK, HistogramsContent(series))
 
     def get_all(self, request: router.Request) -> replies.Reply:
-        """Answer with the histograms of all members."""
-        series = self.service.histograms.get_all()
-        return replies.build_reply(replies.OK, HistogramsContent(series))
+        """Answer with the histograms of all members, one in each turn of the loop."""
+        series: list[histograms.Series] = []
+        for member in self.service.get_members():
+            series += self.service.histograms.get_member(member)
+            gevent.sleep(0)
+        return replies.build_reply(replies.OK, HistogramsContent(tuple(series)))
 
     def get_own_limits(self, request: router.Request) -> replies.Reply:
         """Answer with the caller's own limits."""
--- a/packages/server/src/knapweedbeam_server/http/serving.py
+++ b/packages/server/src/knapweedbeam_server/http/serving.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import socket
 import typing
 
 import gevent
@@ -32,7 +33,12 @@
     max_header_bytes: typing.ClassVar[int] = 16_384
 
     def handle(self) -> None:
-        """Serve one connection."""
+        """Serve one connection.
+
+        Head and body of a reply are two writes: without `TCP_NODELAY` the second
+        one waits for the client's delayed acknowledgement, some 40 ms.
+        """
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.socket.settimeout(IDLE_TIMEOUT_S)
         super().handle()
 
--- a/packages/server/src/knapweedbeam_server/process.py
+++ b/packages/server/src/knapweedbeam_server/process.py
@@ -50,10 +50,10 @@
 
     def run(self) -> ExitStatus:
         """Serve until a stop, and return how it ended."""
-        if not self.listen():
-            return ExitStatus.LISTEN_FAILED
         gevent.signal_handler(signal.SIGTERM, self.on_signal)
         gevent.signal_handler(signal.SIGINT, self.on_signal)
+        if not self.listen():
+            return ExitStatus.LISTEN_FAILED
         gevent.spawn(self.shell.run_ticks)
         gevent.spawn(self.shell.flush_records)
         own = self.settings.process
