Kill and stop once the tasks run, not after a second

Cause: on the fastest endpoint a task of 3 s of work ends after 0.75 s, so the job was complete before its owner was killed. The test now waits until the owner has posted both tasks, which take 1.5 s at the least. Its checks are unchanged. Tried and left out: freezing the garbage collector and collecting after 50,000 allocations.

--- a/bench/tests/test_processes.py
+++ b/bench/tests/test_processes.py
@@ -18,7 +18,7 @@
 from knapweedbeam_server import history
 
 WAIT_S = 30.0
-TASK_MS = 3_000
+TASK_MS = 6_000
 SHAPE = deployment.Shape(
     name="processes",
     domains=("alajuela",),
@@ -74,6 +74,15 @@
                     return
                 gevent.sleep(0.1)
 
+    def wait_until_running(self, vm: int, tasks: int = 2) -> None:
+        """Wait until an entry VM has posted the tasks of its job."""
+        with gevent.Timeout(WAIT_S):
+            while True:
+                status = self.running.get_status(self.plan.vms[vm])
+                if status.get("running_tasks") == tasks:
+                    return
+                gevent.sleep(0.02)
+
     def mint(self, vm: int) -> str:
         _, content = self.call(vm, "POST", "/v1/tickets", {"count": 1})
         return str(content["tickets"][0])
@@ -112,7 +121,7 @@
         body = self.build_job(TASK_MS)
         path = f"/v1/jobs/{ticket}?wait_ms=25000"
         first = gevent.spawn(self.call, 0, "PUT", path, body)
-        gevent.sleep(1.0)
+        self.wait_until_running(0)
         self.running.kill(self.plan.vms[0].name)
         again = [gevent.spawn(self.call, vm, "PUT", path, body) for vm in (1, 2)]
         gevent.joinall([first, *again], timeout=WAIT_S)
@@ -130,7 +139,7 @@
         ticket = self.mint(1)
         path = f"/v1/jobs/{ticket}?wait_ms=25000"
         running = gevent.spawn(self.call, 1, "PUT", path, self.build_job(TASK_MS))
-        gevent.sleep(1.0)
+        self.wait_until_running(1)
         self.assertEqual(self.running.stop(name), 0)
         self.assertEqual(running.get(timeout=WAIT_S)[0], 200)
         self.end()
@@ -140,7 +149,7 @@
         ticket = self.mint(2)
         path = f"/v1/jobs/{ticket}?wait_ms=25000"
         cut = gevent.spawn(self.call, 2, "PUT", path, self.build_job(TASK_MS * 4))
-        gevent.sleep(1.0)
+        self.wait_until_running(2)
         child = self.running.entries.pop(self.plan.vms[2].name)
         child.send(signal.SIGTERM)
         gevent.sleep(0.5)
