Take a job right after the first endpoint's announcement

Cause: an announcement was acknowledged, but counted as capacity only at the next tick; a job in between was refused with no_endpoint. Change: the keeper tells the capacity at once.

--- a/packages/core/src/knapweedbeam_core/slots/exchange.py
+++ b/packages/core/src/knapweedbeam_core/slots/exchange.py
@@ -91,7 +91,7 @@
             now_ms = self.clock.now_ms()
             return self.get_lease(), self.announcing.forward(chosen, record, now_ms)
         refusal = self.keep(record, 0)
-        return refusal or self.get_lease(), []
+        return refusal or self.get_lease(), self.tell_capacity()
 
     def choose_keeper(self, record: parts.Announcement) -> str:
         """Return the name of an endpoint's keeper, empty when none is live."""
--- /dev/null
+++ b/packages/core/tests/dispatch/test_first_job.py
@@ -0,0 +1,31 @@
+from __future__ import annotations
+
+import random
+import unittest
+
+from knapweedbeam_core import clock, effects, ids, jobs
+from knapweedbeam_core.dispatch import dispatcher
+from knapweedbeam_core.entry import parts
+
+
+class FirstJobTest(unittest.TestCase):
+    def test_job_right_after_the_first_announcement_is_taken(self) -> None:
+        """It was refused with `NO_ENDPOINT` until the next tick."""
+        own = dispatcher.Dispatcher(
+            ids.ProcessId("a1", 1),
+            "alajuela",
+            (),
+            parts.UnlimitedGate(),
+            clock.ManualClock(1_000, 1_000),
+            random.Random(1),
+        )
+        announcement = parts.Announcement(
+            "e1", "despacho", "http://127.0.0.1:9", "alajuela", "w1", 1, 1, 8, 64
+        )
+        lease, _ = own.announce(announcement)
+        self.assertIsInstance(lease, parts.EndpointLease)
+        job = jobs.Job("t1", "depots", "despacho", "", 9_000, (jobs.TaskSpec(b"1"),))
+        found = own.enqueue(job)
+        self.assertEqual(
+            [type(effect) for effect in found if type(effect) is effects.JobEnded], []
+        )
