Share rendezvous hashing, and what a leader notes of each reply

The same hash stood at keepers and at registrars, the same five lines at both kinds of reply to a leader.

--- a/packages/core/src/knapweedbeam_core/log/leading.py
+++ b/packages/core/src/knapweedbeam_core/log/leading.py
@@ -134,15 +134,23 @@
         )
         return effects.Send(progress.replica.name, chunk)
 
+    def hear(
+        self, reply: messages.AppendReply | messages.SnapshotReply
+    ) -> Progress | None:
+        """Note that a replica answered; none when it is no member any more."""
+        progress = self.progress.get(reply.sender)
+        if progress is not None:
+            progress.acked_ms = max(progress.acked_ms, reply.sent_ms)
+            progress.busy_until_ms = 0
+        return progress
+
     def take_append_reply(
         self, reply: messages.AppendReply, now_ms: int
     ) -> list[effects.Send]:
         """Note how far a replica is; send more where it lacks some."""
-        if reply.sender not in self.progress:
+        progress = self.hear(reply)
+        if progress is None:
             return []
-        progress = self.progress[reply.sender]
-        progress.acked_ms = max(progress.acked_ms, reply.sent_ms)
-        progress.busy_until_ms = 0
         if reply.accepted:
             progress.match = max(progress.match, reply.match)
             progress.next_index = progress.match + 1
@@ -157,11 +165,9 @@
         self, reply: messages.SnapshotReply, now_ms: int
     ) -> list[effects.Send]:
         """Send the next part, or the entries after the snapshot."""
-        if reply.sender not in self.progress:
+        progress = self.hear(reply)
+        if progress is None:
             return []
-        progress = self.progress[reply.sender]
-        progress.acked_ms = max(progress.acked_ms, reply.sent_ms)
-        progress.busy_until_ms = 0
         if reply.done:
             progress.match = max(progress.match, reply.index)
             progress.next_index = progress.match + 1
--- a/packages/core/src/knapweedbeam_core/tickets/roster.py
+++ b/packages/core/src/knapweedbeam_core/tickets/roster.py
@@ -10,6 +10,7 @@
 import xxhash
 
 from knapweedbeam_core.entry import parts
+from knapweedbeam_core.membership import rendezvous
 
 RANGES = 32
 DIGEST_BYTES = 16
@@ -38,9 +39,7 @@
 
 def rank(key: str, names: collections.abc.Iterable[str]) -> list[str]:
     """Return names by rendezvous hashing, the greatest weight first."""
-    weights = {
-        name: xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode()) for name in names
-    }
+    weights = {name: rendezvous.get_weight(key, name) for name in names}
     return sorted(weights, key=lambda name: (weights[name], name), reverse=True)
 
 
