--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,10 @@
 SCENARIO ?= steady
 SECONDS ?= 60
 SEED ?= 1
+OWN = --no-emit-index-url $(foreach name,core wire server ctl platform,--no-emit-package knapweedbeam-$(name))
 STAMP = $(VENV)/.installed
-PACKAGES = packages/core packages/wire packages/server packages/ctl
-SOURCES = packages bench tools
+PACKAGES = packages/core packages/wire packages/server packages/ctl platform
+SOURCES = packages platform bench tools
 
 .PHONY: setup demo test check format types bench soak lock
 
@@ -44,6 +45,6 @@
 
 lock: setup
 	$(BIN)/uv pip compile --quiet --universal --generate-hashes --no-header --no-annotate \
-	  --no-emit-index-url --no-emit-package knapweedbeam-core --no-emit-package knapweedbeam-wire \
-	  --no-emit-package knapweedbeam-server --no-emit-package knapweedbeam-ctl \
-	  --group dev --group build pyproject.toml -o requirements.lock
+	  $(OWN) --group dev --group build pyproject.toml -o requirements.lock
+	$(BIN)/uv pip compile --quiet --universal --no-header --no-annotate \
+	  $(OWN) pyproject.toml -o deploy/requirements.txt
--- a/packages/core/src/knapweedbeam_core/control/control.py
+++ b/packages/core/src/knapweedbeam_core/control/control.py
@@ -246,7 +246,9 @@
         if self.decider is not None and current.version >= self.ledger.version:
             self.decider.obey(current.bundle)
         if self.replica is not None:
-            self.replica.targets = current.bundle.control_vms or self.founders
+            self.replica.targets = frozenset(
+                current.bundle.control_vms or self.founders
+            )
         self.sharing.obey(current.bundle)
         compiled = compile.compile_rules(current.bundle, current.digest)
         return [parts.RulesInForce(compiled)]
--- a/packages/core/src/knapweedbeam_core/log/founding.py
+++ b/packages/core/src/knapweedbeam_core/log/founding.py
@@ -19,6 +19,7 @@
     ) -> None:
         self.me = me
         self.founders = founders
+        self.contacts = frozenset(founders)
         self.clock = timer
         self.hellos: dict[str, tuple[messages.ReplicaHello, int]] = {}
         self.due_ms = timer.now_ms()
@@ -41,13 +42,13 @@
         ]
 
     def say_hello(self, is_founded: bool) -> list[effects.Send]:
-        """Tell the control VMs of the settings that this replica is there."""
+        """Tell the control VMs that are known that this replica is there."""
         now_ms = self.clock.now_ms()
         if now_ms < self.due_ms:
             return []
         self.due_ms = now_ms + (HELLO_MS if is_founded else FIRST_HELLO_MS)
         hello = messages.ReplicaHello(self.me, is_founded)
-        others = [name for name in self.founders if name != self.me.name]
+        others = sorted(self.contacts - {self.me.name})
         return [effects.Send(name, hello) for name in others]
 
     def find_group(self) -> members.Members | None:
--- a/packages/core/src/knapweedbeam_core/log/replica.py
+++ b/packages/core/src/knapweedbeam_core/log/replica.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import random
 
 import msgspec
@@ -37,7 +38,7 @@
         volatile: bool = False,
     ) -> None:
         self.me = me
-        self.targets = founders
+        self.targets: collections.abc.Set[str] = frozenset(founders)
         self.machine = machine
         self.clock = timer
         self.journal = journal.Journal(restored, volatile)
@@ -70,6 +71,11 @@
         """Say whether this leader applied everything of earlier terms."""
         return self.leading is not None and self.applied >= self.leading.first_index
 
+    def set_targets(self, names: collections.abc.Set[str]) -> None:
+        """Take the names of the control VMs that are to share the log."""
+        self.targets = names
+        self.founding.contacts = frozenset(names)
+
     def move(self, event: str) -> None:
         """Take an event of the chart."""
         self.role = roles.Role(roles.CHART.advance(self.role, event))
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/manifests/__init__.py
@@ -0,0 +1,1 @@
+"""Versioned manifests: the queues and services of a deployment."""
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -0,0 +1,409 @@
+"""The decisions of a dispatcher: events in, orders and messages out.
+
+Best-effort jobs only live here, in memory. A job ends in one message to the entry
+VM that holds it open.
+"""
+
+from __future__ import annotations
+
+import collections
+
+from knapweedbeam_core import clock, effects, reasons
+from knapweedbeam_core.pool import (
+    calls,
+    endpoints,
+    jobs,
+    messages,
+    notes,
+    placing,
+    queueing,
+    room,
+    settling,
+)
+
+Effect = effects.Send | calls.Order | notes.Note
+Effects = list[Effect]
+
+# How long an ended job is remembered, so that a late copy starts nothing anew.
+REMEMBER_MS = 15_000
+REMEMBER_JOBS = 50_000
+# A job that went on to this dispatcher from another one may still run where this
+# one cannot see; by then the other one has stopped it or its lease has run out.
+TAKEOVER_MS = 1_500
+# Jobs of an entry VM that fell silent run on for this long, in case their callers
+# come back through another one.
+ORPHAN_MS = 2_500
+
+
+class Dispatcher:
+    """Places the jobs of all entry VMs on the endpoints that it holds."""
+
+    def __init__(self, name: str, bounds: settling.Bounds, timer: clock.Clock) -> None:
+        self.name = name
+        self.bounds = bounds
+        self.clock = timer
+        self.fence = 0
+        self.endpoints: dict[str, endpoints.Endpoint] = {}
+        self.jobs: dict[str, jobs.Job] = {}
+        self.ended: collections.OrderedDict[str, Remembered] = collections.OrderedDict()
+        self.settler = settling.Settler(self)
+        self.taken_ms = 0
+
+    # Office.
+
+    def set_fence(self, fence: int) -> Effects:
+        """Begin to dispatch under a fencing token, or leave the office with 0."""
+        if fence == self.fence:
+            return []
+        self.fence = fence
+        self.taken_ms = self.clock.now_ms()
+        self.jobs.clear()
+        self.ended.clear()
+        for name, known in list(self.endpoints.items()):
+            fresh = endpoints.Endpoint(known.said, known.heard_ms)
+            fresh.is_polled = known.is_polled
+            fresh.speed = known.speed
+            fresh.health = known.health
+            self.endpoints[name] = fresh
+        produced: Effects = [notes.Office(fence, len(self.endpoints))]
+        for known in self.endpoints.values():
+            produced += self.poll(known)
+        return produced
+
+    def poll(self, endpoint: endpoints.Endpoint) -> Effects:
+        """Keep a hold open at an endpoint, if there is none yet."""
+        if not self.fence or endpoint.is_polled:
+            return []
+        endpoint.is_polled = True
+        return [calls.BeginHolding(endpoint.said.endpoint)]
+
+    # Endpoints.
+
+    def on_endpoint_news(self, said: messages.EndpointNews) -> Effects:
+        """Take an endpoint's word about itself."""
+        now_ms = self.clock.now_ms()
+        known = self.endpoints.get(said.endpoint)
+        if known is not None and said.born_ms < known.said.born_ms:
+            return []
+        if known is not None and said.born_ms == known.said.born_ms:
+            before = known.said.state
+            if known.renew(said, now_ms - said.age_ms) and before != said.state:
+                return [notes.EndpointChanged(said.endpoint, str(said.state))]
+            return self.poll(known)
+        produced: Effects = []
+        if known is not None:
+            produced += self.lose_endpoint(known, "reborn")
+        fresh = endpoints.Endpoint(said, now_ms - said.age_ms)
+        if known is not None:
+            fresh.is_polled = known.is_polled
+        self.endpoints[said.endpoint] = fresh
+        produced.append(notes.EndpointChanged(said.endpoint, "found"))
+        return produced + self.poll(fresh)
+
+    def on_gone(self, gone: messages.EndpointGone) -> Effects:
+        """Take an endpoint's farewell."""
+        known = self.endpoints.get(gone.endpoint)
+        if known is None or known.said.born_ms > gone.born_ms > 0:
+            return []
+        return self.drop_endpoint(known, "left")
+
+    def drop_endpoint(self, endpoint: endpoints.Endpoint, why: str) -> Effects:
+        """Forget an endpoint for good."""
+        self.endpoints.pop(endpoint.said.endpoint, None)
+        return self.lose_endpoint(endpoint, why)
+
+    def lose_endpoint(self, endpoint: endpoints.Endpoint, why: str) -> Effects:
+        """Take all that ran on an endpoint as lost."""
+        lost = list(endpoint.attempts.values())
+        produced: Effects = [notes.EndpointLost(endpoint.said.endpoint, why, len(lost))]
+        endpoint.is_held = False
+        for attempt in lost:
+            endpoint.remove(attempt)
+            produced += self.settler.put_back(attempt, endpoint, why)
+        return produced + self.schedule()
+
+    def has_whole_view(self, service: str) -> bool:
+        """Say whether every endpoint of a service that is there is held."""
+        return all(
+            known.is_held or known.failed_polls > settling.GONE_POLLS
+            for known in self.endpoints.values()
+            if known.said.service == service
+        )
+
+    # Jobs.
+
+    def on_submit(self, sender: str, submit: messages.Submit) -> Effects:
+        """Take a job that an entry VM holds open."""
+        if not self.fence:
+            return [effects.Send(sender, messages.NotDispatching(submit.job_id, ""))]
+        ended = self.ended.get(submit.job_id)
+        if ended is not None and ended.outcome is not None:
+            return [effects.Send(sender, ended.outcome)]
+        known = self.jobs.get(submit.job_id)
+        if known is not None:
+            known.orphaned_ms = 0
+            if known.entry == sender:
+                return []
+            known.entry = sender
+            return [notes.JobRejoined(submit.job_id, sender)]
+        job = self.build_job(sender, submit, ended)
+        self.jobs[job.job_id] = job
+        produced = self.settler.adopt(job)
+        return produced + self.schedule()
+
+    def build_job(
+        self, sender: str, submit: messages.Submit, ended: Remembered | None
+    ) -> jobs.Job:
+        """Return the job that a message describes."""
+        now_ms = self.clock.now_ms()
+        terms = jobs.Terms(
+            submit.queue,
+            submit.service,
+            submit.priority,
+            submit.max_attempts,
+            submit.slack_factor,
+            submit.allowance_ms,
+        )
+        steps = tuple(
+            jobs.Step(
+                step.count,
+                step.cpu_millis,
+                step.memory_mib,
+                step.gpus,
+                step.estimate_ms,
+                step.depends_on,
+                step.required_label,
+                step.data_rack,
+                step.max_per_endpoint,
+            )
+            for step in submit.steps
+        )
+        base = max(submit.attempt_base, ended.last_attempt if ended else 0)
+        job = jobs.Job(
+            submit.job_id,
+            sender,
+            terms,
+            submit.spec,
+            steps,
+            now_ms - submit.age_ms,
+            now_ms + submit.patience_ms,
+            base,
+        )
+        if submit.attempt_base:
+            job.was_started = True
+            job.not_before_ms = now_ms + TAKEOVER_MS
+        return job
+
+    def on_withdraw(self, withdraw: messages.Withdraw) -> Effects:
+        """Stop a job that nobody waits for."""
+        job = self.jobs.get(withdraw.job_id)
+        if job is None:
+            return []
+        return [notes.JobWithdrawn(job.job_id), *self.end_job(job, None)]
+
+    def end_job(self, job: jobs.Job, outcome: Outcome | None) -> Effects:
+        """End a job: tell its entry VM, stop what still runs, remember it."""
+        del self.jobs[job.job_id]
+        last = max(task.last_attempt for tasks in job.tasks for task in tasks)
+        kept = None if isinstance(outcome, messages.JobRefused) else outcome
+        self.ended[job.job_id] = Remembered(
+            kept, max(last, job.attempt_base), self.clock.now_ms()
+        )
+        if len(self.ended) > REMEMBER_JOBS:
+            self.ended.popitem(last=False)
+        job.is_cancelled = True
+        produced: Effects = []
+        if outcome is not None:
+            if job.entry:
+                produced.append(effects.Send(job.entry, outcome))
+            age_ms = self.clock.now_ms() - job.born_ms
+            produced.append(
+                notes.JobEnded(job.job_id, type(outcome).__name__, age_ms, last)
+            )
+        return produced + self.settler.stop_job(job)
+
+    def on_entry_lost(self, entry: str) -> Effects:
+        """Let the jobs of a silent entry VM run on for a while, started ones only."""
+        produced: Effects = []
+        for job in list(self.jobs.values()):
+            if job.entry != entry:
+                continue
+            if job.was_started:
+                job.entry = ""
+                job.orphaned_ms = self.clock.now_ms()
+            else:
+                produced += self.end_job(job, None)
+        return produced
+
+    # Time.
+
+    def tick(self) -> Effects:
+        """Do what is due."""
+        if not self.fence:
+            return []
+        now_ms = self.clock.now_ms()
+        produced = self.settler.tick(now_ms)
+        for job in list(self.jobs.values()):
+            if job.orphaned_ms and now_ms - job.orphaned_ms > ORPHAN_MS:
+                produced += self.end_job(job, None)
+        self.forget_ended(now_ms)
+        return produced + self.schedule()
+
+    def forget_ended(self, now_ms: int) -> None:
+        """Forget jobs that ended long ago."""
+        while self.ended:
+            oldest = next(iter(self.ended.values()))
+            if now_ms - oldest.ended_ms <= REMEMBER_MS:
+                return
+            self.ended.popitem(last=False)
+
+    def schedule(self) -> Effects:
+        """Start what fits, in order of urgency; refuse what is hopeless."""
+        now_ms = self.clock.now_ms()
+        waiting = [job for job in self.jobs.values() if job.waiting]
+        if not waiting or not self.fence:
+            return []
+        produced: Effects = []
+        by_service: dict[str, list[jobs.Job]] = {}
+        for job in waiting:
+            by_service.setdefault(job.terms.service, []).append(job)
+        for service, queued in by_service.items():
+            produced += self.schedule_service(service, queued, now_ms)
+        return produced
+
+    def schedule_service(
+        self, service: str, queued: list[jobs.Job], now_ms: int
+    ) -> Effects:
+        """Start what fits on the endpoints of one service."""
+        known = [e for e in self.endpoints.values() if e.said.service == service]
+        held = [e for e in known if e.is_held]
+        best_speed = max((e.speed.value for e in held), default=1.0)
+        is_whole = self.has_whole_view(service)
+        open_endpoints = [e for e in held if e.is_open(now_ms)]
+        produced: Effects = []
+        for job in queueing.sort_jobs(queued, now_ms, best_speed):
+            if now_ms < job.not_before_ms and not is_whole:
+                continue
+            if queueing.is_hopeless(job, now_ms, best_speed) and not job.was_started:
+                produced += self.refuse(job, reasons.Reason.DEADLINE)
+                continue
+            for task in list(job.waiting):
+                chosen = placing.choose(task, open_endpoints, now_ms, best_speed)
+                if chosen is None:
+                    continue
+                produced.append(self.start(task, chosen, now_ms))
+        return produced
+
+    def refuse(self, job: jobs.Job, reason: reasons.Reason) -> Effects:
+        """Refuse a job of which nothing was started."""
+        now_ms = self.clock.now_ms()
+        return self.end_job(
+            job, queueing.build_refusal(job, reason, now_ms - job.born_ms)
+        )
+
+    def start(
+        self, task: jobs.Task, endpoint: endpoints.Endpoint, now_ms: int
+    ) -> calls.Start:
+        """Start a task on an endpoint that has room for it."""
+        job = task.job
+        job.was_started = True
+        job.waiting.remove(task)
+        task.state = jobs.TaskState.PLACED
+        task.last_attempt = max(task.last_attempt, job.attempt_base) + 1
+        assert endpoint.reading is not None
+        until_ms = endpoint.reading.get_latest_ms(now_ms) + self.bounds.lease_ms
+        endpoint.lease_until_ms = max(endpoint.lease_until_ms, until_ms)
+        endpoint.add(
+            endpoints.Attempt(
+                task.name,
+                task.last_attempt,
+                task,
+                task.spec.need,
+                endpoints.AttemptState.STARTING,
+                now_ms,
+                until_ms,
+            )
+        )
+        return calls.Start(
+            endpoint.target,
+            task.name,
+            task.last_attempt,
+            job.spec,
+            until_ms,
+            self.fence,
+        )
+
+    # What endpoints answer.
+
+    def build_hold(self, name: str) -> calls.Hold | None:
+        """Return the next hold for an endpoint, or none to stop polling it."""
+        endpoint = self.endpoints.get(name)
+        if endpoint is None or not self.fence:
+            if endpoint is not None:
+                endpoint.is_polled = False
+            return None
+        return self.settler.build_hold(endpoint)
+
+    def on_holding(self, hold: calls.Hold, answer: calls.Holding) -> Effects:
+        """Take the lists of an endpoint."""
+        endpoint = self.find(hold.target)
+        if endpoint is None or hold.fence != self.fence:
+            return []
+        return self.settler.on_holding(endpoint, hold, answer) + self.schedule()
+
+    def on_hold_failed(self, hold: calls.Hold, failed: calls.HoldFailed) -> Effects:
+        """Take that an endpoint gave no lists."""
+        endpoint = self.find(hold.target)
+        if endpoint is None or hold.fence != self.fence:
+            return []
+        return self.settler.on_hold_failed(endpoint, failed)
+
+    def on_start_answer(self, start: calls.Start, answer: calls.Answer) -> Effects:
+        """Take the end of a start."""
+        endpoint = self.find(start.target)
+        if endpoint is None or start.fence != self.fence:
+            return []
+        return self.settler.on_start_answer(endpoint, start, answer) + self.schedule()
+
+    def on_stop_answer(self, stop: calls.Stop, answer: calls.Answer) -> Effects:
+        """Take the end of a stop."""
+        endpoint = self.find(stop.target)
+        if endpoint is None or stop.fence != self.fence:
+            return []
+        return self.settler.on_stop_answer(endpoint, stop, answer)
+
+    def find(self, target: calls.Target) -> endpoints.Endpoint | None:
+        """Return the endpoint of an order if it is still in the same life."""
+        endpoint = self.endpoints.get(target.endpoint)
+        if endpoint is None or endpoint.said.born_ms != target.born_ms:
+            return None
+        return endpoint
+
+    def get_used_share(self) -> float:
+        """Return the share of the held processor room that is in use."""
+        held = [e for e in self.endpoints.values() if e.is_held]
+        total = sum(e.capacity.cpu_millis for e in held)
+        used = sum(e.used.cpu_millis for e in held)
+        return used / total if total else 0.0
+
+    def get_free(self) -> room.Room:
+        """Return the room left on all held endpoints together."""
+        left = room.Room()
+        for endpoint in self.endpoints.values():
+            if endpoint.is_held:
+                left = left.plus(endpoint.free)
+        return left
+
+
+Outcome = messages.JobComplete | messages.JobFailed | messages.JobRefused
+
+
+class Remembered:
+    """An ended job: its outcome, none when it was withdrawn or refused."""
+
+    def __init__(
+        self, outcome: Outcome | None, last_attempt: int, ended_ms: int
+    ) -> None:
+        self.outcome = outcome
+        self.last_attempt = last_attempt
+        self.ended_ms = ended_ms
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/pool/endpoints.py
@@ -0,0 +1,116 @@
+"""The endpoints that a dispatcher holds, and what runs on each."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from knapweedbeam_core.pool import calls, clocks, health, jobs, messages, room, speeds
+
+
+class AttemptState(enum.Enum):
+    """Where one start of a task stands, as far as its dispatcher knows."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    DOUBTFUL = "doubtful"  # no answer: it may run, or be started late
+    STRANGE = "strange"  # runs, and no entry VM has named its job yet
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """One start of a task on an endpoint.
+
+    `until_ms` is when its start is refused at the latest, on the endpoint's clock.
+    `stop_sent_ms` is 0 until the attempt is to be stopped; `stop_clock_ms` is the
+    endpoint's clock when it took the stop, 0 until then.
+    """
+
+    task: str
+    number: int
+    owner: jobs.Task | None
+    need: room.Room
+    state: AttemptState
+    sent_ms: int
+    until_ms: int = 0
+    is_unwanted: bool = False
+    stop_sent_ms: int = 0
+    stop_clock_ms: int = 0
+    was_slow: bool = False
+
+
+class Endpoint:
+    """One life of an endpoint."""
+
+    def __init__(self, said: messages.EndpointNews, heard_ms: int) -> None:
+        self.said = said
+        self.heard_ms = heard_ms
+        self.capacity = room.Room(said.cpu_millis, said.memory_mib, said.gpus)
+        self.used = room.Room()
+        self.attempts: dict[str, Attempt] = {}
+        self.is_held = False
+        self.is_polled = False
+        self.failed_polls = 0
+        self.acked_end = 0
+        self.lease_until_ms = 0
+        self.reading: clocks.Reading | None = None
+        self.speed = speeds.Speed()
+        self.health = health.Health()
+
+    @property
+    def target(self) -> calls.Target:
+        """Return where orders go."""
+        return calls.Target(self.said.endpoint, self.said.born_ms, self.said.address)
+
+    @property
+    def free(self) -> room.Room:
+        """Return the room that is left, none while something unknown runs."""
+        return self.capacity.minus(self.used)
+
+    @property
+    def has_strangers(self) -> bool:
+        """Say whether something runs whose size is not known."""
+        return any(a.state == AttemptState.STRANGE for a in self.attempts.values())
+
+    def renew(self, said: messages.EndpointNews, heard_ms: int) -> bool:
+        """Take a newer announcement of this life; say whether it was newer."""
+        if said.sequence <= self.said.sequence:
+            return False
+        self.said = said
+        self.heard_ms = heard_ms
+        self.capacity = room.Room(said.cpu_millis, said.memory_mib, said.gpus)
+        return True
+
+    def add(self, attempt: Attempt) -> None:
+        """Count an attempt in."""
+        self.attempts[attempt.task] = attempt
+        self.used = self.used.plus(attempt.need)
+
+    def remove(self, attempt: Attempt) -> None:
+        """Count an attempt out."""
+        if self.attempts.pop(attempt.task, None) is not None:
+            self.used = self.used.minus(attempt.need)
+
+    def note_reading(self, reading: clocks.Reading | None) -> None:
+        """Take a newer reading of the endpoint's clock."""
+        if reading is None:
+            return
+        if self.reading is None or reading.received_ms >= self.reading.received_ms:
+            self.reading = reading
+
+    def has_lapsed(self, now_ms: int) -> bool:
+        """Say whether every lease given here has surely run out."""
+        if self.reading is None:
+            return False
+        return self.reading.get_earliest_ms(now_ms) > self.lease_until_ms
+
+    def is_open(self, now_ms: int) -> bool:
+        """Say whether new tasks may be placed here."""
+        return (
+            self.is_held
+            and not self.failed_polls
+            and self.said.state == messages.EndpointState.UP
+            and not self.health.is_resting(now_ms)
+            and not (self.health.on_trial and self.attempts)
+            and not self.has_strangers
+        )
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/pool/messages.py
@@ -0,0 +1,145 @@
+"""What entry VMs, control VMs and dispatchers tell each other about jobs."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from knapweedbeam_core import reasons
+
+
+class EndpointState(enum.StrEnum):
+    """What an endpoint says of itself."""
+
+    UP = "up"
+    LEAVING = "leaving"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointNews:
+    """An endpoint's newest word about itself.
+
+    `sequence` orders the words of one life, which `born_ms` (Unix time) names.
+    `rack` is empty where none is known. `age_ms` is how old the word was when it
+    was passed on.
+    """
+
+    endpoint: str
+    born_ms: int
+    sequence: int
+    service: str
+    address: str
+    domain: str
+    state: EndpointState
+    cpu_millis: int
+    memory_mib: int
+    gpus: int
+    labels: tuple[str, ...]
+    clock_ms: int
+    age_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointNewsHeld:
+    """The dispatcher knows of an announcement and acts on it."""
+
+    endpoint: str
+    born_ms: int
+    sequence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointGone:
+    """An endpoint signed off for good."""
+
+    endpoint: str
+    born_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SubmittedStep:
+    """A step of a job: see `jobs.Step`."""
+
+    count: int
+    cpu_millis: int
+    memory_mib: int
+    gpus: int
+    estimate_ms: int
+    depends_on: tuple[int, ...]
+    required_label: str
+    data_rack: str
+    max_per_endpoint: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Submit:
+    """A job that its sender holds open for a caller.
+
+    `age_ms` is how long ago the caller sent it, `patience_ms` how much longer the
+    caller waits. `attempt_base` rises each time the job goes to another dispatcher.
+    """
+
+    job_id: str
+    queue: str
+    service: str
+    priority: int
+    max_attempts: int
+    slack_factor: float
+    allowance_ms: int
+    spec: str
+    steps: tuple[SubmittedStep, ...]
+    age_ms: int
+    patience_ms: int
+    attempt_base: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Withdraw:
+    """The caller left: nobody waits for the job any more."""
+
+    job_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobComplete:
+    """All tasks of a job are done."""
+
+    job_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobFailed:
+    """A task of the job failed as often as its queue allows."""
+
+    job_id: str
+    reason: reasons.Reason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobRefused:
+    """Nothing of the job was started, and nothing will be."""
+
+    job_id: str
+    reason: reasons.Reason
+    retry_after_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotDispatching:
+    """The sender doesn't dispatch (any more); `following` may know who does."""
+
+    job_id: str
+    following: str
+
+
+CLASSES: tuple[type, ...] = (
+    EndpointNews,
+    EndpointNewsHeld,
+    EndpointGone,
+    Submit,
+    Withdraw,
+    JobComplete,
+    JobFailed,
+    JobRefused,
+    NotDispatching,
+)
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/pool/placing.py
@@ -0,0 +1,100 @@
+"""On which endpoint a task goes.
+
+Load: tasks of 14 to 41 cores on endpoints of 32 to 96, two or three on each, whose
+speeds differ by a factor of two and more. A job ends with its slowest task. Placing
+on the first endpoint that fits fills fast endpoints with tasks that would have been
+in time on slow ones, and then long tasks have only slow ones left. So a task takes
+the slowest endpoint on which it is still in time, and of equal ones the one that it
+fills best. A task that is in time only on a faster endpoint waits for that one as
+long as waiting leaves it in time.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+
+from knapweedbeam_core.pool import endpoints, jobs, queueing
+
+# Estimates are off by a factor of up to two; this much longer is planned for.
+CAUTION = 1.25
+# Two endpoints whose speeds differ by less count as equally fast.
+SPEED_STEP = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """An endpoint with room, and when a task would end there."""
+
+    endpoint: endpoints.Endpoint
+    ends_ms: float
+
+
+def fits(task: jobs.Task, endpoint: endpoints.Endpoint) -> bool:
+    """Say whether an endpoint may run a task now."""
+    step = task.spec
+    if not endpoint.free.holds(step.need):
+        return False
+    if step.required_label and step.required_label not in endpoint.said.labels:
+        return False
+    if step.max_per_endpoint and count_of_step(task, endpoint) >= step.max_per_endpoint:
+        return False
+    if task.failures and endpoint.said.endpoint in task.failed_on:
+        return False
+    is_last_attempt = task.failures + 1 >= task.job.terms.max_attempts
+    return not (is_last_attempt and task.failures and endpoint.health.faults)
+
+
+def count_of_step(task: jobs.Task, endpoint: endpoints.Endpoint) -> int:
+    """Return how many tasks of the same step are on an endpoint."""
+    return sum(
+        attempt.owner is not None
+        and attempt.owner.job is task.job
+        and attempt.owner.step == task.step
+        for attempt in endpoint.attempts.values()
+    )
+
+
+def could_ever_fit(
+    task: jobs.Task, known: collections.abc.Iterable[endpoints.Endpoint]
+) -> bool:
+    """Say whether some endpoint is large enough and of the right kind."""
+    step = task.spec
+    return any(
+        endpoint.capacity.holds(step.need)
+        and (not step.required_label or step.required_label in endpoint.said.labels)
+        for endpoint in known
+    )
+
+
+def choose(
+    task: jobs.Task,
+    open_endpoints: collections.abc.Iterable[endpoints.Endpoint],
+    now_ms: int,
+    best_speed: float,
+) -> endpoints.Endpoint | None:
+    """Return the endpoint to start a task on, or none to let it wait."""
+    planned_ms = task.spec.estimate_ms * CAUTION
+    due_ms = task.job.due_ms - queueing.TRANSIT_MS
+    in_time: list[Candidate] = []
+    late: list[Candidate] = []
+    for endpoint in open_endpoints:
+        if not fits(task, endpoint):
+            continue
+        ends_ms = now_ms + endpoint.speed.get_run_ms(planned_ms)
+        (in_time if ends_ms <= due_ms else late).append(Candidate(endpoint, ends_ms))
+    if in_time:
+        return min(in_time, key=get_thrifty_key).endpoint
+    if not late:
+        return None
+    best = min(late, key=lambda candidate: candidate.ends_ms)
+    if best.ends_ms > due_ms >= now_ms + planned_ms / best_speed:
+        return None
+    return best.endpoint
+
+
+def get_thrifty_key(candidate: Candidate) -> tuple[float, int]:
+    """Return what orders endpoints that are in time: slow first, then full."""
+    endpoint = candidate.endpoint
+    speed = round(endpoint.speed.value / SPEED_STEP)
+    return speed, endpoint.free.cpu_millis
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/pool/queueing.py
@@ -0,0 +1,74 @@
+"""In which order waiting jobs get room, and which of them are refused.
+
+Load: bursts of 1.2 to 1.9 times the usual for some seconds, and a seventh of the
+endpoints lost or slow, on endpoints that are used at 40 to 80%. Room is short for
+seconds at a time. Serving first come first served then makes every job late at once.
+So jobs that can still meet their objective go first, the one with the least slack
+foremost; those that are late go behind them, and those that earn nothing any more
+come last. Nothing that its caller still waits for is dropped.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import enum
+
+from knapweedbeam_core import reasons
+from knapweedbeam_core.pool import jobs, messages
+
+# Orders, polling and links on the way from a start to the caller's answer.
+TRANSIT_MS = 10
+# A caller that was refused comes back after the backlog, within these bounds.
+MIN_RETRY_AFTER_MS = 200
+MAX_RETRY_AFTER_MS = 5_000
+
+
+class Standing(enum.IntEnum):
+    """What a job can still reach; lower goes first."""
+
+    IN_TIME = 0
+    LATE = 1
+    WORTHLESS = 2
+
+
+def get_standing(job: jobs.Job, now_ms: int, best_speed: float) -> Standing:
+    """Return what a job can reach if it gets the fastest endpoints now."""
+    ends_ms = now_ms + get_longest_ms(job) / best_speed + TRANSIT_MS
+    if ends_ms <= job.due_ms:
+        return Standing.IN_TIME
+    return Standing.LATE if ends_ms <= job.worthless_ms else Standing.WORTHLESS
+
+
+def get_longest_ms(job: jobs.Job) -> int:
+    """Return the longest estimate among a job's waiting tasks."""
+    return max((task.spec.estimate_ms for task in job.waiting), default=0)
+
+
+def sort_jobs(
+    waiting: collections.abc.Iterable[jobs.Job], now_ms: int, best_speed: float
+) -> list[jobs.Job]:
+    """Return the jobs in the order in which they get room."""
+
+    def get_key(job: jobs.Job) -> tuple[Standing, int]:
+        standing = get_standing(job, now_ms, best_speed)
+        if standing == Standing.IN_TIME:
+            return standing, job.due_ms - get_longest_ms(job)
+        return standing, get_longest_ms(job)
+
+    return sorted(waiting, key=get_key)
+
+
+def is_hopeless(job: jobs.Job, now_ms: int, best_speed: float) -> bool:
+    """Say whether a job cannot end while its caller still waits."""
+    return now_ms + get_longest_ms(job) / best_speed > job.give_up_ms
+
+
+def build_refusal(
+    job: jobs.Job, reason: reasons.Reason, wait_ms: float
+) -> messages.JobRefused:
+    """Return the refusal of a job that was never started.
+
+    `wait_ms` is how long the work that is ahead takes.
+    """
+    retry_after_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, int(wait_ms)))
+    return messages.JobRefused(job.job_id, reason, retry_after_ms)
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/pool/room.py
@@ -0,0 +1,38 @@
+"""Room on an endpoint, and what a task takes of it."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Room:
+    """Processor in thousandths of a core, memory in MiB, and GPUs."""
+
+    cpu_millis: int = 0
+    memory_mib: int = 0
+    gpus: int = 0
+
+    def plus(self, other: Room) -> Room:
+        """Return the sum."""
+        return Room(
+            self.cpu_millis + other.cpu_millis,
+            self.memory_mib + other.memory_mib,
+            self.gpus + other.gpus,
+        )
+
+    def minus(self, other: Room) -> Room:
+        """Return the difference."""
+        return Room(
+            self.cpu_millis - other.cpu_millis,
+            self.memory_mib - other.memory_mib,
+            self.gpus - other.gpus,
+        )
+
+    def holds(self, need: Room) -> bool:
+        """Say whether `need` fits in."""
+        return (
+            need.cpu_millis <= self.cpu_millis
+            and need.memory_mib <= self.memory_mib
+            and need.gpus <= self.gpus
+        )
--- a/packages/server/src/knapweedbeam_server/assembly.py
+++ b/packages/server/src/knapweedbeam_server/assembly.py
@@ -26,6 +26,7 @@
     auth,
     callers,
     operators,
+    reading,
     records,
     router,
     serving,
@@ -199,7 +200,7 @@
     app = router.Router(
         routes,
         built.authenticator,
-        router.Bounds(limits.body_bytes, limits.request_timeout_ms),
+        reading.Bounds(limits.body_bytes, limits.request_timeout_ms),
         built.counters,
     )
     bounds = serving.ServerBounds(
--- /dev/null
+++ b/packages/server/src/knapweedbeam_server/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The shell of a process whose deployment finds its own members at run time."""
--- /dev/null
+++ b/packages/server/src/knapweedbeam_server/fleet/manifest_log.py
@@ -0,0 +1,210 @@
+"""The replicated log of manifests: the replica, its data folder and its callers."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import pathlib
+import random
+
+import gevent
+import gevent.event
+import gevent.queue
+
+from knapweedbeam_core import clock, effects, reasons
+from knapweedbeam_core.entry import parts
+from knapweedbeam_core.log import members, messages, replica, roles
+from knapweedbeam_core.manifests import machine
+from knapweedbeam_server.logs import catalogue, emit
+from knapweedbeam_wire import store
+
+# Within the time after which an operator asks another process, less its way back.
+COMMIT_TIMEOUT_S = 0.9
+# A disk that is full or broken is tried again this often.
+REOPEN_S = 1.0
+
+Send = collections.abc.Callable[[effects.Send], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Taken:
+    """The manifest is committed, or a higher one was before."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Elsewhere:
+    """Another replica leads; `name` is empty when none is known."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unclear:
+    """The change may or may not be committed later."""
+
+    reason: reasons.Reason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Newest:
+    """The newest committed manifest; version 0 when there is none."""
+
+    stored: machine.Stored
+
+
+class ManifestLog:
+    """One replica over one data folder."""
+
+    def __init__(
+        self,
+        name: str,
+        founders: tuple[str, ...],
+        folder: pathlib.Path,
+        timer: clock.Clock,
+        rng: random.Random,
+        send: Send,
+    ) -> None:
+        self.name = name
+        self.founders = founders
+        self.folder = folder
+        self.clock = timer
+        self.rng = rng
+        self.send = send
+        self.machine = machine.ManifestMachine()
+        self.targets: frozenset[str] = frozenset(founders)
+        self.replica: replica.Replica | None = None
+        self.store: store.Store | None = None
+        self.writes: gevent.queue.Queue[parts.Persist] = gevent.queue.Queue()
+        self.applied = gevent.event.Event()
+        self.seen_role: tuple[str, int, str] = ("", 0, "")
+
+    def start(self) -> None:
+        """Open the data folder and take part."""
+        self.open()
+        gevent.spawn(self.write_forever)
+
+    def open(self) -> bool:
+        """Build the replica from what the data folder holds."""
+        opened = store.Store(self.folder)
+        restored = opened.load()
+        if isinstance(restored, store.StoreFailure):
+            emit.emit(catalogue.LOG_STORE_LOST, detail=restored.detail)
+            return False
+        me = members.ReplicaId(self.name, restored.identity)
+        self.machine = machine.ManifestMachine()
+        self.store = opened
+        self.writes = gevent.queue.Queue()
+        self.replica = replica.Replica(
+            me, self.founders, restored, self.machine, self.clock, self.rng
+        )
+        self.replica.set_targets(self.targets)
+        emit.emit(catalogue.LOG_STORE_BACK, identity=restored.identity)
+        return True
+
+    def write_forever(self) -> None:
+        """Write batch after batch; open the folder anew after a failure."""
+        while True:
+            if self.store is None or self.replica is None:
+                gevent.sleep(REOPEN_S)
+                self.open()
+                continue
+            own, log = self.store, self.replica
+            persist = self.writes.get()
+            failure = own.apply(persist)
+            if failure is not None:
+                self.lose_store(failure)
+            elif self.replica is log:
+                self.run(log.persisted(persist.batch))
+
+    def lose_store(self, failure: store.StoreFailure) -> None:
+        """Take no part until the data folder can be used again."""
+        emit.emit(catalogue.LOG_STORE_LOST, detail=failure.detail)
+        if self.replica is not None:
+            self.replica.stop()
+        self.replica = None
+        self.store = None
+
+    def run(self, produced: parts.Effects) -> None:
+        """Carry out what the replica asks for."""
+        for effect in produced:
+            if isinstance(effect, effects.Send):
+                self.send(effect)
+            elif isinstance(effect, parts.Persist):
+                self.writes.put(effect)
+        self.note_role()
+        self.applied.set()
+        self.applied.clear()
+
+    def note_role(self) -> None:
+        """Log a change of what this replica is."""
+        if self.replica is None:
+            return
+        own = self.replica
+        leader = own.leader.name if own.leader is not None else ""
+        role = (str(own.role), own.journal.term, leader)
+        if own.role in (roles.Role.PRE_CANDIDATE, roles.Role.CANDIDATE):
+            return
+        if role == self.seen_role:
+            return
+        self.seen_role = role
+        emit.emit(
+            catalogue.LOG_ROLE,
+            role=role[0],
+            term=role[1],
+            leader=leader,
+            voters=len(own.journal.group.voters),
+        )
+
+    def tick(self) -> None:
+        """Do what is due."""
+        if self.replica is not None:
+            self.run(self.replica.tick())
+
+    def set_targets(self, names: frozenset[str]) -> None:
+        """Take the control VMs that are to share the log."""
+        if names == self.targets:
+            return
+        self.targets = names
+        if self.replica is not None:
+            self.replica.set_targets(names)
+
+    def on_message(self, message: messages.Message) -> None:
+        """Take a message of another replica."""
+        if self.replica is not None:
+            self.run(self.replica.on_message(message))
+
+    def get_leader(self) -> str:
+        """Return the name of the leader, empty when none is known."""
+        if self.replica is None or self.replica.leader is None:
+            return ""
+        return self.replica.leader.name
+
+    def is_sure(self) -> bool:
+        """Say whether what this replica holds is surely the newest."""
+        own = self.replica
+        return own is not None and own.is_leader and own.is_settled
+
+    def propose(self, version: int, body: bytes) -> Taken | Elsewhere | Unclear:
+        """Commit a manifest; waits for a quorum's disks."""
+        if not self.is_sure():
+            leader = self.get_leader()
+            return Elsewhere(leader if leader != self.name else "")
+        assert self.replica is not None
+        if self.machine.stored.version >= version:
+            return Taken()
+        stored = machine.Stored(version, body)
+        self.run(self.replica.propose(machine.ENCODER.encode(stored)))
+        deadline_ms = self.clock.now_ms() + int(COMMIT_TIMEOUT_S * clock.SECOND_MS)
+        while self.machine.stored.version < version:
+            left_ms = deadline_ms - self.clock.now_ms()
+            if left_ms <= 0 or self.replica is None:
+                return Unclear(reasons.Reason.NO_QUORUM)
+            self.applied.wait(left_ms / clock.SECOND_MS)
+        return Taken()
+
+    def read(self) -> Newest | Elsewhere:
+        """Return the newest manifest if this replica surely holds it."""
+        if self.is_sure():
+            return Newest(self.machine.stored)
+        leader = self.get_leader()
+        return Elsewhere(leader if leader != self.name else "")
--- /dev/null
+++ b/packages/server/src/knapweedbeam_server/fleet/orders.py
@@ -0,0 +1,66 @@
+"""Carries out a dispatcher's orders, each in a greenlet of its own."""
+
+from __future__ import annotations
+
+import collections.abc
+import typing
+
+import gevent
+
+from knapweedbeam_core.pool import calls, dispatcher
+from knapweedbeam_server.fleet import ports
+
+# Pauses between polls of an endpoint that doesn't answer.
+FIRST_PAUSE_S = 0.02
+MAX_PAUSE_S = 0.25
+
+Run = collections.abc.Callable[[dispatcher.Effects], None]
+
+
+class Orders:
+    """The open calls to endpoints."""
+
+    def __init__(
+        self, decisions: dispatcher.Dispatcher, client: ports.EndpointClient, run: Run
+    ) -> None:
+        self.decisions = decisions
+        self.client = client
+        self.run = run
+
+    def take(self, order: calls.Order) -> None:
+        """Begin to carry out one order."""
+        match order:
+            case calls.Start():
+                gevent.spawn(self.start, order)
+            case calls.Stop():
+                gevent.spawn(self.stop, order)
+            case calls.BeginHolding(endpoint):
+                gevent.spawn(self.hold, endpoint)
+            case _:
+                typing.assert_never(order)
+
+    def start(self, order: calls.Start) -> None:
+        """Start an attempt."""
+        answer = self.client.start(order)
+        self.run(self.decisions.on_start_answer(order, answer))
+
+    def stop(self, order: calls.Stop) -> None:
+        """Stop an attempt."""
+        answer = self.client.stop(order)
+        self.run(self.decisions.on_stop_answer(order, answer))
+
+    def hold(self, endpoint: str) -> None:
+        """Poll an endpoint for as long as the dispatcher wants it."""
+        pause_s = FIRST_PAUSE_S
+        while True:
+            order = self.decisions.build_hold(endpoint)
+            if order is None:
+                return
+            answer = self.client.hold(order)
+            if isinstance(answer, calls.Holding):
+                pause_s = FIRST_PAUSE_S
+                self.run(self.decisions.on_holding(order, answer))
+                continue
+            self.run(self.decisions.on_hold_failed(order, answer))
+            gevent.sleep(pause_s)
+            pause_s = min(2 * pause_s, MAX_PAUSE_S)
--- /dev/null
+++ b/packages/server/src/knapweedbeam_server/fleet/settings.py
@@ -0,0 +1,35 @@
+"""What a process of a fleet is told when it starts."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+
+from knapweedbeam_core.pool import settling
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetSettings:
+    """The place of one process in its deployment.
+
+    `name` is the address of its links, `control` that of its control interface,
+    empty for an entry VM. `seeds` are addresses of links. `data_folder` is none
+    where the process keeps nothing; `is_first_start` says that the whole deployment
+    starts for the first time, with empty data folders.
+    """
+
+    name: str
+    is_core: bool
+    domain: str
+    control: str
+    seeds: tuple[str, ...]
+    data_folder: pathlib.Path | None
+    is_first_start: bool
+    link_key: bytes
+    endpoint_bounds: settling.Bounds
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of `host:port`."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- a/packages/server/src/knapweedbeam_server/http/router.py
+++ b/packages/server/src/knapweedbeam_server/http/router.py
@@ -7,13 +7,11 @@
 import typing
 import urllib.parse
 
-import gevent
-
 from knapweedbeam_core import outcomes, reasons
-from knapweedbeam_server.http import auth, replies
+from knapweedbeam_server.http import auth, reading, replies, serving
 
-Environ = dict[str, typing.Any]
-StartResponse = collections.abc.Callable[[str, list[tuple[str, str]]], typing.Any]
+Environ = serving.Environ
+StartResponse = serving.StartResponse
 JSON_TYPE = "application/json"
 WILDCARD = "*"
 
@@ -53,14 +51,6 @@
     access: auth.Access
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Bounds:
-    """What one request may take."""
-
-    body_bytes: int
-    read_timeout_ms: int
-
-
 class Gauge(typing.Protocol):
     """Counts the requests that are being answered."""
 
@@ -77,7 +67,7 @@
         self,
         routes: tuple[Route, ...],
         authenticator: auth.Authenticator,
-        bounds: Bounds,
+        bounds: reading.Bounds,
         gauge: Gauge,
     ) -> None:
         self.authenticator = authenticator
@@ -119,7 +109,7 @@
         )
         if isinstance(caller, outcomes.Refusal):
             return replies.build_refusal(caller)
-        body = self.read_body(environ)
+        body = reading.read_body(environ, self.bounds)
         if isinstance(body, replies.Reply):
             return body
         query = dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", "")))
@@ -142,38 +132,3 @@
         if known:
             return outcomes.Refusal(reasons.Reason.INVALID, f"no {method} here")
         return outcomes.Refusal(reasons.Reason.NOT_FOUND, "no such path")
-
-    def read_body(self, environ: Environ) -> bytes | replies.Reply:
-        """Return the body, or the refusal of one that is too large or too slow."""
-        if "HTTP_TRANSFER_ENCODING" in environ:
-            detail = "a body needs Content-Length"
-            refusal = outcomes.Refusal(reasons.Reason.INVALID, detail)
-            return self.close(replies.build_refusal(refusal, 411))
-        text = environ.get("CONTENT_LENGTH") or "0"
-        if not text.isdecimal() or int(text) > self.bounds.body_bytes:
-            self.bound_unread(environ)
-            detail = f"a body holds at most {self.bounds.body_bytes} bytes"
-            refusal = outcomes.Refusal(reasons.Reason.TOO_LARGE, detail)
-            return self.close(replies.build_refusal(refusal))
-        size = int(text)
-        body = b""
-        if size:
-            with gevent.Timeout(self.bounds.read_timeout_ms / 1_000, False):
-                body = environ["wsgi.input"].read(size)
-        if len(body) < size:
-            detail = f"{size} bytes announced and not sent in time"
-            refusal = outcomes.Refusal(reasons.Reason.INVALID, detail)
-            return self.close(replies.build_refusal(refusal, 408))
-        return body
-
-    def bound_unread(self, environ: Environ) -> None:
-        """Have the server skip no more of a refused body than a body may hold.
-
-        Some of it is skipped, so that a caller gets the reply, not a reset.
-        """
-        stream = environ["wsgi.input"]
-        stream.content_length = self.bounds.body_bytes
-
-    def close(self, reply: replies.Reply) -> replies.Reply:
-        """Have the connection closed: the rest of the body stays unread."""
-        return dataclasses.replace(reply, headers=(("Connection", "close"),))
--- a/packages/server/src/knapweedbeam_server/http/serving.py
+++ b/packages/server/src/knapweedbeam_server/http/serving.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import dataclasses
 import socket
 import typing
@@ -10,9 +11,12 @@
 import gevent.pool
 import gevent.pywsgi
 
-from knapweedbeam_server.http import router
-
 IDLE_TIMEOUT_S = 75.0
+# Where a WSGI application finds its client's connection.
+SOCKET_KEY = "knapweedbeam.socket"
+Environ = dict[str, typing.Any]
+StartResponse = collections.abc.Callable[[str, list[tuple[str, str]]], typing.Any]
+Application = collections.abc.Callable[[Environ, StartResponse], list[bytes]]
 WsgiServer: typing.TypeAlias = gevent.pywsgi.WSGIServer
 
 
@@ -60,6 +64,12 @@
                 return False
         return result
 
+    def get_environ(self) -> Environ:
+        """Return the request, with the connection that it came by."""
+        environ: Environ = super().get_environ()
+        environ[SOCKET_KEY] = self.socket
+        return environ
+
 
 class SilentLog:
     """Swallows the server's own request log; events are logged instead."""
@@ -69,7 +79,7 @@
 
 
 def build_server(
-    address: tuple[str, int], app: router.Router, bounds: ServerBounds
+    address: tuple[str, int], app: Application, bounds: ServerBounds
 ) -> WsgiServer:
     """Return a server that is not started yet."""
     handler = type(
--- a/packages/server/src/knapweedbeam_server/logs/catalogue.py
+++ b/packages/server/src/knapweedbeam_server/logs/catalogue.py
@@ -362,6 +362,202 @@
     "Bring back the failure domain's other entry VMs.",
 )
 
+# 7000: fleets of processes that find each other and dispatch from one place.
+FLEET_STARTED = Event(
+    7001,
+    "fleet_started",
+    Level.INFO,
+    "process {process} started as {role} in {domain}, first start {first_start}",
+    "A new run of the process began.",
+)
+FLEET_STOPPING = Event(
+    7002,
+    "fleet_stopping",
+    Level.INFO,
+    "stopping, {jobs} jobs open",
+    "The process was asked to stop: it finishes what it holds open.",
+)
+FLEET_STOPPED = Event(
+    7003,
+    "fleet_stopped",
+    Level.INFO,
+    "stopped, {jobs} jobs still open",
+    "The process ends now.",
+)
+FLEET_RELOADED = Event(
+    7004,
+    "fleet_reloaded",
+    Level.INFO,
+    "settings read again: {seeds} seeds, valid {valid}",
+    "The settings file was read again. One that is not valid changes nothing.",
+)
+MEMBER_HEARD = Event(
+    7010,
+    "member_heard",
+    Level.INFO,
+    "member {member} is heard, core {core}, generation {generation}",
+    "The process was not known or was silent.",
+)
+MEMBER_SILENT = Event(
+    7011,
+    "member_silent",
+    Level.WARNING,
+    "member {member} is silent for {silent_ms} ms",
+    "Nothing came from the process: it ended, stands still or is cut off.",
+    "Look at its own log, then at the network between the two.",
+)
+FOLLOWING = Event(
+    7012,
+    "following",
+    Level.INFO,
+    "following dispatcher {dispatcher} of generation {generation}, {jobs} jobs open",
+    "Jobs go to this dispatcher from now on; open ones are sent there again.",
+)
+OFFICE = Event(
+    7013,
+    "office",
+    Level.INFO,
+    "dispatching under token {fence} with {endpoints} endpoints known",
+    "The process dispatches; with token 0 it does so no longer.",
+)
+MANIFEST_IN_FORCE = Event(
+    7020,
+    "manifest_in_force",
+    Level.INFO,
+    "manifest {version} in force, {queues} queues, {services} services",
+    "Requests that come from now on are handled by this version.",
+)
+MANIFEST_TAKEN = Event(
+    7021,
+    "manifest_taken",
+    Level.INFO,
+    "manifest {version} answered {outcome} after {took_ms} ms, held {held}",
+    "An operator's change was answered.",
+)
+MANIFEST_REFUSED = Event(
+    7022,
+    "manifest_refused",
+    Level.WARNING,
+    "manifest refused: {detail}",
+    "An operator's change is not valid and changed nothing.",
+    "Correct the manifest and send it with a higher version.",
+)
+LOG_ROLE = Event(
+    7023,
+    "log_role",
+    Level.INFO,
+    "replica is {role} in term {term}, leader {leader}, {voters} voters",
+    "The part that this process takes in the replicated log changed.",
+)
+LOG_STORE_LOST = Event(
+    7024,
+    "log_store_lost",
+    Level.ERROR,
+    "data folder fails: {detail}",
+    "The replica takes no part until the folder can be used again; it is tried.",
+    "Free room on the disk, or replace it.",
+)
+LOG_STORE_BACK = Event(
+    7025,
+    "log_store_back",
+    Level.INFO,
+    "data folder in use, identity {identity}",
+    "The replica takes part in the log.",
+)
+POOL_ENDPOINT_CHANGED = Event(
+    7030,
+    "pool_endpoint_changed",
+    Level.INFO,
+    "endpoint {endpoint} is {state}",
+    "An endpoint was found, is held by this dispatcher, or changed its own state.",
+)
+POOL_ENDPOINT_LOST = Event(
+    7031,
+    "pool_endpoint_lost",
+    Level.WARNING,
+    "endpoint {endpoint} lost, {why}, {attempts} attempts with it",
+    "What ran there is started again elsewhere.",
+)
+POOL_ENDPOINT_RESTS = Event(
+    7032,
+    "pool_endpoint_rests",
+    Level.WARNING,
+    "endpoint {endpoint} rests for {rest_ms} ms: {why}",
+    "It gets no tasks meanwhile, and then one at a time until one is done.",
+    "Look at the endpoint if it goes on.",
+)
+POOL_ENDPOINT_FENCED = Event(
+    7033,
+    "pool_endpoint_fenced",
+    Level.WARNING,
+    "endpoint {endpoint} refuses token {fence}",
+    "Another process dispatches there; this one leaves the office.",
+)
+JOB_TAKEN = Event(
+    7040,
+    "job_taken",
+    Level.INFO,
+    "job {job_id} of queue {queue} taken: {tasks} tasks, manifest {manifest}",
+    "An entry VM holds the job open for its caller.",
+)
+JOB_SETTLED = Event(
+    7041,
+    "job_settled",
+    Level.INFO,
+    "job {job_id} answered {status}: {outcome}, after {took_ms} ms",
+    "The caller has its final answer.",
+)
+JOB_LEFT = Event(
+    7042,
+    "job_left",
+    Level.INFO,
+    "job {job_id}: caller left after {took_ms} ms",
+    "The caller closed its connection; the job is withdrawn.",
+)
+JOB_TURNED_AWAY = Event(
+    7043,
+    "job_turned_away",
+    Level.INFO,
+    "job {job_id} turned away with {status}: {why}",
+    "The request was refused as it came and started nothing.",
+)
+POOL_JOB_ENDED = Event(
+    7050,
+    "pool_job_ended",
+    Level.INFO,
+    "job {job_id} ended as {outcome} at age {age_ms} ms, attempts up to {attempts}",
+    "The dispatcher told the entry VM that holds the job open.",
+)
+POOL_JOB_REJOINED = Event(
+    7051,
+    "pool_job_rejoined",
+    Level.INFO,
+    "job {job_id} is now held open by {entry}",
+    "The job came again through another entry VM and goes on.",
+)
+POOL_JOB_WITHDRAWN = Event(
+    7052,
+    "pool_job_withdrawn",
+    Level.INFO,
+    "job {job_id} withdrawn",
+    "Its caller left: what runs is stopped.",
+)
+POOL_ATTEMPT_LOST = Event(
+    7053,
+    "pool_attempt_lost",
+    Level.INFO,
+    "attempt {number} of task {task} on {endpoint} came to nothing: {why}",
+    "The task waits for another start.",
+)
+BODY_MALFORMED = Event(
+    7060,
+    "body_malformed",
+    Level.WARNING,
+    "{place} could not be read: {detail}",
+    "A body, or a list of an endpoint, was ignored or refused and changed nothing.",
+    "Look at its sender.",
+)
+
 
 NOT_EMITTED_YET: frozenset[Event] = frozenset(
     {
--- a/packages/server/src/knapweedbeam_server/system_clock.py
+++ b/packages/server/src/knapweedbeam_server/system_clock.py
@@ -11,8 +11,12 @@
     """Reads the machine's monotonic and wall clocks."""
 
     def now_ms(self) -> int:
-        """Return monotonic time in milliseconds."""
-        return time.monotonic_ns() // NANOS_PER_MS
+        """Return monotonic time in milliseconds.
+
+        It counts the time that the machine is suspended, so that leases run out
+        meanwhile.
+        """
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NANOS_PER_MS
 
     def wall_ms(self) -> int:
         """Return milliseconds since the Unix epoch."""
--- a/packages/server/src/knapweedbeam_server/tasks/exchange.py
+++ b/packages/server/src/knapweedbeam_server/tasks/exchange.py
@@ -50,7 +50,11 @@
     head: str
 
 
-def build_target(address: str) -> Target:
+def build_target(
+    address: str,
+    connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    connections: int = MAX_CONNECTIONS,
+) -> Target:
     """Return the target of a base URL; raises `ValueError` on a bad one."""
     url = urllib.parse.urlsplit(address)
     if url.scheme != "http" or not url.hostname:
@@ -61,8 +65,8 @@
         port,
         url.hostname,
         port,
-        size=MAX_CONNECTIONS,
-        connection_timeout=CONNECT_TIMEOUT_S,
+        size=connections,
+        connection_timeout=connect_timeout_s,
         network_timeout=None,
     )
     head = f" HTTP/1.1\r\nHost: {url.netloc}\r\nContent-Type: application/json\r\n"
@@ -72,14 +76,22 @@
 class Targets:
     """The targets in use; the longest unused makes room."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        connections: int = MAX_CONNECTIONS,
+    ) -> None:
+        self.connect_timeout_s = connect_timeout_s
+        self.connections = connections
         self.targets: collections.OrderedDict[str, Target] = collections.OrderedDict()
 
     def get(self, address: str) -> Target:
         """Return the target of an address; raises `ValueError` on a bad one."""
         target = self.targets.get(address)
         if target is None:
-            target = self.targets[address] = build_target(address)
+            target = self.targets[address] = build_target(
+                address, self.connect_timeout_s, self.connections
+            )
             if len(self.targets) > MAX_ADDRESSES:
                 _, oldest = self.targets.popitem(last=False)
                 oldest.pool.close()
@@ -88,13 +100,22 @@
         return target
 
 
-def post(target: Target, path: str, body: bytes, max_answer_bytes: int) -> Answer:
+def post(
+    target: Target,
+    path: str,
+    body: bytes,
+    max_answer_bytes: int,
+    more_head: str = "",
+) -> Answer:
     """Post once and return the whole answer; the caller bounds the time.
 
+    `more_head` holds further header lines, each with its line end.
+
     Raises `NotSentError` or `BrokenError`. A connection whose exchange was not
     finished is closed, never used again.
     """
-    request = f"POST {target.prefix}{path}{target.head}Content-Length: {len(body)}"
+    head = f"{target.head}{more_head}Content-Length: {len(body)}"
+    request = f"POST {target.prefix}{path}{head}"
     try:
         sock = target.pool.get_socket()
     except OSError as error:
--- a/packages/server/tests/http_/test_callers.py
+++ b/packages/server/tests/http_/test_callers.py
@@ -13,7 +13,7 @@
 from knapweedbeam_core import effects, jobs, outcomes, reasons, rules
 from knapweedbeam_core.tickets import answers as job_answers
 from knapweedbeam_server import waiters
-from knapweedbeam_server.http import auth, callers, router, serving
+from knapweedbeam_server.http import auth, callers, reading, router, serving
 
 TOKEN = "secret-of-one"
 OTHER_TOKEN = "secret-of-two"
@@ -92,7 +92,7 @@
         app = router.Router(
             callers.CallerApi(self.service, BOUNDS).get_routes(),
             authenticator,
-            router.Bounds(body_bytes=4_096, read_timeout_ms=200),
+            reading.Bounds(body_bytes=4_096, read_timeout_ms=200),
             self.service,
         )
         bounds = serving.ServerBounds(8, 2_048, 200)
--- a/packages/wire/src/knapweedbeam_wire/links.py
+++ b/packages/wire/src/knapweedbeam_wire/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import collections.abc
 import contextlib
 import dataclasses
 import random
@@ -18,17 +19,30 @@
 from knapweedbeam_core import effects, ids
 from knapweedbeam_wire import codec, frames, handshake, traffic
 
-CONNECT_TIMEOUT_S = 2.0
-HANDSHAKE_TIMEOUT_S = 2.0
-SILENCE_TIMEOUT_S = 15.0
 FIRST_RETRY_S = 0.05
-MAX_RETRY_S = 1.0
-UNACKED_TIMEOUT_MS = 3_000
 MAX_QUEUED_MESSAGES = 20_000
 MAX_BATCH = 512
 MAX_INCOMING_LINKS = 256
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkTimes:
+    """How long links wait before they give up or try again.
+
+    The defaults suit peers that are set for good. Deployments that must notice a
+    lost peer within a second take shorter ones.
+    """
+
+    connect_s: float = 2.0
+    handshake_s: float = 2.0
+    silence_s: float = 15.0
+    unacked_ms: int = 3_000
+    max_retry_s: float = 1.0
+
+
+DEFAULT_TIMES = LinkTimes()
+
+
 class LinkObserver(typing.Protocol):
     """Who hears of links and messages."""
 
@@ -54,12 +68,10 @@
     port: int
 
 
-def set_options(sock: gevent.socket.socket) -> None:
+def set_options(sock: gevent.socket.socket, unacked_ms: int) -> None:
     """Send at once, and give up a connection that acknowledges nothing."""
     sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
-    sock.setsockopt(
-        std_socket.IPPROTO_TCP, std_socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS
-    )
+    sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_USER_TIMEOUT, unacked_ms)
 
 
 class Outgoing:
@@ -72,7 +84,9 @@
         shake: handshake.Handshake,
         codec_: codec.Codec,
         observer: LinkObserver,
+        times: LinkTimes,
     ) -> None:
+        self.times = times
         self.peer = peer
         self.source_host = source_host
         self.shake = shake
@@ -114,18 +128,18 @@
             self.connected = False
             self.queue.clear()
             gevent.sleep(retry_s * random.uniform(0.5, 1.5))
-            retry_s = min(2 * retry_s, MAX_RETRY_S)
+            retry_s = min(2 * retry_s, self.times.max_retry_s)
 
     def hold_connection(self) -> None:
         """Connect and send until the link fails."""
         sock = gevent.socket.create_connection(
             (self.peer.host, self.peer.port),
-            CONNECT_TIMEOUT_S,
+            self.times.connect_s,
             (self.source_host, 0),
         )
         with sock:
-            set_options(sock)
-            sock.settimeout(HANDSHAKE_TIMEOUT_S)
+            set_options(sock, self.times.unacked_ms)
+            sock.settimeout(self.times.handshake_s)
             session = self.shake.dial(sock, self.peer.name)
             sock.settimeout(None)
             watcher = gevent.spawn(self.watch, sock)
@@ -164,7 +178,11 @@
 
 
 class Links:
-    """All links of a process."""
+    """All links of a process.
+
+    In a closed group only the peers may dial in; in an open one any process that
+    holds the shared key, as where members are found at run time.
+    """
 
     def __init__(
         self,
@@ -174,19 +192,35 @@
         link_key: bytes,
         codec_: codec.Codec,
         observer: LinkObserver,
+        times: LinkTimes = DEFAULT_TIMES,
+        is_closed_group: bool = True,
     ) -> None:
+        self.host = listen[0]
+        self.times = times
+        self.is_closed_group = is_closed_group
         self.shake = handshake.Handshake(me, link_key)
         self.codec = codec_
         self.observer = observer
-        self.known = frozenset(peer.name for peer in peers)
         self.received = traffic.Traffic()
-        self.outgoing = {
-            peer.name: Outgoing(peer, listen[0], self.shake, codec_, observer)
-            for peer in peers
-        }
+        self.outgoing = {peer.name: self.build_outgoing(peer) for peer in peers}
         pool = gevent.pool.Pool(MAX_INCOMING_LINKS)
         self.server = gevent.server.StreamServer(listen, self.serve, spawn=pool)
 
+    def build_outgoing(self, peer: PeerAddress) -> Outgoing:
+        """Return the link to a peer, not started."""
+        return Outgoing(
+            peer, self.host, self.shake, self.codec, self.observer, self.times
+        )
+
+    def set_peers(self, peers: collections.abc.Iterable[PeerAddress]) -> None:
+        """Dial peers that are new, and close the links to those that are gone."""
+        wanted = {peer.name: peer for peer in peers}
+        for name in set(self.outgoing) - set(wanted):
+            self.outgoing.pop(name).stop()
+        for name in sorted(set(wanted) - set(self.outgoing)):
+            link = self.outgoing[name] = self.build_outgoing(wanted[name])
+            link.start()
+
     def start(self) -> None:
         """Listen and dial."""
         self.server.start()
@@ -208,12 +242,12 @@
     def serve(self, sock: gevent.socket.socket, address: tuple[str, int]) -> None:
         """Take one incoming link until it ends; a bad one ends alone."""
         try:
-            set_options(sock)
-            sock.settimeout(HANDSHAKE_TIMEOUT_S)
+            set_options(sock, self.times.unacked_ms)
+            sock.settimeout(self.times.handshake_s)
             session = self.shake.accept(sock)
-            if session.peer.name not in self.known:
+            if self.is_closed_group and session.peer.name not in self.outgoing:
                 raise frames.LinkError(f"unknown peer {session.peer.name[:40]}")
-            sock.settimeout(SILENCE_TIMEOUT_S)
+            sock.settimeout(self.times.silence_s)
             self.receive(frames.FrameReader(sock, session.key), session.peer)
         except frames.LinkClosedError:
             return
--- /dev/null
+++ b/packages/wire/src/knapweedbeam_wire/schema/fleet.capnp
@@ -0,0 +1,25 @@
+@0x9d2f6b1c84e05a37;
+# Heartbeats of the processes of a deployment, and manifests on their way.
+
+struct Presence {
+  name @0 :Text;
+  isCore @1 :Bool;
+  domain @2 :Text;
+  control @3 :Text;
+  isReady @4 :Bool;
+  isStopping @5 :Bool;
+  generation @6 :Int64;
+  highest @7 :Int64;
+  following @8 :Text;
+  manifestVersion @9 :Int64;
+  members @10 :List(Text);
+}
+
+struct ManifestWanted {
+  heldVersion @0 :Int64;
+}
+
+struct ManifestNews {
+  version @0 :Int64;
+  body @1 :Data;
+}
--- /dev/null
+++ b/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
@@ -0,0 +1,80 @@
+@0xe71a4c9036bd825f;
+# Jobs between entry VMs and dispatchers, and endpoints' words about themselves.
+
+struct SubmittedStep {
+  count @0 :Int64;
+  cpuMillis @1 :Int64;
+  memoryMib @2 :Int64;
+  gpus @3 :Int64;
+  estimateMs @4 :Int64;
+  dependsOn @5 :List(Int64);
+  requiredLabel @6 :Text;
+  dataRack @7 :Text;
+  maxPerEndpoint @8 :Int64;
+}
+
+struct EndpointNews {
+  endpoint @0 :Text;
+  bornMs @1 :Int64;
+  sequence @2 :Int64;
+  service @3 :Text;
+  address @4 :Text;
+  domain @5 :Text;
+  state @6 :Text;
+  cpuMillis @7 :Int64;
+  memoryMib @8 :Int64;
+  gpus @9 :Int64;
+  labels @10 :List(Text);
+  clockMs @11 :Int64;
+  ageMs @12 :Int64;
+}
+
+struct EndpointNewsHeld {
+  endpoint @0 :Text;
+  bornMs @1 :Int64;
+  sequence @2 :Int64;
+}
+
+struct EndpointGone {
+  endpoint @0 :Text;
+  bornMs @1 :Int64;
+}
+
+struct Submit {
+  jobId @0 :Text;
+  queue @1 :Text;
+  service @2 :Text;
+  priority @3 :Int64;
+  maxAttempts @4 :Int64;
+  slackFactor @5 :Float64;
+  allowanceMs @6 :Int64;
+  spec @7 :Text;
+  steps @8 :List(SubmittedStep);
+  ageMs @9 :Int64;
+  patienceMs @10 :Int64;
+  attemptBase @11 :Int64;
+}
+
+struct Withdraw {
+  jobId @0 :Text;
+}
+
+struct JobComplete {
+  jobId @0 :Text;
+}
+
+struct JobFailed {
+  jobId @0 :Text;
+  reason @1 :Text;
+}
+
+struct JobRefused {
+  jobId @0 :Text;
+  reason @1 :Text;
+  retryAfterMs @2 :Int64;
+}
+
+struct NotDispatching {
+  jobId @0 :Text;
+  following @1 :Text;
+}
