Keep a dispatcher that takes over from drowning in its backlog

Two causes: entry VMs sent every open job each 20 ms to a process that did not dispatch yet, and each event placed anew all that waited, some 12 ms for 60 jobs, although nothing fitted. Ruled out: polling (its pauses grow), the log (no role in it).

Jobs now go to a dispatcher in office only, one that refuses is asked again after 100 ms, the office is kept until the successor has it, and tasks are placed once a turn of the loop, none that fits nowhere. Endpoints are told to a process that comes back.

Tests: the desk floods nobody, the office has no gap, histories of dispatchers, endpoints, cuts and late orders.

--- a/packages/core/src/knapweedbeam_core/fleet/leadership.py
+++ b/packages/core/src/knapweedbeam_core/fleet/leadership.py
@@ -6,7 +6,9 @@
 core VMs are all down, goes on with a dispatcher of its own.
 
 A dispatcher in office is kept as long as it is heard: a change stops nothing that
-runs but costs the time of one silence. Core VMs go before entry VMs.
+runs but costs the time of one silence. Processes that know endpoints go before those
+that don't, and core VMs before entry VMs. One in office that is to be replaced goes
+on until the next one has taken the office.
 """
 
 from __future__ import annotations
@@ -80,21 +82,22 @@
             return self.following
         self.following = self.choose(own)
         if self.following.name != own.name:
-            self.generation = 0
+            self.yield_to(self.following)
         elif self.generation == 0:
             self.claim(now_ms)
         elif self.is_followed():
             self.followed_ms = now_ms
         elif now_ms - self.followed_ms > UNFOLLOWED_MS:
             self.generation = 0
-        self.following = Choice(
-            self.following.name,
-            self.generation
-            if self.following.name == own.name
-            else self.following.generation,
-        )
+        if self.following.name == own.name:
+            self.following = Choice(own.name, self.generation)
         return self.following
 
+    def yield_to(self, other: Choice) -> None:
+        """Leave the office once another process has taken it."""
+        if other.generation > self.generation or not other.name:
+            self.generation = 0
+
     def claim(self, now_ms: int) -> None:
         """Take the office once all entry VMs that are heard follow this process."""
         if now_ms < self.barred_until_ms or not self.is_followed():
@@ -124,4 +127,4 @@
 
 def get_rank(known: messages.Presence) -> tuple[bool, bool, int, str]:
     """Return what orders candidates, the best one first."""
-    return (not known.is_core, not known.is_ready, -known.generation, known.name)
+    return (not known.is_ready, not known.is_core, -known.generation, known.name)
--- a/packages/core/src/knapweedbeam_core/pool/desk.py
+++ b/packages/core/src/knapweedbeam_core/pool/desk.py
@@ -20,6 +20,8 @@
 RETRY_AFTER_MS = 1_000
 # Messages may be lost with a link, so an open job is named again this often.
 RESEND_MS = 700
+# A process that doesn't dispatch yet, or any more, is asked again after this long.
+REFUSED_PAUSE_MS = 100
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,7 +68,7 @@
     taken_ms: int
     give_up_ms: int
     sent_to: str = ""
-    sent_ms: int = 0
+    sent_ms: int = -RESEND_MS
     sends: int = 0
 
 
@@ -161,6 +163,7 @@
         job = self.jobs.get(job_id)
         if job is not None and job.sent_to == sender == self.dispatcher:
             job.sent_to = ""
+            job.sent_ms = self.clock.now_ms()
             job.sends -= 1
         return []
 
@@ -169,7 +172,8 @@
         now_ms = self.clock.now_ms()
         produced: Effects = []
         for job in list(self.jobs.values()):
-            is_fresh = job.sent_to and now_ms - job.sent_ms < RESEND_MS
+            pause_ms = RESEND_MS if job.sent_to else REFUSED_PAUSE_MS
+            is_fresh = now_ms - job.sent_ms < pause_ms
             if self.dispatcher and not is_fresh:
                 produced += self.send(job)
             elif not job.sends and now_ms - job.taken_ms > NO_DISPATCHER_MS:
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 
 from knapweedbeam_core import clock, effects, reasons
 from knapweedbeam_core.pool import (
@@ -120,7 +121,15 @@
         for attempt in lost:
             endpoint.remove(attempt)
             produced += self.settler.put_back(attempt, endpoint, why)
-        return produced + self.schedule()
+        return produced
+
+    def list_news(self) -> list[messages.EndpointNews]:
+        """Return the newest word of each endpoint, with its age."""
+        now_ms = self.clock.now_ms()
+        return [
+            dataclasses.replace(known.said, age_ms=now_ms - known.heard_ms)
+            for known in self.endpoints.values()
+        ]
 
     def has_whole_view(self, service: str) -> bool:
         """Say whether every endpoint of a service that is there is held."""
@@ -149,7 +158,7 @@
         job = self.build_job(sender, submit, ended)
         self.jobs[job.job_id] = job
         produced = self.settler.adopt(job)
-        return produced + self.schedule()
+        return produced
 
     def build_job(
         self, sender: str, submit: messages.Submit, ended: Remembered | None
@@ -247,7 +256,7 @@
             if job.orphaned_ms and now_ms - job.orphaned_ms > ORPHAN_MS:
                 produced += self.end_job(job, None)
         self.forget_ended(now_ms)
-        return produced + self.schedule()
+        return produced
 
     def forget_ended(self, now_ms: int) -> None:
         """Forget jobs that ended long ago."""
@@ -257,21 +266,25 @@
                 return
             self.ended.popitem(last=False)
 
-    def schedule(self) -> Effects:
-        """Start what fits, in order of urgency; refuse what is hopeless."""
-        now_ms = self.clock.now_ms()
-        waiting = [job for job in self.jobs.values() if job.waiting]
-        if not waiting or not self.fence:
+    def place(self) -> Effects:
+        """Start what fits, in order of urgency; refuse what is hopeless.
+
+        The shell calls this once after the events of a turn, not after each one: it
+        looks at all that waits.
+        """
+        if not self.fence:
             return []
-        produced: Effects = []
+        now_ms = self.clock.now_ms()
         by_service: dict[str, list[jobs.Job]] = {}
-        for job in waiting:
-            by_service.setdefault(job.terms.service, []).append(job)
+        for job in self.jobs.values():
+            if job.waiting:
+                by_service.setdefault(job.terms.service, []).append(job)
+        produced: Effects = []
         for service, queued in by_service.items():
-            produced += self.schedule_service(service, queued, now_ms)
+            produced += self.place_service(service, queued, now_ms)
         return produced
 
-    def schedule_service(
+    def place_service(
         self, service: str, queued: list[jobs.Job], now_ms: int
     ) -> Effects:
         """Start what fits on the endpoints of one service."""
@@ -279,19 +292,32 @@
         held = [e for e in known if e.is_held]
         best_speed = max((e.speed.value for e in held), default=1.0)
         is_whole = self.has_whole_view(service)
-        open_endpoints = [e for e in held if e.is_open(now_ms)]
+        openings = placing.Openings(e for e in held if e.is_open(now_ms))
         produced: Effects = []
         for job in queueing.sort_jobs(queued, now_ms, best_speed):
             if now_ms < job.not_before_ms and not is_whole:
                 continue
-            if queueing.is_hopeless(job, now_ms, best_speed) and not job.was_started:
+            if not job.was_started and queueing.is_hopeless(job, now_ms, best_speed):
                 produced += self.refuse(job, reasons.Reason.DEADLINE)
                 continue
-            for task in list(job.waiting):
-                chosen = placing.choose(task, open_endpoints, now_ms, best_speed)
-                if chosen is None:
-                    continue
+            produced += self.place_job(job, openings, now_ms, best_speed)
+        return produced
+
+    def place_job(
+        self, job: jobs.Job, openings: placing.Openings, now_ms: int, best_speed: float
+    ) -> Effects:
+        """Start the tasks of a job that fit."""
+        produced: Effects = []
+        full: set[int] = set()
+        for task in list(job.waiting):
+            if task.step in full or not openings.may_fit(task.spec):
+                continue
+            chosen = placing.choose(task, openings, now_ms, best_speed)
+            if chosen is not None:
                 produced.append(self.start(task, chosen, now_ms))
+                openings.measure()
+            elif not task.failures:
+                full.add(task.step)
         return produced
 
     def refuse(self, job: jobs.Job, reason: reasons.Reason) -> Effects:
@@ -349,7 +375,7 @@
         endpoint = self.find(hold.target)
         if endpoint is None or hold.fence != self.fence:
             return []
-        return self.settler.on_holding(endpoint, hold, answer) + self.schedule()
+        return self.settler.on_holding(endpoint, hold, answer)
 
     def on_hold_failed(self, hold: calls.Hold, failed: calls.HoldFailed) -> Effects:
         """Take that an endpoint gave no lists."""
@@ -363,7 +389,7 @@
         endpoint = self.find(start.target)
         if endpoint is None or start.fence != self.fence:
             return []
-        return self.settler.on_start_answer(endpoint, start, answer) + self.schedule()
+        return self.settler.on_start_answer(endpoint, start, answer)
 
     def on_stop_answer(self, stop: calls.Stop, answer: calls.Answer) -> Effects:
         """Take the end of a stop."""
--- a/packages/core/src/knapweedbeam_core/pool/jobs.py
+++ b/packages/core/src/knapweedbeam_core/pool/jobs.py
@@ -113,6 +113,7 @@
         ]
         self.waiting = self.find_ready_tasks()
         self.left = sum(step.count for step in steps)
+        self.longest_ms = max(step.estimate_ms for step in steps)
         longest_ms = self.get_chain_ms()
         objective_ms = int(terms.slack_factor * longest_ms) + terms.allowance_ms
         self.due_ms = born_ms + objective_ms
--- a/packages/core/src/knapweedbeam_core/pool/placing.py
+++ b/packages/core/src/knapweedbeam_core/pool/placing.py
@@ -22,6 +22,30 @@
 SPEED_STEP = 0.2
 
 
+class Openings:
+    """The endpoints of one service that may take tasks now.
+
+    Under a backlog most waiting tasks fit nowhere; `may_fit` tells so at once.
+    """
+
+    def __init__(
+        self, open_endpoints: collections.abc.Iterable[endpoints.Endpoint]
+    ) -> None:
+        self.endpoints = list(open_endpoints)
+        self.largest_cpu_millis = 0
+        self.measure()
+
+    def measure(self) -> None:
+        """Note the largest room that is left."""
+        self.largest_cpu_millis = max(
+            (endpoint.free.cpu_millis for endpoint in self.endpoints), default=-1
+        )
+
+    def may_fit(self, step: jobs.Step) -> bool:
+        """Say whether some endpoint has the processor room of a step's task."""
+        return step.cpu_millis <= self.largest_cpu_millis
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidate:
     """An endpoint with room, and when a task would end there."""
@@ -69,7 +93,7 @@
 
 def choose(
     task: jobs.Task,
-    open_endpoints: collections.abc.Iterable[endpoints.Endpoint],
+    openings: Openings,
     now_ms: int,
     best_speed: float,
 ) -> endpoints.Endpoint | None:
@@ -78,7 +102,7 @@
     due_ms = task.job.due_ms - queueing.TRANSIT_MS
     in_time: list[Candidate] = []
     late: list[Candidate] = []
-    for endpoint in open_endpoints:
+    for endpoint in openings.endpoints:
         if not fits(task, endpoint):
             continue
         ends_ms = now_ms + endpoint.speed.get_run_ms(planned_ms)
--- a/packages/core/src/knapweedbeam_core/pool/queueing.py
+++ b/packages/core/src/knapweedbeam_core/pool/queueing.py
@@ -33,17 +33,12 @@
 
 def get_standing(job: jobs.Job, now_ms: int, best_speed: float) -> Standing:
     """Return what a job can reach if it gets the fastest endpoints now."""
-    ends_ms = now_ms + get_longest_ms(job) / best_speed + TRANSIT_MS
+    ends_ms = now_ms + job.longest_ms / best_speed + TRANSIT_MS
     if ends_ms <= job.due_ms:
         return Standing.IN_TIME
     return Standing.LATE if ends_ms <= job.worthless_ms else Standing.WORTHLESS
 
 
-def get_longest_ms(job: jobs.Job) -> int:
-    """Return the longest estimate among a job's waiting tasks."""
-    return max((task.spec.estimate_ms for task in job.waiting), default=0)
-
-
 def sort_jobs(
     waiting: collections.abc.Iterable[jobs.Job], now_ms: int, best_speed: float
 ) -> list[jobs.Job]:
@@ -52,15 +47,15 @@
     def get_key(job: jobs.Job) -> tuple[Standing, int]:
         standing = get_standing(job, now_ms, best_speed)
         if standing == Standing.IN_TIME:
-            return standing, job.due_ms - get_longest_ms(job)
-        return standing, get_longest_ms(job)
+            return standing, job.due_ms - job.longest_ms
+        return standing, job.longest_ms
 
     return sorted(waiting, key=get_key)
 
 
 def is_hopeless(job: jobs.Job, now_ms: int, best_speed: float) -> bool:
     """Say whether a job cannot end while its caller still waits."""
-    return now_ms + get_longest_ms(job) / best_speed > job.give_up_ms
+    return now_ms + job.longest_ms / best_speed > job.give_up_ms
 
 
 def build_refusal(
--- a/packages/core/src/knapweedbeam_core/pool/settling.py
+++ b/packages/core/src/knapweedbeam_core/pool/settling.py
@@ -213,6 +213,7 @@
 
     def on_fenced(self, endpoint: endpoints.Endpoint) -> dispatcher.Effects:
         """Order nothing more at an endpoint that obeys another dispatcher."""
+        endpoint.is_held = False
         return [notes.EndpointFenced(endpoint.said.endpoint, self.owner.fence)]
 
     # Lists.
--- /dev/null
+++ b/packages/core/tests/fleet/test_leadership.py
@@ -0,0 +1,201 @@
+from __future__ import annotations
+
+import dataclasses
+import unittest
+
+from knapweedbeam_core import clock
+from knapweedbeam_core.fleet import leadership, membership, messages
+
+TICK_MS = 20
+
+
+class Process:
+    """A process's members and choice, and which others it hears."""
+
+    def __init__(self, name: str, is_core: bool, timer: clock.Clock) -> None:
+        self.name = name
+        self.is_core = is_core
+        self.members = membership.Membership(name, is_core, (), timer)
+        self.leadership = leadership.Leadership(self.members, hash(name), timer)
+        self.is_up = True
+        self.is_stopping = False
+        self.is_ready = True
+
+    def get_presence(self) -> messages.Presence:
+        return messages.Presence(
+            self.name,
+            self.is_core,
+            "domain",
+            "",
+            self.is_ready,
+            self.is_stopping,
+            self.leadership.generation,
+            self.members.highest_generation,
+            self.leadership.following.name,
+            1,
+        )
+
+
+class Deployment:
+    """Processes that hear each other at once, but for cuts between them."""
+
+    def __init__(self, cores: int, entries: int) -> None:
+        self.clock = clock.ManualClock(0, 1_700_000_000_000)
+        names = [(f"c{number}", True) for number in range(cores)]
+        names += [(f"e{number}", False) for number in range(entries)]
+        self.processes = {
+            name: Process(name, is_core, self.clock) for name, is_core in names
+        }
+        self.cut: set[frozenset[str]] = set()
+
+    def separate(self, some: list[str], others: list[str]) -> None:
+        self.cut |= {frozenset((a, b)) for a in some for b in others}
+
+    def advance(self, by_ms: int) -> None:
+        for _ in range(0, by_ms, TICK_MS):
+            self.clock.advance(TICK_MS)
+            up = [process for process in self.processes.values() if process.is_up]
+            for process in up:
+                process.leadership.update(process.get_presence())
+            for speaker in up:
+                said = speaker.get_presence()
+                for hearer in up:
+                    pair = frozenset((speaker.name, hearer.name))
+                    if len(pair) == 2 and pair not in self.cut:
+                        hearer.members.hear(said)
+
+    def get_followed(self, *names: str) -> set[str]:
+        return {self.processes[name].leadership.following.name for name in names}
+
+    def get_leaders(self) -> list[str]:
+        return [
+            p.name
+            for p in self.processes.values()
+            if p.is_up and p.leadership.generation
+        ]
+
+
+class LeadershipTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.deployment = Deployment(3, 4)
+        self.deployment.advance(1_500)
+
+    def test_one_core_process_dispatches(self) -> None:
+        self.assertEqual(self.deployment.get_leaders(), ["c0"])
+        self.assertEqual(self.deployment.get_followed("e0", "e3", "c1"), {"c0"})
+
+    def test_a_lost_dispatcher_is_replaced_within_a_second(self) -> None:
+        self.deployment.processes["c0"].is_up = False
+        self.deployment.advance(800)
+        self.assertEqual(self.deployment.get_leaders(), ["c1"])
+        self.assertEqual(self.deployment.get_followed("e0", "e3", "c2"), {"c1"})
+
+    def test_a_token_is_never_used_by_two(self) -> None:
+        first = self.deployment.processes["c0"].leadership.generation
+        self.deployment.processes["c0"].is_up = False
+        self.deployment.advance(800)
+        second = self.deployment.processes["c1"].leadership.generation
+        self.assertGreater(second, first)
+
+    def test_one_that_returns_does_not_take_the_office_back(self) -> None:
+        self.deployment.processes["c0"].is_up = False
+        self.deployment.advance(800)
+        fresh = Process("c0", True, self.deployment.clock)
+        self.deployment.processes["c0"] = fresh
+        self.deployment.advance(2_000)
+        self.assertEqual(self.deployment.get_leaders(), ["c1"])
+
+    def test_one_that_was_frozen_leaves_the_office(self) -> None:
+        self.deployment.processes["c0"].is_up = False
+        self.deployment.advance(3_000)
+        self.deployment.processes["c0"].is_up = True
+        self.deployment.advance(200)
+        self.assertEqual(self.deployment.get_leaders(), ["c1"])
+
+    def test_a_domain_that_is_cut_off_goes_on_by_itself(self) -> None:
+        inside, outside = ["c1", "e0"], ["c0", "c2", "e1", "e2", "e3"]
+        self.deployment.separate(inside, outside)
+        self.deployment.advance(1_000)
+        self.assertEqual(self.deployment.get_followed("e0"), {"c1"})
+        self.assertEqual(self.deployment.get_followed("e1", "e2", "e3"), {"c0"})
+        self.deployment.cut.clear()
+        self.deployment.advance(600)
+        self.assertEqual(len(self.deployment.get_leaders()), 1)
+
+    def test_core_processes_cut_from_each_other_leave_the_dispatcher_alone(
+        self,
+    ) -> None:
+        self.deployment.separate(["c0"], ["c1", "c2"])
+        self.deployment.advance(3_000)
+        self.assertEqual(self.deployment.get_leaders(), ["c0"])
+
+    def test_entry_processes_dispatch_when_the_core_is_down(self) -> None:
+        for name in ("c0", "c1", "c2"):
+            self.deployment.processes[name].is_up = False
+        self.deployment.advance(1_200)
+        self.assertEqual(self.deployment.get_leaders(), ["e0"])
+        self.assertEqual(self.deployment.get_followed("e1", "e3"), {"e0"})
+        self.deployment.processes["c2"].is_up = True
+        self.deployment.advance(1_200)
+        self.assertEqual(self.deployment.get_leaders(), ["c2"])
+
+    def test_one_that_stops_hands_over_before_it_goes(self) -> None:
+        self.deployment.processes["c0"].is_stopping = True
+        self.deployment.advance(200)
+        self.assertEqual(self.deployment.get_leaders(), ["c1"])
+
+    def test_the_office_is_kept_until_the_successor_has_it(self) -> None:
+        self.deployment.processes["c0"].is_stopping = True
+        for _ in range(20):
+            self.deployment.advance(TICK_MS)
+            self.assertTrue(self.deployment.get_leaders())
+        self.assertEqual(self.deployment.get_leaders(), ["c1"])
+
+    def test_a_core_process_without_endpoints_takes_no_office(self) -> None:
+        for name in ("c0", "c1", "c2"):
+            self.deployment.processes[name].is_up = False
+        self.deployment.advance(1_200)
+        fresh = Process("c1", True, self.deployment.clock)
+        fresh.is_ready = False
+        self.deployment.processes["c1"] = fresh
+        self.deployment.advance(1_500)
+        self.assertEqual(self.deployment.get_leaders(), ["e0"])
+        fresh.is_ready = True
+        self.deployment.advance(400)
+        self.assertEqual(self.deployment.get_leaders(), ["c1"])
+
+    def test_a_refused_token_is_not_used_again(self) -> None:
+        process = self.deployment.processes["c0"]
+        before = process.leadership.generation
+        process.leadership.was_refused(500)
+        self.deployment.advance(1_500)
+        self.assertNotEqual(process.leadership.generation, before)
+        self.assertEqual(len(self.deployment.get_leaders()), 1)
+
+
+class MembershipTest(unittest.TestCase):
+    def test_a_listing_makes_others_known(self) -> None:
+        timer = clock.ManualClock(0)
+        members = membership.Membership("e9", False, ("c0",), timer)
+        said = Process("c0", True, timer).get_presence()
+        members.hear(dataclasses.replace(said, members=("c0", "c1", "e1")))
+        self.assertEqual(members.get_links(), {"c0", "c1", "e1"})
+
+    def test_an_entry_process_links_to_core_and_standbys_alone(self) -> None:
+        timer = clock.ManualClock(0)
+        members = membership.Membership("e9", False, (), timer)
+        for name in ("c0", "e1", "e2", "e3", "e4", "e5"):
+            members.hear(Process(name, name == "c0", timer).get_presence())
+        self.assertEqual(members.get_links(), {"c0", "e1", "e2", "e3"})
+
+    def test_one_that_is_gone_for_long_is_forgotten(self) -> None:
+        timer = clock.ManualClock(0)
+        members = membership.Membership("e9", False, ("c0",), timer)
+        members.hear(Process("e1", False, timer).get_presence())
+        timer.advance(membership.FORGET_MS + 1)
+        members.forget_old()
+        self.assertEqual(set(members.members), {"c0"})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/core/tests/pool/test_dispatcher.py
@@ -0,0 +1,217 @@
+from __future__ import annotations
+
+import unittest
+
+from knapweedbeam_core.pool import messages
+from pool import world
+
+
+class ServingTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.world = world.World()
+        for number in range(4):
+            self.world.add_endpoint(f"e{number}")
+        self.dispatcher = self.world.add_dispatcher("a", 10)
+        self.world.advance(50)
+
+    def tearDown(self) -> None:
+        self.assertEqual(self.world.breaches, [])
+
+    def test_a_wide_job_completes_within_its_objective(self) -> None:
+        self.world.submit(self.dispatcher, "j", count=8)
+        self.world.advance(200)
+        self.assertEqual(self.world.get_outcome("j"), "JobComplete")
+        self.assertEqual(len(self.world.starts), 8)
+
+    def test_what_does_not_fit_waits_for_room(self) -> None:
+        self.world.submit(self.dispatcher, "j", count=20)
+        self.world.advance(20)
+        self.assertEqual(len(self.world.starts), 8)
+        self.world.advance(300)
+        self.assertEqual(self.world.get_outcome("j"), "JobComplete")
+
+    def test_a_failed_task_is_tried_elsewhere_as_often_as_allowed(self) -> None:
+        for endpoint in self.world.endpoints.values():
+            endpoint.fails = True
+        self.world.submit(self.dispatcher, "j", max_attempts=3)
+        self.world.advance(200)
+        self.assertEqual(self.world.get_outcome("j"), "JobFailed")
+        self.assertEqual(len({name for _, name, _ in self.world.starts}), 3)
+
+    def test_an_endpoint_that_fails_everything_rests(self) -> None:
+        self.world.endpoints["e0"].fails = True
+        for number in range(40):
+            self.world.submit(self.dispatcher, f"j{number}")
+            self.world.advance(30)
+        self.world.advance(200)
+        done = [self.world.get_outcome(f"j{number}") for number in range(40)]
+        self.assertEqual(done.count("JobComplete"), 40)
+        used = [name for _, name, _ in self.world.starts]
+        self.assertLessEqual(used.count("e0"), 4)
+
+    def test_a_withdrawn_job_is_stopped(self) -> None:
+        self.world.submit(self.dispatcher, "j", count=2, work_ms=900)
+        self.world.advance(100)
+        withdraw = messages.Withdraw("j")
+        self.world.run(self.dispatcher, self.dispatcher.on_withdraw(withdraw))
+        self.world.advance(100)
+        self.assertFalse(any(e.runs for e in self.world.endpoints.values()))
+        self.assertEqual(self.dispatcher.get_used_share(), 0.0)
+
+    def test_a_job_that_comes_twice_runs_once(self) -> None:
+        for _ in range(3):
+            self.world.submit(self.dispatcher, "j", count=2)
+            self.world.advance(120)
+        self.assertEqual(len(self.world.starts), 2)
+
+    def test_a_leaving_endpoint_gets_nothing_new(self) -> None:
+        leaving = self.world.endpoints["e0"].get_news(messages.EndpointState.LEAVING)
+        self.world.run(self.dispatcher, self.dispatcher.on_endpoint_news(leaving))
+        self.world.submit(self.dispatcher, "j", count=6)
+        self.world.advance(200)
+        self.assertNotIn("e0", {name for _, name, _ in self.world.starts})
+        self.assertEqual(self.world.get_outcome("j"), "JobComplete")
+
+    def test_a_job_that_can_never_be_served_in_time_is_refused_at_once(self) -> None:
+        self.world.submit(self.dispatcher, "j", work_ms=2_000, patience_ms=500)
+        self.world.advance(40)
+        self.assertEqual(self.world.get_outcome("j"), "JobRefused")
+        self.assertEqual(self.world.starts, [])
+
+
+class LossTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.world = world.World()
+        for number in range(3):
+            self.world.add_endpoint(f"e{number}")
+        self.dispatcher = self.world.add_dispatcher("a", 10)
+        self.world.advance(50)
+
+    def tearDown(self) -> None:
+        self.assertEqual(self.world.breaches, [])
+
+    def submit_many(self, count: int) -> None:
+        for number in range(count):
+            self.world.submit(self.dispatcher, f"j{number}", work_ms=200)
+            self.world.advance(20)
+
+    def count(self, outcome: str, of: int) -> int:
+        found = [self.world.get_outcome(f"j{number}") for number in range(of)]
+        return found.count(outcome)
+
+    def test_what_ran_on_a_dead_endpoint_runs_elsewhere_after_its_lease(self) -> None:
+        self.submit_many(6)
+        self.world.endpoints["e0"].crash()
+        self.world.advance(1_600)
+        self.assertEqual(self.count("JobComplete", 6), 6)
+
+    def test_a_lost_answer_neither_doubles_nor_loses_a_task(self) -> None:
+        self.world.endpoints["e0"].loses_answers = True
+        self.submit_many(12)
+        self.world.advance(2_500)
+        self.assertEqual(self.count("JobComplete", 12), 12)
+
+    def test_an_order_carried_out_seconds_late_starts_nothing(self) -> None:
+        self.world.endpoints["e0"].late_start_ms = 2_500
+        self.submit_many(12)
+        self.world.advance(6_000)
+        self.assertEqual(self.count("JobComplete", 12), 12)
+
+    def test_an_order_carried_out_after_its_time_out_is_not_doubled(self) -> None:
+        for endpoint in self.world.endpoints.values():
+            endpoint.late_start_ms = 400
+        self.world.submit(self.dispatcher, "j", count=2, work_ms=700)
+        self.world.advance(350)
+        for endpoint in self.world.endpoints.values():
+            endpoint.late_start_ms = 0
+        self.world.advance(3_000)
+        self.assertEqual(self.world.get_outcome("j"), "JobComplete")
+
+    def test_what_runs_behind_a_long_cut_is_not_doubled_before_its_lease_ends(
+        self,
+    ) -> None:
+        self.world.submit(self.dispatcher, "j", count=4, work_ms=2_000)
+        self.world.advance(100)
+        self.world.cut.add(("a", "e0"))
+        self.world.advance(6_000)
+        self.assertEqual(self.world.get_outcome("j"), "JobComplete")
+
+    def test_an_endpoint_cut_off_runs_on_and_nothing_is_doubled(self) -> None:
+        self.submit_many(6)
+        self.world.cut.add(("a", "e0"))
+        self.world.advance(300)
+        self.world.cut.clear()
+        self.world.advance(2_000)
+        self.assertEqual(self.count("JobComplete", 6), 6)
+
+    def test_a_new_life_under_the_same_id_holds_nothing(self) -> None:
+        self.submit_many(6)
+        old = self.world.endpoints["e0"]
+        old.crash()
+        fresh = self.world.add_endpoint("e0")
+        fresh.born_ms = 2
+        self.world.run(
+            self.dispatcher, self.dispatcher.on_endpoint_news(fresh.get_news())
+        )
+        self.world.advance(900)
+        self.assertEqual(self.count("JobComplete", 6), 6)
+
+
+class TakeoverTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.world = world.World()
+        for number in range(3):
+            self.world.add_endpoint(f"e{number}")
+        self.first = self.world.add_dispatcher("a", 10)
+        self.world.advance(50)
+
+    def tearDown(self) -> None:
+        self.assertEqual(self.world.breaches, [])
+
+    def test_a_successor_takes_up_what_runs(self) -> None:
+        self.world.submit(self.first, "j", count=5, work_ms=900)
+        self.world.advance(300)
+        for name in self.world.endpoints:
+            self.world.cut.add(("a", name))
+        second = self.world.add_dispatcher("b", 11)
+        self.world.submit(second, "j", 5, 900, age_ms=300, attempt_base=100)
+        self.world.advance(900)
+        self.assertEqual(self.world.get_outcome("j"), "JobComplete")
+        self.assertEqual(len(self.world.starts), 5)
+
+    def test_two_dispatchers_at_a_time_break_nothing(self) -> None:
+        self.world.submit(self.first, "j", count=6, work_ms=500)
+        self.world.advance(100)
+        second = self.world.add_dispatcher("b", 11)
+        self.world.submit(second, "j", 6, 500, age_ms=100, attempt_base=100)
+        for number in range(20):
+            by = (self.first, second)[number % 2]
+            self.world.submit(by, f"k{number}", work_ms=50)
+            self.world.advance(20)
+        self.world.advance(1_000)
+        self.assertEqual(self.world.get_outcome("j"), "JobComplete")
+
+    def test_a_job_waits_while_another_dispatcher_may_still_run_it(self) -> None:
+        self.world.submit(self.first, "j", count=6, work_ms=900)
+        self.world.advance(100)
+        second = self.world.add_dispatcher("b", 11)
+        self.world.cut.add(("b", "e0"))
+        self.world.submit(second, "j", 6, 900, age_ms=100, attempt_base=100)
+        self.world.run(self.first, self.first.set_fence(0))
+        self.world.advance(3_500)
+        self.assertEqual(self.world.get_outcome("j"), "JobComplete")
+
+    def test_strangers_that_nobody_names_are_stopped(self) -> None:
+        self.world.submit(self.first, "j", count=6, work_ms=5_000, estimate_ms=500)
+        self.world.advance(100)
+        second = self.world.add_dispatcher("b", 11)
+        self.world.run(self.first, self.first.set_fence(0))
+        self.world.advance(1_600)
+        self.assertFalse(any(e.runs for e in self.world.endpoints.values()))
+        self.world.submit(second, "k")
+        self.world.advance(200)
+        self.assertEqual(self.world.get_outcome("k"), "JobComplete")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/core/tests/pool/test_histories.py
@@ -0,0 +1,118 @@
+"""Histories of jobs, faults and takeovers: nothing doubles, no room is exceeded."""
+
+from __future__ import annotations
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from pool import world
+
+ENDPOINTS = 4
+ACTIONS = (
+    "job",
+    "job",
+    "job",
+    "cut",
+    "heal",
+    "crash",
+    "return",
+    "lose answers",
+    "start late",
+    "sound",
+    "fail",
+    "take over",
+    "withdraw",
+)
+
+
+class History:
+    def __init__(self) -> None:
+        self.world = world.World()
+        for number in range(ENDPOINTS):
+            self.world.add_endpoint(f"e{number}", speed=1.0 + number % 2)
+        self.fence = 10
+        self.current = self.world.add_dispatcher("d10", self.fence)
+        self.jobs = 0
+        self.open: dict[str, tuple[int, int]] = {}
+
+    def act(self, action: str, which: int, size: int) -> None:
+        endpoint = self.world.endpoints[f"e{which % ENDPOINTS}"]
+        match action:
+            case "job":
+                self.jobs += 1
+                job = (1 + size % 9, 30 + 60 * size)
+                self.open[f"j{self.jobs}"] = job
+                self.world.submit(self.current, f"j{self.jobs}", *job)
+            case "cut":
+                self.world.cut.add((self.current.name, endpoint.name))
+            case "heal":
+                self.world.cut.clear()
+            case "crash":
+                endpoint.crash()
+            case "return" if endpoint.is_silent:
+                fresh = self.world.add_endpoint(endpoint.name)
+                fresh.born_ms = endpoint.born_ms + 1
+                for each in self.world.dispatchers:
+                    news = fresh.get_news()
+                    self.world.run(each, each.on_endpoint_news(news))
+            case "lose answers":
+                endpoint.loses_answers = True
+            case "start late":
+                endpoint.late_start_ms = 100 + 100 * size
+            case "sound":
+                endpoint.loses_answers = endpoint.fails = False
+                endpoint.late_start_ms = 0
+            case "fail":
+                endpoint.fails = True
+            case "take over":
+                self.take_over()
+
+    def take_over(self) -> None:
+        old = self.current
+        self.fence += 1
+        self.current = self.world.add_dispatcher(f"d{self.fence}", self.fence)
+        for job_id, job in self.open.items():
+            if not self.world.get_outcome(job_id):
+                base = 100 * (self.fence - 10)
+                self.world.submit(self.current, job_id, *job, attempt_base=base)
+        # The old one learns of it late, and stops what it can still reach.
+        self.world.after(
+            400, lambda: self.world.run(old, old.set_fence(0)) if old.fence else None
+        )
+
+
+class HistoriesTest(unittest.TestCase):
+    @hypothesis.settings(
+        max_examples=150, deadline=None, derandomize=True, database=None
+    )
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(ACTIONS),
+                strategies.integers(0, 7),
+                strategies.integers(0, 20),
+                strategies.integers(1, 400),
+            ),
+            max_size=40,
+        )
+    )
+    def test_promises_hold(self, steps: list[tuple[str, int, int, int]]) -> None:
+        history = History()
+        for action, which, size, pause_ms in steps:
+            history.act(action, which, size)
+            history.world.advance(pause_ms)
+        self.assertEqual(history.world.breaches, [])
+        history.world.cut.clear()
+        for number in range(ENDPOINTS):
+            history.act("sound", number, 0)
+            history.act("return", number, 0)
+        history.world.advance(8_000)
+        self.assertEqual(history.world.breaches, [])
+        left = [j for j in history.open if not history.world.get_outcome(j)]
+        self.assertEqual(left, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/core/tests/pool/world.py
@@ -0,0 +1,363 @@
+"""Endpoints, a network and a dispatcher in virtual time, with checks of promises."""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+import itertools
+import random
+import typing
+
+from knapweedbeam_core import clock, effects
+from knapweedbeam_core.pool import calls, clocks, dispatcher, messages, settling
+
+LATENCY_MS = 1
+LEASE_MS = 1_000
+STOP_MS = 50
+CALL_TIMEOUT_MS = 300
+BOUNDS = settling.Bounds(LEASE_MS, STOP_MS)
+ENTRY = "entry"
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """One attempt on a fake endpoint, until it ends."""
+
+    task: str
+    number: int
+    cpu_millis: int
+    began_ms: int
+    ends_ms: int
+    kind: calls.EndKind = calls.EndKind.DONE
+
+
+class FakeEndpoint:
+    """An endpoint as the platform's pages describe it."""
+
+    def __init__(
+        self, world: World, name: str, cpu_millis: int = 64_000, speed: float = 1.0
+    ) -> None:
+        self.world = world
+        self.name = name
+        self.cpu_millis = cpu_millis
+        self.speed = speed
+        self.born_ms = 1
+        self.sequence = 0
+        self.fence = 0
+        self.until_ms = 0
+        self.runs: dict[str, Run] = {}
+        self.ended: list[calls.End] = []
+        self.barred: dict[str, int] = {}
+        self.places = itertools.count(1)
+        self.is_silent = False
+        self.fails = False
+        self.hangs = False
+        self.loses_answers = False
+        self.late_start_ms = 0
+        self.polls: list[tuple[calls.Hold, typing.Callable[[calls.Holding], None]]] = []
+
+    def get_news(
+        self, state: messages.EndpointState = messages.EndpointState.UP
+    ) -> messages.EndpointNews:
+        self.sequence += 1
+        return messages.EndpointNews(
+            self.name,
+            self.born_ms,
+            self.sequence,
+            "service",
+            self.name,
+            "domain",
+            state,
+            self.cpu_millis,
+            100_000,
+            0,
+            ("a", "r1"),
+            self.world.now_ms,
+        )
+
+    def start(self, order: calls.Start) -> calls.Verdict:
+        if order.fence < self.fence:
+            return calls.Verdict.FENCED
+        self.fence = order.fence
+        if order.until_ms <= self.world.now_ms:
+            return calls.Verdict.LATE
+        self.until_ms = max(self.until_ms, order.until_ms)
+        if order.number <= self.barred.get(order.task, 0):
+            return calls.Verdict.OLD
+        if order.task in self.runs:
+            return calls.Verdict.ACCEPTED
+        self.world.check_start(self, order)
+        work_ms = self.world.work_ms[order.task.partition(".")[0]]
+        ends_ms = self.world.now_ms + int(work_ms / self.speed)
+        run = Run(
+            order.task,
+            order.number,
+            self.world.cpu_millis[order.task.partition(".")[0]],
+            self.world.now_ms,
+            10**9 if self.hangs else ends_ms,
+        )
+        if self.fails:
+            run.kind, run.ends_ms = calls.EndKind.FAILED, self.world.now_ms + 1
+        self.runs[order.task] = run
+        self.world.at(run.ends_ms, lambda: self.end(run, run.kind))
+        return calls.Verdict.ACCEPTED
+
+    def stop(self, order: calls.Stop) -> calls.Verdict:
+        if order.fence < self.fence:
+            return calls.Verdict.FENCED
+        self.fence = order.fence
+        self.barred[order.task] = max(self.barred.get(order.task, 0), order.number)
+        run = self.runs.get(order.task)
+        if run is not None and run.number <= order.number:
+            self.world.after(STOP_MS - 10, lambda: self.end(run, calls.EndKind.STOPPED))
+        return calls.Verdict.ACCEPTED
+
+    def end(self, run: Run, kind: calls.EndKind) -> None:
+        if self.runs.get(run.task) is not run:
+            return
+        del self.runs[run.task]
+        self.barred[run.task] = max(self.barred.get(run.task, 0), run.number)
+        self.ended.append(calls.End(next(self.places), run.task, run.number, kind))
+        self.wake()
+
+    def expire(self) -> None:
+        if self.runs and self.world.now_ms > self.until_ms:
+            for run in list(self.runs.values()):
+                self.end(run, calls.EndKind.LAPSED)
+
+    def hold(
+        self, order: calls.Hold, reply: typing.Callable[[calls.Holding], None]
+    ) -> calls.Verdict | None:
+        if order.fence < self.fence:
+            return calls.Verdict.FENCED
+        self.fence = order.fence
+        self.until_ms = max(self.until_ms, min(order.until_ms, self.limit_ms))
+        self.ended = [end for end in self.ended if end.place > order.acked_end]
+        self.polls.append((order, reply))
+        if self.ended or not order.wait_ms:
+            self.wake()
+        else:
+            self.world.after(order.wait_ms, self.wake)
+        return None
+
+    @property
+    def limit_ms(self) -> int:
+        return self.world.now_ms + LEASE_MS
+
+    def wake(self) -> None:
+        polls, self.polls = self.polls, []
+        for _, reply in polls:
+            running = tuple(calls.Running(r.task, r.number) for r in self.runs.values())
+            reading = clocks.Reading(self.world.now_ms, 0, 0)
+            reply(calls.Holding(self.born_ms, reading, running, tuple(self.ended)))
+
+    def crash(self) -> None:
+        self.runs.clear()
+        self.polls.clear()
+        self.is_silent = True
+
+
+class World:
+    """Virtual time, one or more dispatchers, endpoints, and what callers got."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.clock = clock.ManualClock(10_000, 1_700_000_000_000)
+        self.rng = random.Random(seed)
+        self.events: list[tuple[int, int, typing.Callable[[], None]]] = []
+        self.order = itertools.count()
+        self.endpoints: dict[str, FakeEndpoint] = {}
+        self.dispatchers: list[dispatcher.Dispatcher] = []
+        self.cut: set[tuple[str, str]] = set()
+        self.work_ms: dict[str, int] = {}
+        self.cpu_millis: dict[str, int] = {}
+        self.outcomes: dict[str, tuple[effects.Message, int]] = {}
+        self.starts: list[tuple[int, str, calls.Start]] = []
+        self.breaches: list[str] = []
+        self.placing: set[str] = set()
+
+    @property
+    def now_ms(self) -> int:
+        return self.clock.now_ms()
+
+    def at(self, when_ms: int, call: typing.Callable[[], None]) -> None:
+        heapq.heappush(self.events, (when_ms, next(self.order), call))
+
+    def after(self, delay_ms: int, call: typing.Callable[[], None]) -> None:
+        self.at(self.now_ms + delay_ms, call)
+
+    def add_endpoint(
+        self, name: str, cpu_millis: int = 64_000, speed: float = 1.0
+    ) -> FakeEndpoint:
+        self.endpoints[name] = FakeEndpoint(self, name, cpu_millis, speed)
+        return self.endpoints[name]
+
+    def add_dispatcher(self, name: str, fence: int) -> dispatcher.Dispatcher:
+        made = dispatcher.Dispatcher(name, BOUNDS, self.clock)
+        self.dispatchers.append(made)
+        for endpoint in self.endpoints.values():
+            self.run(made, made.on_endpoint_news(endpoint.get_news()))
+        self.run(made, made.set_fence(fence))
+        return made
+
+    def submit(
+        self,
+        to: dispatcher.Dispatcher,
+        job_id: str,
+        count: int = 1,
+        work_ms: int = 60,
+        cpu_millis: int = 27_000,
+        estimate_ms: int = 0,
+        age_ms: int = 0,
+        patience_ms: int = 3_000,
+        attempt_base: int = 0,
+        max_attempts: int = 3,
+        slack_factor: float = 1.6,
+    ) -> None:
+        self.work_ms[job_id] = work_ms
+        self.cpu_millis[job_id] = cpu_millis
+        step = messages.SubmittedStep(
+            count, cpu_millis, 64, 0, estimate_ms or work_ms, (), "", "", 0
+        )
+        submit = messages.Submit(
+            job_id,
+            "queue",
+            "service",
+            0,
+            max_attempts,
+            slack_factor,
+            60,
+            "spec",
+            (step,),
+            age_ms,
+            patience_ms,
+            attempt_base,
+        )
+        self.run(to, to.on_submit(ENTRY, submit))
+
+    def run(self, by: dispatcher.Dispatcher, produced: dispatcher.Effects) -> None:
+        for effect in produced:
+            match effect:
+                case calls.Start():
+                    self.call(by, effect, by.on_start_answer)
+                case calls.Stop():
+                    self.call(by, effect, by.on_stop_answer)
+                case calls.BeginHolding(endpoint):
+                    self.poll(by, endpoint)
+                case effects.Send(_, message):
+                    job_id = getattr(message, "job_id", "")
+                    self.outcomes.setdefault(job_id, (message, self.now_ms))
+        if by.name not in self.placing:
+            self.placing.add(by.name)
+            self.after(0, lambda: self.place(by))
+
+    def place(self, by: dispatcher.Dispatcher) -> None:
+        self.placing.discard(by.name)
+        produced = by.place()
+        if produced:
+            self.run(by, produced)
+
+    def call(
+        self,
+        by: dispatcher.Dispatcher,
+        order: calls.Start | calls.Stop,
+        on_answer: typing.Callable[..., dispatcher.Effects],
+    ) -> None:
+        endpoint = self.endpoints[order.target.endpoint]
+        sent_ms = self.now_ms
+        is_start = isinstance(order, calls.Start)
+
+        def answer(verdict: calls.Verdict, clock_ms: int | None) -> None:
+            reading = None
+            if clock_ms is not None:
+                reading = clocks.Reading(clock_ms, sent_ms, self.now_ms)
+            self.run(by, on_answer(order, calls.Answer(verdict, reading)))
+
+        def arrive() -> None:
+            if self.is_cut(by.name, endpoint):
+                return
+            verdict = endpoint.start(order) if is_start else endpoint.stop(order)
+            if is_start and (endpoint.loses_answers or endpoint.late_start_ms):
+                return
+            clock_ms = self.now_ms
+            self.after(LATENCY_MS, lambda: settle(verdict, clock_ms))
+
+        def settle(verdict: calls.Verdict, clock_ms: int | None) -> None:
+            if not done:
+                done.append(True)
+                answer(verdict, clock_ms)
+
+        done: list[bool] = []
+        delay_ms = endpoint.late_start_ms if is_start else 0
+        self.after(LATENCY_MS + delay_ms, arrive)
+        self.after(CALL_TIMEOUT_MS, lambda: settle(calls.Verdict.UNKNOWN, None))
+
+    def poll(self, by: dispatcher.Dispatcher, name: str) -> None:
+        order = by.build_hold(name)
+        if order is None:
+            return
+        endpoint = self.endpoints[name]
+        sent_ms = self.now_ms
+        done: list[bool] = []
+
+        def answered(holding: calls.Holding) -> None:
+            if self.is_cut(by.name, endpoint):
+                return
+            self.after(LATENCY_MS, lambda: settle(holding))
+
+        def settle(holding: calls.Holding | calls.HoldFailed) -> None:
+            if done:
+                return
+            done.append(True)
+            if isinstance(holding, calls.HoldFailed):
+                self.run(by, by.on_hold_failed(order, holding))
+                self.after(100, lambda: self.poll(by, name))
+                return
+            reading = clocks.Reading(holding.reading.clock_ms, sent_ms, self.now_ms)
+            holding = dataclasses.replace(holding, reading=reading)
+            self.run(by, by.on_holding(order, holding))
+            self.poll(by, name)
+
+        def arrive() -> None:
+            if self.is_cut(by.name, endpoint):
+                return
+            verdict = endpoint.hold(order, answered)
+            if verdict is not None:
+                self.after(LATENCY_MS, lambda: settle(calls.HoldFailed(verdict)))
+
+        self.after(LATENCY_MS, arrive)
+        timeout_ms = order.wait_ms + CALL_TIMEOUT_MS
+        failed = calls.HoldFailed(calls.Verdict.UNKNOWN)
+        self.after(timeout_ms, lambda: settle(failed))
+
+    def is_cut(self, name: str, endpoint: FakeEndpoint) -> bool:
+        return endpoint.is_silent or (name, endpoint.name) in self.cut
+
+    def check_start(self, endpoint: FakeEndpoint, order: calls.Start) -> None:
+        job_id = order.task.partition(".")[0]
+        used = sum(run.cpu_millis for run in endpoint.runs.values())
+        if used + self.cpu_millis[job_id] > endpoint.cpu_millis:
+            self.breaches.append(f"{self.now_ms}: room of {endpoint.name} exceeded")
+        for other in self.endpoints.values():
+            if order.task in other.runs:
+                self.breaches.append(f"{self.now_ms}: {order.task} runs twice")
+        self.starts.append((self.now_ms, endpoint.name, order))
+
+    def advance(self, by_ms: int, tick_ms: int = 20) -> None:
+        until_ms = self.now_ms + by_ms
+        for when_ms in range(self.now_ms, until_ms, tick_ms):
+            self.at(when_ms, self.tick)
+        while self.events and self.events[0][0] <= until_ms:
+            when_ms, _, call = heapq.heappop(self.events)
+            self.clock.advance(max(0, when_ms - self.now_ms))
+            call()
+        self.clock.advance(until_ms - self.now_ms)
+
+    def tick(self) -> None:
+        for endpoint in self.endpoints.values():
+            endpoint.expire()
+        for each in self.dispatchers:
+            self.run(each, each.tick())
+
+    def get_outcome(self, job_id: str) -> str:
+        known = self.outcomes.get(job_id)
+        return type(known[0]).__name__ if known is not None else ""
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -104,6 +104,7 @@
         self.silent: set[str] = set()
         self.followed = ""
         self.is_stopping = False
+        self.is_placing = False
         self.wanted_due_ms = 0
         self.links_due_ms = 0
 
@@ -160,6 +161,15 @@
                     self.settle(effect)
                 case _:
                     self.note(effect)
+        if self.dispatcher.fence and not self.is_placing:
+            self.is_placing = True
+            gevent.spawn(self.place)
+
+    def place(self) -> None:
+        """Place tasks once after all events that came in one turn of the loop."""
+        produced = self.dispatcher.place()
+        self.run(produced)
+        self.is_placing = False
 
     def note(self, note: notes.Note) -> None:
         """Log a decision, and leave the office where an endpoint refused it."""
@@ -212,13 +222,16 @@
             self.is_stopping,
             self.leadership.generation,
             self.members.highest_generation,
-            self.desk.dispatcher,
+            self.leadership.following.name,
             self.get_manifest_version(),
         )
 
     def follow(self, choice: leadership.Choice) -> None:
-        """Send open jobs to another dispatcher when the choice changed."""
-        if choice.name == self.followed:
+        """Send open jobs to another dispatcher once it is in office.
+
+        Until then the one that was followed may still have its office.
+        """
+        if choice.name == self.followed or (choice.name and not choice.generation):
             return
         self.followed = choice.name
         emit.emit(
@@ -310,6 +323,7 @@
                 core=presence.is_core,
                 generation=presence.generation,
             )
+            self.pass_endpoints(presence)
         now_ms = self.clock.now_ms()
         lacks = presence.manifest_version > self.get_manifest_version()
         if lacks and now_ms >= self.wanted_due_ms:
@@ -317,6 +331,14 @@
             wanted = fleet_messages.ManifestWanted(self.get_manifest_version())
             self.send(effects.Send(presence.name, wanted))
 
+    def pass_endpoints(self, presence: fleet_messages.Presence) -> None:
+        """Tell a process that was silent which endpoints there are."""
+        is_standby = presence.name in self.members.get_standbys()
+        if not self.leadership.generation or not (presence.is_core or is_standby):
+            return
+        for news in self.dispatcher.list_news():
+            self.send(effects.Send(presence.name, news))
+
     # Manifests.
 
     def get_manifest_version(self) -> int:
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -11,7 +11,14 @@
 import sys
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-SUITES = ("packages/core", "packages/wire", "packages/server", "packages/ctl", "bench")
+SUITES = (
+    "packages/core",
+    "packages/wire",
+    "packages/server",
+    "packages/ctl",
+    "platform",
+    "bench",
+)
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 SUITE_TIMEOUT_S = 400
 RAN = re.compile(r"^Ran (\d+) tests? in", re.MULTILINE)
