Never start what another dispatcher may still run

It had counted endpoints that it could not reach as gone. Read besides: jobs of an entry VM that fell silent ran on for 2.5 s and were started anew meanwhile, longer than a successor waits.

Only a view of every endpoint is whole now; jobs of a silent entry VM are stopped after 0.6 s and start nothing; a successor waits 1.8 s; a job that was named twice counts as taken. Each case has a test that failed before.

--- a/packages/core/src/knapweedbeam_core/fleet/messages.py
+++ b/packages/core/src/knapweedbeam_core/fleet/messages.py
@@ -12,7 +12,8 @@
     `name` is the address of its links, `control` that of its control interface
     (empty where it has none). `generation` is the fencing token under which it
     dispatches, 0 while it doesn't; `highest` the greatest token it ever heard of.
-    `following` names the dispatcher that it sends jobs to. `members` lists the
+    `following` names the process that it wants to dispatch, `using` the one that it
+    sends jobs to: these differ while an office changes hands. `members` lists the
     link addresses that it knows and is left out of most heartbeats.
     """
 
@@ -25,6 +26,7 @@
     generation: int
     highest: int
     following: str
+    using: str
     manifest_version: int
     members: tuple[str, ...] = ()
 
--- a/packages/core/src/knapweedbeam_core/pool/desk.py
+++ b/packages/core/src/knapweedbeam_core/pool/desk.py
@@ -59,7 +59,11 @@
 
 @dataclasses.dataclass(slots=True)
 class OpenJob:
-    """A job that some caller waits for; `sent_to` is empty until it went out."""
+    """A job that some caller waits for; `sent_to` is empty until it went out.
+
+    `sends` counts the dispatchers that may have taken the job, `tries` the messages
+    to the one that has it now.
+    """
 
     job_id: str
     queue: manifest.Queue
@@ -70,6 +74,7 @@
     sent_to: str = ""
     sent_ms: int = -RESEND_MS
     sends: int = 0
+    tries: int = 0
 
 
 Effects = list[effects.Send | Settled]
@@ -104,6 +109,8 @@
         now_ms = self.clock.now_ms()
         if job.sent_to != self.dispatcher:
             job.sends += 1
+            job.tries = 0
+        job.tries += 1
         job.sent_to = self.dispatcher
         job.sent_ms = now_ms
         submit = messages.Submit(
@@ -159,12 +166,17 @@
         return [Settled(refused.job_id, outcome)]
 
     def on_not_dispatching(self, sender: str, job_id: str) -> Effects:
-        """Let a job wait for another dispatcher: this one never took it."""
+        """Let a job wait for another dispatcher.
+
+        This one never took it if it was named there only once; else it may have
+        dispatched before.
+        """
         job = self.jobs.get(job_id)
         if job is not None and job.sent_to == sender == self.dispatcher:
             job.sent_to = ""
             job.sent_ms = self.clock.now_ms()
-            job.sends -= 1
+            if job.tries == 1:
+                job.sends -= 1
         return []
 
     def tick(self) -> Effects:
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -29,11 +29,12 @@
 REMEMBER_MS = 15_000
 REMEMBER_JOBS = 50_000
 # A job that went on to this dispatcher from another one may still run where this
-# one cannot see; by then the other one has stopped it or its lease has run out.
-TAKEOVER_MS = 1_500
-# Jobs of an entry VM that fell silent run on for this long, in case their callers
-# come back through another one.
-ORPHAN_MS = 2_500
+# one cannot see. By then the other one, which loses its entry VM within 0.5 s, has
+# stopped it (`ORPHAN_MS`), or its leases of a second have run out.
+TAKEOVER_MS = 1_800
+# What runs for an entry VM that fell silent runs on for this long, in case the job
+# comes again; nothing of it is started meanwhile.
+ORPHAN_MS = 600
 
 
 class Dispatcher:
@@ -132,9 +133,12 @@
         ]
 
     def has_whole_view(self, service: str) -> bool:
-        """Say whether every endpoint of a service that is there is held."""
+        """Say whether every endpoint of a service is held.
+
+        One that cannot be reached may be held by another dispatcher.
+        """
         return all(
-            known.is_held or known.failed_polls > settling.GONE_POLLS
+            known.is_held and not known.failed_polls
             for known in self.endpoints.values()
             if known.said.service == service
         )
@@ -232,7 +236,7 @@
         return produced + self.settler.stop_job(job)
 
     def on_entry_lost(self, entry: str) -> Effects:
-        """Let the jobs of a silent entry VM run on for a while, started ones only."""
+        """Let what runs for an entry VM that fell silent run on for a while."""
         produced: Effects = []
         for job in list(self.jobs.values()):
             if job.entry != entry:
@@ -277,7 +281,7 @@
         now_ms = self.clock.now_ms()
         by_service: dict[str, list[jobs.Job]] = {}
         for job in self.jobs.values():
-            if job.waiting:
+            if job.waiting and not job.orphaned_ms:
                 by_service.setdefault(job.terms.service, []).append(job)
         produced: Effects = []
         for service, queued in by_service.items():
--- a/packages/core/src/knapweedbeam_core/pool/settling.py
+++ b/packages/core/src/knapweedbeam_core/pool/settling.py
@@ -27,8 +27,6 @@
 STOP_AGAIN_MS = 150
 # Time for entry VMs to name the jobs of what runs on endpoints just taken over.
 ADOPT_MS = 1_000
-# Failed polls in a row after which an endpoint counts as gone for a whole view.
-GONE_POLLS = 3
 # An endpoint that answers no poll and announces nothing for this long is forgotten.
 FORGET_MS = 10_000
 # Clocks are read in whole milliseconds at both ends.
--- a/packages/core/tests/fleet/test_leadership.py
+++ b/packages/core/tests/fleet/test_leadership.py
@@ -32,6 +32,7 @@
             self.leadership.generation,
             self.members.highest_generation,
             self.leadership.following.name,
+            "",
             1,
         )
 
--- a/packages/core/tests/pool/test_desk.py
+++ b/packages/core/tests/pool/test_desk.py
@@ -49,6 +49,18 @@
         self.desk.on_not_dispatching("a", "j")
         self.assertEqual(self.get_submits(self.desk.follow("b")), [("b", 0)])
 
+    def test_a_job_that_may_have_been_taken_is_never_refused_as_not_run(self) -> None:
+        self.desk.follow("a")
+        self.take()
+        self.clock.advance(desk.RESEND_MS)
+        self.desk.tick()
+        self.desk.on_not_dispatching("a", "j")
+        self.assertEqual(self.get_submits(self.desk.follow("b")), [("b", 100)])
+        refused = messages.JobRefused("j", reasons.Reason.DEADLINE, 500)
+        (settled,) = self.desk.on_refused("b", refused)
+        assert isinstance(settled, desk.Settled)
+        self.assertIsInstance(settled.outcome, desk.Unknown)
+
     def test_an_open_job_is_named_again_now_and_then(self) -> None:
         self.desk.follow("a")
         self.take()
--- a/packages/core/tests/pool/test_dispatcher.py
+++ b/packages/core/tests/pool/test_dispatcher.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from knapweedbeam_core.pool import messages
+from knapweedbeam_core.pool import dispatcher, messages
 from pool import world
 
 
@@ -201,6 +201,32 @@
         self.world.advance(3_500)
         self.assertEqual(self.world.get_outcome("j"), "JobComplete")
 
+    def test_an_endpoint_beyond_a_cut_is_not_taken_for_gone(self) -> None:
+        second = self.world.add_dispatcher("b", 11)
+        self.world.cut |= {("b", "e0"), ("a", "e1"), ("a", "e2")}
+        self.world.advance(5_000)
+        self.world.submit(self.first, "j", count=2, work_ms=400)
+        self.world.advance(50)
+        self.world.submit(second, "j", 2, 400, age_ms=50, attempt_base=100)
+        self.world.advance(100)
+        self.world.cut.clear()
+        self.world.advance(1_000)
+        self.assertEqual(self.world.get_outcome("j"), "JobComplete")
+
+    def test_what_runs_for_a_lost_entry_vm_ends_before_another_may_start_it(
+        self,
+    ) -> None:
+        self.world.submit(self.first, "j", count=20, work_ms=900)
+        self.world.advance(100)
+        self.world.run(self.first, self.first.on_entry_lost(world.ENTRY))
+        second = self.world.add_dispatcher("b", 11)
+        for name in self.world.endpoints:
+            self.world.cut.add(("b", name))
+        self.world.submit(second, "j", 20, 900, age_ms=100, attempt_base=100)
+        self.world.advance(dispatcher.TAKEOVER_MS - 500)
+        self.assertFalse(any(e.runs for e in self.world.endpoints.values()))
+        self.assertEqual(len(self.world.starts), 6)
+
     def test_strangers_that_nobody_names_are_stopped(self) -> None:
         self.world.submit(self.first, "j", count=6, work_ms=5_000, estimate_ms=500)
         self.world.advance(100)
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -223,6 +223,7 @@
             self.leadership.generation,
             self.members.highest_generation,
             self.leadership.following.name,
+            self.desk.dispatcher,
             self.get_manifest_version(),
         )
 
@@ -324,6 +325,8 @@
                 generation=presence.generation,
             )
             self.pass_endpoints(presence)
+        if presence.using not in ("", self.settings.name):
+            self.run(self.dispatcher.on_entry_lost(presence.name))
         now_ms = self.clock.now_ms()
         lacks = presence.manifest_version > self.get_manifest_version()
         if lacks and now_ms >= self.wanted_due_ms:
--- a/packages/server/src/knapweedbeam_server/fleet/orders.py
+++ b/packages/server/src/knapweedbeam_server/fleet/orders.py
@@ -12,7 +12,7 @@
 
 # Pauses between polls of an endpoint that doesn't answer.
 FIRST_PAUSE_S = 0.02
-MAX_PAUSE_S = 0.25
+MAX_PAUSE_S = 0.1
 
 Run = collections.abc.Callable[[dispatcher.Effects], None]
 
--- a/packages/wire/src/knapweedbeam_wire/schema/fleet.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/fleet.capnp
@@ -11,8 +11,9 @@
   generation @6 :Int64;
   highest @7 :Int64;
   following @8 :Text;
-  manifestVersion @9 :Int64;
-  members @10 :List(Text);
+  using @9 :Text;
+  manifestVersion @10 :Int64;
+  members @11 :List(Text);
 }
 
 struct ManifestWanted {
