--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -16,7 +16,7 @@
 from knapweedbeam_core.log import messages as log_messages
 from knapweedbeam_core.manifests import manifest
 from knapweedbeam_core.pool import calls, desk, dispatcher, messages, notes
-from knapweedbeam_server.fleet import manifest_log, orders, ports
+from knapweedbeam_server.fleet import manifest_log, orders, ports, telemetry
 from knapweedbeam_server.fleet import settings as settings_
 from knapweedbeam_server.logs import catalogue, emit
 from knapweedbeam_wire import links, registry
@@ -85,7 +85,8 @@
         self.dispatcher = dispatcher.Dispatcher(
             settings.name, settings.endpoint_bounds, timer
         )
-        self.orders = orders.Orders(self.dispatcher, client, self.run)
+        self.telemetry = telemetry.Telemetry()
+        self.orders = orders.Orders(self.dispatcher, client, self.run, self.telemetry)
         self.desk = desk.Desk(timer)
         self.directory: manifest.Directory | None = None
         self.log = self.build_log(rng)
@@ -173,7 +174,9 @@
 
     def note(self, note: notes.Note) -> None:
         """Log a decision, and leave the office where an endpoint refused it."""
-        emit.emit(NOTE_EVENTS[type(note)], **dataclasses.asdict(note))
+        event = NOTE_EVENTS[type(note)]
+        emit.emit(event, **dataclasses.asdict(note))
+        self.telemetry.note_event(event.name)
         is_refused = isinstance(note, notes.EndpointFenced)
         if is_refused and self.leadership.generation == self.dispatcher.fence:
             self.leadership.was_refused(REFUSED_PAUSE_MS)
@@ -500,6 +503,14 @@
             and bool(self.desk.dispatcher)
         )
 
+    def get_metrics(self) -> bytes:
+        """Return the metrics of this process as text."""
+        self.telemetry.measure(self.dispatcher)
+        self.telemetry.open.set(len(self.desk.jobs))
+        self.telemetry.members.set(len(self.members.get_live()))
+        self.telemetry.version.set(self.get_manifest_version())
+        return self.telemetry.render()
+
     def stop(self) -> None:
         """Take part in nothing new; what is open goes on."""
         self.is_stopping = True
--- a/packages/server/src/knapweedbeam_server/fleet/orders.py
+++ b/packages/server/src/knapweedbeam_server/fleet/orders.py
@@ -8,7 +8,7 @@
 import gevent
 
 from knapweedbeam_core.pool import calls, dispatcher
-from knapweedbeam_server.fleet import ports
+from knapweedbeam_server.fleet import ports, telemetry
 
 # Pauses between polls of an endpoint that doesn't answer.
 FIRST_PAUSE_S = 0.02
@@ -21,11 +21,16 @@
     """The open calls to endpoints."""
 
     def __init__(
-        self, decisions: dispatcher.Dispatcher, client: ports.EndpointClient, run: Run
+        self,
+        decisions: dispatcher.Dispatcher,
+        client: ports.EndpointClient,
+        run: Run,
+        counts: telemetry.Telemetry,
     ) -> None:
         self.decisions = decisions
         self.client = client
         self.run = run
+        self.counts = counts
 
     def take(self, order: calls.Order) -> None:
         """Begin to carry out one order."""
@@ -42,11 +47,13 @@
     def start(self, order: calls.Start) -> None:
         """Start an attempt."""
         answer = self.client.start(order)
+        self.counts.note_order("start", answer.verdict.value)
         self.run(self.decisions.on_start_answer(order, answer))
 
     def stop(self, order: calls.Stop) -> None:
         """Stop an attempt."""
         answer = self.client.stop(order)
+        self.counts.note_order("stop", answer.verdict.value)
         self.run(self.decisions.on_stop_answer(order, answer))
 
     def hold(self, endpoint: str) -> None:
@@ -61,6 +68,7 @@
                 pause_s = FIRST_PAUSE_S
                 self.run(self.decisions.on_holding(order, answer))
                 continue
+            self.counts.note_order("hold", answer.verdict.value)
             self.run(self.decisions.on_hold_failed(order, answer))
             gevent.sleep(pause_s)
             pause_s = min(2 * pause_s, MAX_PAUSE_S)
