Renew no lease of what a new dispatcher doesn't know

Ruled out: its clock bounds (2% hold).

A new dispatcher only looks at an endpoint until all that runs there is named, within 250 ms in place of 1 s, or stopped; it announces its office at once, so that entry VMs name their jobs in time. A test of both dispatchers failed before.

--- a/packages/core/src/knapweedbeam_core/pool/settling.py
+++ b/packages/core/src/knapweedbeam_core/pool/settling.py
@@ -25,8 +25,9 @@
 DOUBT_MS = 100
 # A stop is sent again while the endpoint still lists what was to be stopped.
 STOP_AGAIN_MS = 150
-# Time for entry VMs to name the jobs of what runs on endpoints just taken over.
-ADOPT_MS = 1_000
+# Time for entry VMs to name the jobs of what runs on endpoints just taken over: they
+# hear of the new dispatcher within one message. Leases are not renewed meanwhile.
+ADOPT_MS = 250
 # An endpoint that answers no poll and announces nothing for this long is forgotten.
 FORGET_MS = 10_000
 # Clocks are read in whole milliseconds at both ends.
@@ -60,11 +61,15 @@
     def build_hold(self, endpoint: endpoints.Endpoint) -> calls.Hold:
         """Return the next hold: the longest lease, and a wait for the next end.
 
-        A silent endpoint is only looked at: its lease is to run out.
+        A silent endpoint is only looked at: its lease is to run out. So is one on
+        which something runs that nobody has named: another dispatcher may hold its
+        job, be cut off from it, and start it elsewhere once the lease that it gave
+        has run out.
         """
         lease_ms = self.owner.bounds.lease_ms
         until_ms = 0
-        if endpoint.reading is not None and not endpoint.failed_polls:
+        is_sound = endpoint.is_held and not endpoint.failed_polls
+        if is_sound and endpoint.reading is not None and not endpoint.has_strangers:
             until_ms = endpoint.reading.get_latest_ms(self.now_ms) + lease_ms
             endpoint.lease_until_ms = max(endpoint.lease_until_ms, until_ms)
         wait_ms = POLL_MS
@@ -78,8 +83,9 @@
 
     def has_doubts(self, endpoint: endpoints.Endpoint) -> bool:
         """Say whether the lists are needed to settle something."""
+        doubtful = (endpoints.AttemptState.DOUBTFUL, endpoints.AttemptState.STRANGE)
         return any(
-            attempt.state == endpoints.AttemptState.DOUBTFUL or attempt.stop_sent_ms
+            attempt.state in doubtful or attempt.stop_sent_ms
             for attempt in endpoint.attempts.values()
         )
 
--- a/packages/core/tests/pool/test_dispatcher.py
+++ b/packages/core/tests/pool/test_dispatcher.py
@@ -227,6 +227,18 @@
         self.assertFalse(any(e.runs for e in self.world.endpoints.values()))
         self.assertEqual(len(self.world.starts), 6)
 
+    def test_a_successor_keeps_nothing_alive_that_it_does_not_know(self) -> None:
+        self.world.submit(self.first, "j", count=2, work_ms=2_000)
+        self.world.advance(50)
+        (used,) = {name for _, name, _ in self.world.starts}
+        self.world.cut.add(("a", used))
+        self.world.advance(600)
+        second = self.world.add_dispatcher("b", 11)
+        self.world.cut |= {("b", n) for n in self.world.endpoints if n != used}
+        self.world.advance(4_000)
+        self.assertTrue(second.endpoints[used].is_held)
+        self.assertEqual(self.world.get_outcome("j"), "JobComplete")
+
     def test_strangers_that_nobody_names_are_stopped(self) -> None:
         self.world.submit(self.first, "j", count=6, work_ms=5_000, estimate_ms=500)
         self.world.advance(100)
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -199,6 +199,8 @@
         now_ms = self.clock.now_ms()
         own = self.build_presence()
         choice = self.leadership.update(own)
+        if self.leadership.generation != own.generation:
+            self.announce()
         self.run(self.dispatcher.set_fence(self.leadership.generation))
         self.follow(choice)
         own = self.build_presence()
@@ -374,7 +376,7 @@
         self.announce()
 
     def announce(self) -> None:
-        """Tell the others at once what is in force here."""
+        """Tell the others at once what changed here."""
         self.members.due_ms = 0
 
     def pass_manifest(self, to: str, held_version: int) -> None:
