Give room by the manifest's priority, and stop tasks that are overdue

A task that runs 1.5 times longer than it can need, by the endpoint's clock and by what its job's other tasks took, is stopped and started elsewhere; its endpoint rests, is tried, and is used again. Before, jobs on an endpoint that stood still never ended.

--- a/packages/core/tests/pool/world.py
+++ b/bench/pool/world.py
@@ -87,7 +87,7 @@
         if order.task in self.runs:
             return calls.Verdict.ACCEPTED
         self.world.check_start(self, order)
-        work_ms = self.world.work_ms[order.task.partition(".")[0]]
+        work_ms = self.world.get_work_ms(order.task)
         ends_ms = self.world.now_ms + int(work_ms / self.speed)
         run = Run(
             order.task,
@@ -185,6 +185,10 @@
     def after(self, delay_ms: int, call: typing.Callable[[], None]) -> None:
         self.at(self.now_ms + delay_ms, call)
 
+    def get_work_ms(self, task: str) -> int:
+        """Return the work of a task on a sound endpoint."""
+        return self.work_ms[task.partition(".")[0]]
+
     def add_endpoint(
         self, name: str, cpu_millis: int = 64_000, speed: float = 1.0
     ) -> FakeEndpoint:
@@ -212,6 +216,8 @@
         attempt_base: int = 0,
         max_attempts: int = 3,
         slack_factor: float = 1.6,
+        priority: int = 0,
+        queue: str = "queue",
     ) -> None:
         self.work_ms[job_id] = work_ms
         self.cpu_millis[job_id] = cpu_millis
@@ -220,9 +226,9 @@
         )
         submit = messages.Submit(
             job_id,
-            "queue",
+            queue,
             "service",
-            0,
+            priority,
             max_attempts,
             slack_factor,
             60,
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -143,6 +143,18 @@
             if known.said.service == service
         )
 
+    def has_better(self, endpoint: endpoints.Endpoint, task: jobs.Task) -> bool:
+        """Say whether another endpoint is large enough, open and not slower."""
+        now_ms = self.clock.now_ms()
+        return any(
+            other is not endpoint
+            and other.said.service == endpoint.said.service
+            and other.is_open(now_ms)
+            and other.speed.value >= endpoint.speed.value
+            and other.capacity.holds(task.spec.need)
+            for other in self.endpoints.values()
+        )
+
     # Jobs.
 
     def on_submit(self, sender: str, submit: messages.Submit) -> Effects:
--- a/packages/core/src/knapweedbeam_core/pool/endpoints.py
+++ b/packages/core/src/knapweedbeam_core/pool/endpoints.py
@@ -23,7 +23,8 @@
 
     `until_ms` is when its start is refused at the latest, on the endpoint's clock.
     `stop_sent_ms` is 0 until the attempt is to be stopped; `stop_clock_ms` is the
-    endpoint's clock when it took the stop, 0 until then.
+    endpoint's clock when it took the stop, 0 until then. `began_clock_ms` is that
+    clock when the endpoint took the start, or was first seen running it.
     """
 
     task: str
@@ -36,7 +37,8 @@
     is_unwanted: bool = False
     stop_sent_ms: int = 0
     stop_clock_ms: int = 0
-    was_slow: bool = False
+    began_clock_ms: int = 0
+    is_overdue: bool = False
 
 
 class Endpoint:
@@ -47,6 +49,8 @@
         self.heard_ms = heard_ms
         self.capacity = room.Room(said.cpu_millis, said.memory_mib, said.gpus)
         self.used = room.Room()
+        self.free = self.capacity
+        self.strangers = 0
         self.attempts: dict[str, Attempt] = {}
         self.is_held = False
         self.is_polled = False
@@ -62,15 +66,10 @@
         """Return where orders go."""
         return calls.Target(self.said.endpoint, self.said.born_ms, self.said.address)
 
-    @property
-    def free(self) -> room.Room:
-        """Return the room that is left, none while something unknown runs."""
-        return self.capacity.minus(self.used)
-
     @property
     def has_strangers(self) -> bool:
         """Say whether something runs whose size is not known."""
-        return any(a.state == AttemptState.STRANGE for a in self.attempts.values())
+        return self.strangers > 0
 
     def renew(self, said: messages.EndpointNews, heard_ms: int) -> bool:
         """Take a newer announcement of this life; say whether it was newer."""
@@ -79,17 +78,22 @@
         self.said = said
         self.heard_ms = heard_ms
         self.capacity = room.Room(said.cpu_millis, said.memory_mib, said.gpus)
+        self.free = self.capacity.minus(self.used)
         return True
 
     def add(self, attempt: Attempt) -> None:
         """Count an attempt in."""
         self.attempts[attempt.task] = attempt
+        self.strangers += attempt.state == AttemptState.STRANGE
         self.used = self.used.plus(attempt.need)
+        self.free = self.capacity.minus(self.used)
 
     def remove(self, attempt: Attempt) -> None:
         """Count an attempt out."""
         if self.attempts.pop(attempt.task, None) is not None:
+            self.strangers -= attempt.state == AttemptState.STRANGE
             self.used = self.used.minus(attempt.need)
+            self.free = self.capacity.minus(self.used)
 
     def note_reading(self, reading: clocks.Reading | None) -> None:
         """Take a newer reading of the endpoint's clock."""
--- a/packages/core/src/knapweedbeam_core/pool/health.py
+++ b/packages/core/src/knapweedbeam_core/pool/health.py
@@ -12,7 +12,7 @@
 # Faults in a row, with nothing done between them, that make an endpoint a suspect.
 FAULTS_TO_SUSPECT = 2
 FIRST_REST_MS = 1_000
-MAX_REST_MS = 8_000
+MAX_REST_MS = 4_000
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/src/knapweedbeam_core/pool/jobs.py
+++ b/packages/core/src/knapweedbeam_core/pool/jobs.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import functools
 
 from knapweedbeam_core.pool import room
 
@@ -11,7 +12,7 @@
 LATE_FACTOR = 3.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class Step:
     """Equal, independent tasks; `depends_on` are earlier steps that must be done.
 
@@ -29,7 +30,7 @@
     data_rack: str = ""
     max_per_endpoint: int = 0
 
-    @property
+    @functools.cached_property
     def need(self) -> room.Room:
         """Return what one task takes."""
         return room.Room(self.cpu_millis, self.memory_mib, self.gpus)
@@ -67,11 +68,11 @@
     last_attempt: int = 0
     failures: int = 0
     failed_on: tuple[str, ...] = ()
+    spec: Step = dataclasses.field(init=False)
 
-    @property
-    def spec(self) -> Step:
-        """Return the step that the task is one of."""
-        return self.job.steps[self.step]
+    def __post_init__(self) -> None:
+        """Look up the step that the task is one of."""
+        self.spec = self.job.steps[self.step]
 
 
 class Job:
@@ -79,6 +80,8 @@
 
     `entry` is the entry VM that waits for it, empty when that was lost.
     `born_ms` is when its caller sent it, `give_up_ms` when the caller stops waiting.
+    `work_factor` is the greatest work of a task that ended against its estimate, 0
+    until one did: the tasks of a job share the error of its estimate.
     """
 
     def __init__(
@@ -114,6 +117,7 @@
         self.waiting = self.find_ready_tasks()
         self.left = sum(step.count for step in steps)
         self.longest_ms = max(step.estimate_ms for step in steps)
+        self.work_factor = 0.0
         longest_ms = self.get_chain_ms()
         objective_ms = int(terms.slack_factor * longest_ms) + terms.allowance_ms
         self.due_ms = born_ms + objective_ms
--- a/packages/core/src/knapweedbeam_core/pool/placing.py
+++ b/packages/core/src/knapweedbeam_core/pool/placing.py
@@ -1,12 +1,10 @@
 """On which endpoint a task goes.
 
 Load: tasks of 14 to 41 cores on endpoints of 32 to 96, two or three on each, whose
-speeds differ by a factor of two and more. A job ends with its slowest task. Placing
-on the first endpoint that fits fills fast endpoints with tasks that would have been
-in time on slow ones, and then long tasks have only slow ones left. So a task takes
-the slowest endpoint on which it is still in time, and of equal ones the one that it
-fills best. A task that is in time only on a faster endpoint waits for that one as
-long as waiting leaves it in time.
+speeds differ by a factor of two and more. A job ends with its slowest task. So a task
+takes the fastest endpoint with room, and of equally fast ones the one that it fills
+best, which keeps room for wide tasks in one piece. A task that would be late on every
+endpoint with room, and in time on a faster one, waits as long as that holds.
 """
 
 from __future__ import annotations
@@ -108,7 +106,7 @@
         ends_ms = now_ms + endpoint.speed.get_run_ms(planned_ms)
         (in_time if ends_ms <= due_ms else late).append(Candidate(endpoint, ends_ms))
     if in_time:
-        return min(in_time, key=get_thrifty_key).endpoint
+        return min(in_time, key=get_preference).endpoint
     if not late:
         return None
     best = min(late, key=lambda candidate: candidate.ends_ms)
@@ -117,8 +115,8 @@
     return best.endpoint
 
 
-def get_thrifty_key(candidate: Candidate) -> tuple[float, int]:
-    """Return what orders endpoints that are in time: slow first, then full."""
+def get_preference(candidate: Candidate) -> tuple[int, int]:
+    """Return what orders endpoints that are in time: fast first, then full."""
     endpoint = candidate.endpoint
     speed = round(endpoint.speed.value / SPEED_STEP)
-    return speed, endpoint.free.cpu_millis
+    return -speed, endpoint.free.cpu_millis
--- a/packages/core/src/knapweedbeam_core/pool/queueing.py
+++ b/packages/core/src/knapweedbeam_core/pool/queueing.py
@@ -2,10 +2,12 @@
 
 Load: bursts of 1.2 to 1.9 times the usual for some seconds, and a seventh of the
 endpoints lost or slow, on endpoints that are used at 40 to 80%. Room is short for
-seconds at a time. Serving first come first served then makes every job late at once.
-So jobs that can still meet their objective go first, the one with the least slack
-foremost; those that are late go behind them, and those that earn nothing any more
-come last. Nothing that its caller still waits for is dropped.
+seconds at a time. Serving first come first served, or by least slack alone, then makes
+every job late at once: the widest jobs with the tightest objectives first of all. So
+of the jobs that can still meet their objective those of the most urgent queue go
+first, as the manifest ranks queues, and within a queue the one with the least slack.
+Jobs that are late go behind them, short ones first, and those that earn nothing any
+more come last. Nothing that its caller still waits for is dropped.
 """
 
 from __future__ import annotations
@@ -44,11 +46,11 @@
 ) -> list[jobs.Job]:
     """Return the jobs in the order in which they get room."""
 
-    def get_key(job: jobs.Job) -> tuple[Standing, int]:
+    def get_key(job: jobs.Job) -> tuple[Standing, int, int]:
         standing = get_standing(job, now_ms, best_speed)
         if standing == Standing.IN_TIME:
-            return standing, job.due_ms - job.longest_ms
-        return standing, job.longest_ms
+            return standing, job.terms.priority, job.due_ms - job.longest_ms
+        return standing, job.longest_ms, job.due_ms
 
     return sorted(waiting, key=get_key)
 
--- a/packages/core/src/knapweedbeam_core/pool/settling.py
+++ b/packages/core/src/knapweedbeam_core/pool/settling.py
@@ -12,7 +12,7 @@
 import typing
 
 from knapweedbeam_core import reasons
-from knapweedbeam_core.pool import calls, endpoints, jobs, messages, notes, room
+from knapweedbeam_core.pool import calls, endpoints, jobs, messages, notes, room, speeds
 
 if typing.TYPE_CHECKING:
     from knapweedbeam_core.pool import dispatcher
@@ -72,7 +72,7 @@
         if is_sound and endpoint.reading is not None and not endpoint.has_strangers:
             until_ms = endpoint.reading.get_latest_ms(self.now_ms) + lease_ms
             endpoint.lease_until_ms = max(endpoint.lease_until_ms, until_ms)
-        wait_ms = POLL_MS
+        wait_ms = self.get_wait_ms(endpoint)
         if not endpoint.is_held or endpoint.failed_polls:
             wait_ms = 0
         elif self.has_doubts(endpoint):
@@ -81,6 +81,28 @@
             endpoint.target, self.owner.fence, until_ms, endpoint.acked_end, wait_ms
         )
 
+    def get_wait_ms(self, endpoint: endpoints.Endpoint) -> int:
+        """Return how long a hold may wait: no longer than until a task is overdue."""
+        wait_ms = POLL_MS
+        if endpoint.reading is None:
+            return wait_ms
+        clock_ms = endpoint.reading.get_earliest_ms(self.now_ms)
+        for attempt in endpoint.attempts.values():
+            if attempt.owner is None or attempt.is_overdue:
+                continue
+            due_ms = attempt.began_clock_ms + self.get_overdue_ms(endpoint, attempt)
+            wait_ms = min(wait_ms, int(due_ms) + 1 - clock_ms)
+        return max(DOUBT_POLL_MS, wait_ms)
+
+    def get_overdue_ms(
+        self, endpoint: endpoints.Endpoint, attempt: endpoints.Attempt
+    ) -> float:
+        """Return after how long an attempt should have ended."""
+        assert attempt.owner is not None
+        return endpoint.speed.get_overdue_ms(
+            attempt.owner.spec.estimate_ms, attempt.owner.job.work_factor
+        )
+
     def has_doubts(self, endpoint: endpoints.Endpoint) -> bool:
         """Say whether the lists are needed to settle something."""
         doubtful = (endpoints.AttemptState.DOUBTFUL, endpoints.AttemptState.STRANGE)
@@ -174,6 +196,8 @@
             return []
         match answer.verdict:
             case calls.Verdict.ACCEPTED:
+                if answer.reading is not None and not attempt.began_clock_ms:
+                    attempt.began_clock_ms = answer.reading.clock_ms
                 return self.note_started(endpoint, attempt)
             case calls.Verdict.UNKNOWN:
                 if attempt.state == endpoints.AttemptState.STARTING:
@@ -273,9 +297,7 @@
         task = attempt.owner
         took_ms = self.now_ms - attempt.sent_ms
         if kind == calls.EndKind.DONE:
-            endpoint.health.note_done()
-            if task is not None and not attempt.was_slow:
-                endpoint.speed.add(task.spec.estimate_ms, took_ms)
+            self.learn(endpoint, attempt, took_ms)
         if task is None or task.job.is_cancelled:
             return []
         if kind == calls.EndKind.DONE:
@@ -284,6 +306,24 @@
             return self.note_failure(endpoint, attempt, task)
         return self.put_back(attempt, endpoint, str(kind))
 
+    def learn(
+        self, endpoint: endpoints.Endpoint, attempt: endpoints.Attempt, took_ms: int
+    ) -> None:
+        """Learn from a task that was done how fast and how sound its endpoint is."""
+        if not attempt.is_overdue:
+            endpoint.health.note_done()
+        task = attempt.owner
+        if task is None or attempt.state == endpoints.AttemptState.STRANGE:
+            return
+        estimate_ms = max(1, task.spec.estimate_ms)
+        if not attempt.is_overdue:
+            worked_ms = (took_ms - speeds.OVERHEAD_MS) * endpoint.speed.value
+            factor = max(1 / speeds.ESTIMATE_ERROR, worked_ms / estimate_ms)
+            task.job.work_factor = max(
+                task.job.work_factor, min(speeds.ESTIMATE_ERROR, factor)
+            )
+        endpoint.speed.add(estimate_ms, took_ms)
+
     def finish(self, task: jobs.Task) -> dispatcher.Effects:
         """Count a task as done; the last one completes its job."""
         task.job.finish(task)
@@ -350,12 +390,36 @@
             endpoints.AttemptState.DOUBTFUL,
         ):
             attempt.state = endpoints.AttemptState.RUNNING
+        if not attempt.began_clock_ms:
+            attempt.began_clock_ms = answer.reading.clock_ms
         if not attempt.is_unwanted:
-            return []
+            return self.check_overdue(endpoint, attempt, answer)
         if self.now_ms - attempt.stop_sent_ms < STOP_AGAIN_MS:
             return []
         return [self.stop_attempt(endpoint, attempt)]
 
+    def check_overdue(
+        self,
+        endpoint: endpoints.Endpoint,
+        attempt: endpoints.Attempt,
+        answer: calls.Holding,
+    ) -> dispatcher.Effects:
+        """Stop a task that stands still or crawls, and start it elsewhere.
+
+        Its time is taken by the endpoint's clock, so that a dispatcher that was held
+        up itself blames nobody.
+        """
+        if attempt.owner is None or attempt.is_overdue:
+            return []
+        ran_ms = answer.reading.clock_ms - attempt.began_clock_ms
+        if ran_ms <= self.get_overdue_ms(endpoint, attempt):
+            return []
+        attempt.is_overdue = True
+        produced = self.note_fault(endpoint, "a task is overdue")
+        if not self.owner.has_better(endpoint, attempt.owner):
+            return produced
+        return [*produced, self.stop_attempt(endpoint, attempt)]
+
     def take_stranger(
         self, endpoint: endpoints.Endpoint, running: calls.Running
     ) -> dispatcher.Effects:
--- a/packages/core/src/knapweedbeam_core/pool/speeds.py
+++ b/packages/core/src/knapweedbeam_core/pool/speeds.py
@@ -13,6 +13,11 @@
 # Start, polling and answer take some milliseconds beside the work itself.
 OVERHEAD_MS = 8
 MIN_SPEED = 0.05
+# Callers' estimates are off by this factor at most, either way.
+ESTIMATE_ERROR = 2.0
+# A task that runs this much longer than it can need hangs, or its endpoint is slow.
+OVERDUE_FACTOR = 1.5
+OVERDUE_MS = 40
 MAX_SPEED = 10.0
 
 
@@ -39,3 +44,11 @@
     def get_run_ms(self, estimate_ms: float) -> float:
         """Return how long a task of this estimate takes here."""
         return estimate_ms / self.value + OVERHEAD_MS
+
+    def get_overdue_ms(self, estimate_ms: float, work_factor: float) -> float:
+        """Return after how long a task should have ended here in any case.
+
+        `work_factor` is what its job's ended tasks show, 0 while none has ended.
+        """
+        factor = work_factor or ESTIMATE_ERROR
+        return OVERDUE_FACTOR * self.get_run_ms(factor * estimate_ms) + OVERDUE_MS
--- a/packages/core/tests/pool/test_dispatcher.py
+++ b/packages/core/tests/pool/test_dispatcher.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from knapweedbeam_core.pool import dispatcher, messages
-from pool import world
+from knapweedbeam_core.pool import dispatcher, endpoints, messages
+from bench.pool import world
 
 
 class ServingTest(unittest.TestCase):
@@ -79,6 +79,68 @@
         self.assertEqual(self.world.starts, [])
 
 
+class SlowEndpointTest(unittest.TestCase):
+    """Endpoints that stand still or crawl while they announce themselves as up."""
+
+    def setUp(self) -> None:
+        self.world = world.World()
+        for number in range(6):
+            self.world.add_endpoint(f"e{number}")
+        self.dispatcher = self.world.add_dispatcher("a", 10)
+        self.world.advance(50)
+        self.play("warm", 20)
+
+    def tearDown(self) -> None:
+        self.assertEqual(self.world.breaches, [])
+
+    def play(self, name: str, jobs: int, **more: int) -> list[int]:
+        """Play jobs of 200 ms each 25 ms; return how long those that ended took."""
+        began: dict[str, int] = {}
+        for number in range(jobs):
+            job_id = f"{name}{number}"
+            began[job_id] = self.world.now_ms
+            self.world.submit(self.dispatcher, job_id, 1, 200, **more)
+            self.world.advance(25)
+        self.world.advance(3_000)
+        return [
+            self.world.outcomes[job_id][1] - began_ms
+            for job_id, began_ms in began.items()
+            if self.world.get_outcome(job_id) == "JobComplete"
+        ]
+
+    def test_tasks_of_an_endpoint_that_stands_still_end_elsewhere(self) -> None:
+        self.world.endpoints["e0"].hangs = True
+        took = self.play("j", 60)
+        self.assertEqual(len(took), 60)
+        self.assertLess(max(took), 1_500)
+        self.assertGreaterEqual(sum(each <= 380 for each in took), 54)
+
+    def test_an_endpoint_that_crawls_gets_little(self) -> None:
+        self.world.endpoints["e0"].speed = 0.15
+        took = self.play("j", 60)
+        self.assertEqual(len(took), 60)
+        self.assertGreaterEqual(sum(each <= 380 for each in took), 54)
+
+    def test_one_that_works_again_is_used_again(self) -> None:
+        self.world.endpoints["e0"].hangs = True
+        self.play("j", 40)
+        self.world.endpoints["e0"].hangs = False
+        self.world.advance(4_000)
+        before = len(self.world.starts)
+        self.play("k", 120)
+        used = [name for _, name, _ in self.world.starts[before:]]
+        self.assertGreater(used.count("e0"), 5)
+
+    def test_estimates_off_by_a_factor_of_two_blame_nobody(self) -> None:
+        self.play("j", 60, estimate_ms=100)
+        stopped = [name for e in self.world.endpoints.values() for name in e.barred]
+        self.assertFalse(any(e.health.on_trial for e in self.get_known()))
+        self.assertEqual(len(set(stopped)), 80)
+
+    def get_known(self) -> list[endpoints.Endpoint]:
+        return list(self.dispatcher.endpoints.values())
+
+
 class LossTest(unittest.TestCase):
     def setUp(self) -> None:
         self.world = world.World()
--- a/packages/core/tests/pool/test_histories.py
+++ b/packages/core/tests/pool/test_histories.py
@@ -7,7 +7,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from pool import world
+from bench.pool import world
 
 ENDPOINTS = 4
 ACTIONS = (
--- /dev/null
+++ b/packages/core/tests/pool/test_queueing.py
@@ -0,0 +1,53 @@
+"""What callers get under load, against first come first served and first fit."""
+
+from __future__ import annotations
+
+import unittest
+import unittest.mock
+
+from bench.pool import load
+from knapweedbeam_core.pool import placing, queueing
+
+SECONDS = 6
+SEEDS = (1, 2)
+
+
+def play(share: float) -> tuple[float, float]:
+    """Return the mean shares of jobs in time, and of worth."""
+    results = [load.run(share, seed, SECONDS) for seed in SEEDS]
+    in_time = sum(result.in_time for result in results) / len(results)
+    return in_time, sum(result.worth for result in results) / len(results)
+
+
+class LoadTest(unittest.TestCase):
+    def test_a_usual_load_is_served_in_time(self) -> None:
+        in_time, worth = play(1.0)
+        self.assertGreater(in_time, 0.97)
+        self.assertGreater(worth, 0.95)
+
+    def test_a_burst_is_served_better_than_first_come_first_served(self) -> None:
+        in_time, worth = play(1.7)
+
+        def sort_jobs(waiting, now_ms, best_speed):  # type: ignore[no-untyped-def]
+            return sorted(waiting, key=lambda job: job.born_ms)
+
+        with unittest.mock.patch.object(queueing, "sort_jobs", sort_jobs):
+            plain_in_time, plain_worth = play(1.7)
+        self.assertGreater(in_time, plain_in_time + 0.05)
+        self.assertGreater(worth, plain_worth + 0.05)
+
+    def test_packing_is_better_than_first_fit(self) -> None:
+        in_time, worth = play(1.4)
+
+        def choose(task, openings, now_ms, best_speed):  # type: ignore[no-untyped-def]
+            fitting = (e for e in openings.endpoints if placing.fits(task, e))
+            return next(fitting, None)
+
+        with unittest.mock.patch.object(placing, "choose", choose):
+            plain_in_time, plain_worth = play(1.4)
+        self.assertGreater(in_time, plain_in_time)
+        self.assertGreater(worth, plain_worth)
+
+
+if __name__ == "__main__":
+    unittest.main()
