--- a/packages/core/src/knapweedbeam_core/fleet/membership.py
+++ b/packages/core/src/knapweedbeam_core/fleet/membership.py
@@ -102,6 +102,19 @@
         member = self.members.get(name)
         return member is not None and self.clock.now_ms() - member.heard_ms <= SILENT_MS
 
+    def is_in_office(self, name: str) -> bool:
+        """Say whether a member was heard lately and dispatches."""
+        return any(known.name == name and known.generation for known in self.get_live())
+
+    def find_relay(self) -> str:
+        """Return an entry VM that still reaches a dispatcher, empty for none."""
+        reaching = [
+            known.name
+            for known in self.get_live()
+            if not known.is_core and known.using not in ("", self.name)
+        ]
+        return min(reaching, default="")
+
     def get_core_names(self) -> set[str]:
         """Return the core members heard within the time that they are remembered."""
         names = {
--- /dev/null
+++ b/packages/core/tests/pool/test_relay.py
@@ -0,0 +1,43 @@
+from __future__ import annotations
+
+import unittest
+
+from knapweedbeam_core import clock, effects
+from knapweedbeam_core.pool import messages, relay
+
+SUBMIT = messages.Submit("j", "q", "s", 0, 3, 1.6, 60, "", (), 5, 3_000, 0)
+
+
+class RelayTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = clock.ManualClock(0)
+        self.relay = relay.Relay(self.clock)
+
+    def test_a_job_goes_on_and_its_end_comes_back_once(self) -> None:
+        (sent,) = self.relay.pass_on("e1", "c1", SUBMIT)
+        self.assertEqual(sent.to, "c1")
+        done = messages.JobComplete("j")
+        self.assertEqual(self.relay.bring_back(done), [effects.Send("e1", done)])
+        self.assertEqual(self.relay.bring_back(done), [])
+
+    def test_a_job_passed_on_counts_as_one_that_may_run_elsewhere(self) -> None:
+        (sent,) = self.relay.pass_on("e1", "c1", SUBMIT)
+        assert isinstance(sent.message, messages.Submit)
+        self.assertGreater(sent.message.attempt_base, 0)
+
+    def test_a_caller_that_left_is_passed_on(self) -> None:
+        self.relay.pass_on("e1", "c1", SUBMIT)
+        withdraw = messages.Withdraw("j")
+        sent = self.relay.withdraw("c2", withdraw)
+        self.assertEqual(sent, [effects.Send("c2", withdraw)])
+        self.assertEqual(self.relay.withdraw("c2", withdraw), [])
+
+    def test_what_never_came_back_is_forgotten(self) -> None:
+        self.relay.pass_on("e1", "c1", SUBMIT)
+        self.clock.advance(relay.REMEMBER_MS + 1)
+        self.relay.forget_old()
+        self.assertEqual(self.relay.jobs, {})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import dataclasses
 import random
 import typing
@@ -15,7 +16,7 @@
 from knapweedbeam_core.fleet import messages as fleet_messages
 from knapweedbeam_core.log import messages as log_messages
 from knapweedbeam_core.manifests import manifest
-from knapweedbeam_core.pool import calls, desk, dispatcher, messages, notes
+from knapweedbeam_core.pool import calls, desk, dispatcher, messages, notes, relay
 from knapweedbeam_server.fleet import manifest_log, orders, ports, telemetry
 from knapweedbeam_server.fleet import settings as settings_
 from knapweedbeam_server.logs import catalogue, emit
@@ -49,6 +50,9 @@
 }
 
 
+Effect = dispatcher.Effect | desk.Settled
+
+
 class Decoder(typing.Protocol):
     """Turns an operator's bytes into a manifest."""
 
@@ -88,6 +92,7 @@
         self.telemetry = telemetry.Telemetry()
         self.orders = orders.Orders(self.dispatcher, client, self.run, self.telemetry)
         self.desk = desk.Desk(timer)
+        self.relay = relay.Relay(timer)
         self.directory: manifest.Directory | None = None
         self.log = self.build_log(rng)
         self.links = links.Links(
@@ -150,7 +155,7 @@
         """Take a message of this process to itself."""
         gevent.spawn(self.take, self.settings.name, message)
 
-    def run(self, produced: dispatcher.Effects | desk.Effects) -> None:
+    def run(self, produced: collections.abc.Sequence[Effect]) -> None:
         """Carry out what the decisions ask for."""
         for effect in produced:
             match effect:
@@ -235,22 +240,32 @@
     def follow(self, choice: leadership.Choice) -> None:
         """Send open jobs to another dispatcher once it is in office.
 
-        Until then the one that was followed may still have its office.
+        Until then the one that was followed may still have its office. Where none is
+        heard, another entry VM that reaches one passes the jobs on.
         """
-        if choice.name == self.followed or (choice.name and not choice.generation):
+        name = choice.name if choice.generation else self.find_substitute()
+        if name == self.followed:
             return
-        self.followed = choice.name
+        self.followed = name
         emit.emit(
             catalogue.FOLLOWING,
-            dispatcher=choice.name,
+            dispatcher=name,
             generation=choice.generation,
             jobs=len(self.desk.jobs),
         )
-        self.run(self.desk.follow(choice.name))
+        self.run(self.desk.follow(name))
+
+    def find_substitute(self) -> str:
+        """Return where jobs go while the choice is not in office."""
+        is_lost = self.followed and not self.members.is_live(self.followed)
+        if self.settings.is_core or not is_lost:
+            return self.followed
+        return self.members.find_relay() or self.followed
 
     def update_links(self) -> None:
         """Link to the members that are known now."""
         self.members.forget_old()
+        self.relay.forget_old()
         peers = []
         for name in sorted(self.members.get_links()):
             host, port = settings_.split_address(name)
@@ -296,13 +311,16 @@
             case fleet_messages.Presence():
                 self.hear(message)
             case messages.Submit():
-                self.run(self.dispatcher.on_submit(sender, message))
+                self.take_submit(sender, message)
             case messages.Withdraw():
                 self.run(self.dispatcher.on_withdraw(message))
+                self.run(self.relay.withdraw(self.desk.dispatcher, message))
             case messages.JobComplete() | messages.JobFailed():
                 self.run(self.desk.on_ended(sender, message))
+                self.run(self.relay.bring_back(message))
             case messages.JobRefused():
                 self.run(self.desk.on_refused(sender, message))
+                self.run(self.relay.bring_back(message))
             case messages.NotDispatching(job_id, _):
                 self.run(self.desk.on_not_dispatching(sender, job_id))
             case messages.EndpointNews():
@@ -319,6 +337,15 @@
                 if self.log is not None:
                     self.log.on_message(typing.cast(log_messages.Message, message))
 
+    def take_submit(self, sender: str, submit: messages.Submit) -> None:
+        """Dispatch a job, or pass it on for an entry VM that is cut off."""
+        dispatcher_name = self.desk.dispatcher
+        is_relay = not self.dispatcher.fence and not self.settings.is_core
+        if is_relay and self.members.is_in_office(dispatcher_name):
+            self.run(self.relay.pass_on(sender, dispatcher_name, submit))
+        else:
+            self.run(self.dispatcher.on_submit(sender, submit))
+
     def hear(self, presence: fleet_messages.Presence) -> None:
         """Take a heartbeat."""
         if self.members.hear(presence):
