--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -324,6 +324,7 @@
     ) -> Effects:
         """Start the tasks of a job that fit."""
         produced: Effects = []
+        used: list[str] = []
         full: set[int] = set()
         for task in list(job.waiting):
             if task.step in full or not openings.may_fit(task.spec):
@@ -331,11 +332,26 @@
             chosen = placing.choose(task, openings, now_ms, best_speed)
             if chosen is not None:
                 produced.append(self.start(task, chosen, now_ms))
+                used.append(chosen.said.endpoint)
                 openings.measure()
             elif not task.failures:
                 full.add(task.step)
+        if used:
+            produced.append(self.build_note(job, used, now_ms))
         return produced
 
+    def build_note(
+        self, job: jobs.Job, used: list[str], now_ms: int
+    ) -> notes.TasksPlaced:
+        """Return what the log is to say of tasks just started."""
+        return notes.TasksPlaced(
+            job.job_id,
+            " ".join(used),
+            len(job.waiting),
+            now_ms - job.born_ms,
+            job.due_ms - now_ms,
+        )
+
     def refuse(self, job: jobs.Job, reason: reasons.Reason) -> Effects:
         """Refuse a job of which nothing was started."""
         now_ms = self.clock.now_ms()
--- a/packages/core/src/knapweedbeam_core/pool/notes.py
+++ b/packages/core/src/knapweedbeam_core/pool/notes.py
@@ -45,6 +45,20 @@
     job_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TasksPlaced:
+    """Tasks of a job were started on `endpoints`; `left` of them still wait.
+
+    `age_ms` is the job's age, `slack_ms` what was left until its objective then.
+    """
+
+    job_id: str
+    endpoints: str
+    left: int
+    age_ms: int
+    slack_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobEnded:
     """A job has its outcome, `age_ms` after its caller sent it."""
@@ -88,6 +102,7 @@
     | EndpointLost
     | JobRejoined
     | JobWithdrawn
+    | TasksPlaced
     | JobEnded
     | AttemptLost
     | EndpointRests
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -43,6 +43,7 @@
     notes.EndpointLost: catalogue.POOL_ENDPOINT_LOST,
     notes.EndpointRests: catalogue.POOL_ENDPOINT_RESTS,
     notes.EndpointFenced: catalogue.POOL_ENDPOINT_FENCED,
+    notes.TasksPlaced: catalogue.POOL_TASKS_PLACED,
     notes.JobEnded: catalogue.POOL_JOB_ENDED,
     notes.JobRejoined: catalogue.POOL_JOB_REJOINED,
     notes.JobWithdrawn: catalogue.POOL_JOB_WITHDRAWN,
@@ -284,7 +285,7 @@
                 continue
             self.silent.add(name)
             emit.emit(
-                catalogue.MEMBER_SILENT, member=name, silent_ms=now_ms - member.heard_ms
+                catalogue.MEMBER_SILENT, peer=name, silent_ms=now_ms - member.heard_ms
             )
             self.run(self.dispatcher.on_entry_lost(name))
 
@@ -352,7 +353,7 @@
             self.silent.discard(presence.name)
             emit.emit(
                 catalogue.MEMBER_HEARD,
-                member=presence.name,
+                peer=presence.name,
                 core=presence.is_core,
                 generation=presence.generation,
             )
--- a/packages/server/src/knapweedbeam_server/logs/catalogue.py
+++ b/packages/server/src/knapweedbeam_server/logs/catalogue.py
@@ -395,14 +395,14 @@
     7010,
     "member_heard",
     Level.INFO,
-    "member {member} is heard, core {core}, generation {generation}",
+    "member {peer} is heard, core {core}, generation {generation}",
     "The process was not known or was silent.",
 )
 MEMBER_SILENT = Event(
     7011,
     "member_silent",
     Level.WARNING,
-    "member {member} is silent for {silent_ms} ms",
+    "member {peer} is silent for {silent_ms} ms",
     "Nothing came from the process: it ended, stands still or is cut off.",
     "Look at its own log, then at the network between the two.",
 )
@@ -549,6 +549,14 @@
     "attempt {number} of task {task} on {endpoint} came to nothing: {why}",
     "The task waits for another start.",
 )
+POOL_TASKS_PLACED = Event(
+    7054,
+    "pool_tasks_placed",
+    Level.INFO,
+    "job {job_id} at age {age_ms} ms, slack {slack_ms} ms: started on {endpoints}; "
+    "{left} tasks wait",
+    "Tasks were started on these endpoints, one name a task.",
+)
 BODY_MALFORMED = Event(
     7060,
     "body_malformed",
--- a/packages/server/src/knapweedbeam_server/logs/emit.py
+++ b/packages/server/src/knapweedbeam_server/logs/emit.py
@@ -27,8 +27,11 @@
 class RateGate:
     """Lets a bounded number of each kind of event through in a window."""
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    def __init__(
+        self, clock: clocks.Clock, events_per_window: int = EVENTS_PER_WINDOW
+    ) -> None:
         self.clock = clock
+        self.events_per_window = events_per_window
         self.windows: dict[int, Window] = {}
 
     def admit(self, event: catalogue.Event) -> int | None:
@@ -42,16 +45,26 @@
             suppressed = window.suppressed
             window.start_ms, window.count, window.suppressed = now_ms, 0, 0
         window.count += 1
-        if window.count <= EVENTS_PER_WINDOW:
+        if window.count <= self.events_per_window:
             return suppressed
         window.suppressed += 1
         return None
 
 
+class Stream(typing.Protocol):
+    """Where lines go."""
+
+    def write(self, text: str, /) -> int:
+        """Take a line."""
+
+    def flush(self) -> None:
+        """Write what was taken."""
+
+
 class Sink:
     """Renders loguru's messages to a stream."""
 
-    def __init__(self, stream: typing.TextIO, form: str) -> None:
+    def __init__(self, stream: Stream, form: str) -> None:
         self.stream = stream
         self.render = render.RENDERERS[form]
 
@@ -76,7 +89,8 @@
         form: str,
         level: str,
         clock: clocks.Clock,
-        stream: typing.TextIO | None = None,
+        stream: Stream | None = None,
+        events_per_window: int = EVENTS_PER_WINDOW,
     ) -> None:
         """Write events of `level` and above as `json` or `text`, to stderr at first."""
         sink = Sink(stream or sys.stderr, form)
@@ -88,7 +102,7 @@
             filter=is_event,
             catch=True,
         )
-        self.gate = RateGate(clock)
+        self.gate = RateGate(clock, events_per_window)
 
     def emit(self, event: catalogue.Event, fields: dict[str, object]) -> None:
         """Write one event, unless too many of its kind were just written."""
@@ -111,10 +125,14 @@
 
 
 def set_up(
-    form: str, level: str, clock: clocks.Clock, stream: typing.TextIO | None = None
+    form: str,
+    level: str,
+    clock: clocks.Clock,
+    stream: Stream | None = None,
+    events_per_window: int = EVENTS_PER_WINDOW,
 ) -> None:
     """Set up the log of this process."""
-    EMITTER.set_up(form, level, clock, stream)
+    EMITTER.set_up(form, level, clock, stream, events_per_window)
 
 
 def emit(event: catalogue.Event, **fields: object) -> None:
--- /dev/null
+++ b/packages/server/tests/logs/test_buffered.py
@@ -0,0 +1,43 @@
+from __future__ import annotations
+
+import os
+import unittest
+
+from knapweedbeam_server.logs import buffered
+
+
+class BufferedStreamTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+        self.stream = buffered.BufferedStream(self.writer)
+
+    def test_lines_come_whole_and_in_order(self) -> None:
+        self.stream.write("one\n")
+        self.stream.write("two\n")
+        self.stream.drain()
+        self.assertEqual(os.read(self.reader, 100), b"one\ntwo\n")
+
+    def test_a_reader_that_stalls_blocks_nobody_and_loses_no_part_of_a_line(
+        self,
+    ) -> None:
+        line = "x" * 999 + "\n"
+        for _ in range(300):
+            self.stream.write(line)
+            self.stream.drain()
+        read = b""
+        while len(read) < 300_000:
+            read += os.read(self.reader, 65_536)
+            self.stream.drain()
+        self.assertEqual(read, line.encode() * 300)
+
+    def test_what_is_dropped_is_counted(self) -> None:
+        for _ in range(buffered.MAX_LINES + 7):
+            self.stream.write("a\n")
+        self.stream.drain()
+        self.assertTrue(os.read(self.reader, 65_536).endswith(b'{"dropped_lines":7}\n'))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/server/tests/logs/test_catalogue.py
+++ b/packages/server/tests/logs/test_catalogue.py
@@ -4,11 +4,16 @@
 import pathlib
 import unittest
 
+import knapweedbeam_platform
 import knapweedbeam_server
 from knapweedbeam_server.logs import catalogue
 from tools import docs
 
-SOURCES = pathlib.Path(knapweedbeam_server.__file__).parent
+SOURCES = [
+    path
+    for package in (knapweedbeam_server, knapweedbeam_platform)
+    for path in sorted(pathlib.Path(str(package.__file__)).parent.rglob("*.py"))
+]
 SECRET_FIELDS = {"payload", "token", "member", "key", "answer_body"}
 
 
@@ -35,12 +40,12 @@
         self.assertEqual(docs.build_events(), docs.EVENTS_PAGE.read_text())
 
     def test_what_the_page_claims_is_emitted(self) -> None:
-        sources = "".join(path.read_text() for path in SOURCES.rglob("*.py"))
+        sources = "".join(path.read_text() for path in SOURCES)
         for event in set(catalogue.get_events()) - catalogue.NOT_EMITTED_YET:
             self.assertIn(f"catalogue.{event.name.upper()}", sources)
 
     def test_every_emit_gives_the_fields_of_its_event(self) -> None:
-        for path in SOURCES.rglob("*.py"):
+        for path in SOURCES:
             for name, keywords in find_emits(path):
                 event = getattr(catalogue, name, None)
                 if event is not None and None not in keywords:
