Refuse at once what is of no use to its caller any more, or fits nowhere

A job of which nothing was started is now refused when it cannot end within three objectives, with the time that the waiting work takes as Retry-After.

--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -173,8 +173,17 @@
             return [notes.JobRejoined(submit.job_id, sender)]
         job = self.build_job(sender, submit, ended)
         self.jobs[job.job_id] = job
-        produced = self.settler.adopt(job)
-        return produced
+        if self.can_never_fit(job):
+            return self.refuse(job, reasons.Reason.NEVER_FITS, 0)
+        return self.settler.adopt(job)
+
+    def can_never_fit(self, job: jobs.Job) -> bool:
+        """Say whether a new job has a task that no endpoint of its service holds."""
+        service = job.terms.service
+        known = [e for e in self.endpoints.values() if e.said.service == service]
+        if job.was_started or not known or not self.has_whole_view(service):
+            return False
+        return not all(placing.could_ever_fit(step, known) for step in job.steps)
 
     def build_job(
         self, sender: str, submit: messages.Submit, ended: Remembered | None
@@ -314,7 +323,8 @@
             if now_ms < job.not_before_ms and not is_whole:
                 continue
             if not job.was_started and queueing.is_hopeless(job, now_ms, best_speed):
-                produced += self.refuse(job, reasons.Reason.DEADLINE)
+                backlog_ms = queueing.get_backlog_ms(queued, held)
+                produced += self.refuse(job, reasons.Reason.DEADLINE, backlog_ms)
                 continue
             produced += self.place_job(job, openings, now_ms, best_speed)
         return produced
@@ -352,12 +362,11 @@
             job.due_ms - now_ms,
         )
 
-    def refuse(self, job: jobs.Job, reason: reasons.Reason) -> Effects:
+    def refuse(
+        self, job: jobs.Job, reason: reasons.Reason, backlog_ms: float
+    ) -> Effects:
         """Refuse a job of which nothing was started."""
-        now_ms = self.clock.now_ms()
-        return self.end_job(
-            job, queueing.build_refusal(job, reason, now_ms - job.born_ms)
-        )
+        return self.end_job(job, queueing.build_refusal(job, reason, backlog_ms))
 
     def start(
         self, task: jobs.Task, endpoint: endpoints.Endpoint, now_ms: int
--- a/packages/core/src/knapweedbeam_core/pool/placing.py
+++ b/packages/core/src/knapweedbeam_core/pool/placing.py
@@ -78,10 +78,9 @@
 
 
 def could_ever_fit(
-    task: jobs.Task, known: collections.abc.Iterable[endpoints.Endpoint]
+    step: jobs.Step, known: collections.abc.Iterable[endpoints.Endpoint]
 ) -> bool:
-    """Say whether some endpoint is large enough and of the right kind."""
-    step = task.spec
+    """Say whether some endpoint is large enough for a task, and of the right kind."""
     return any(
         endpoint.capacity.holds(step.need)
         and (not step.required_label or step.required_label in endpoint.said.labels)
--- a/packages/core/src/knapweedbeam_core/pool/queueing.py
+++ b/packages/core/src/knapweedbeam_core/pool/queueing.py
@@ -6,8 +6,10 @@
 every job late at once: the widest jobs with the tightest objectives first of all. So
 of the jobs that can still meet their objective those of the most urgent queue go
 first, as the manifest ranks queues, and within a queue the one with the least slack.
-Jobs that are late go behind them, short ones first, and those that earn nothing any
-more come last. Nothing that its caller still waits for is dropped.
+Jobs that are late go behind them, short ones first. One of which nothing was started
+is refused as soon as it cannot end within three objectives, when its answer would be
+of no use any more: its caller hears so at once and not when its patience ends, and is
+told to come back when the work that waits now is done. What was started is finished.
 """
 
 from __future__ import annotations
@@ -16,7 +18,7 @@
 import enum
 
 from knapweedbeam_core import reasons
-from knapweedbeam_core.pool import jobs, messages
+from knapweedbeam_core.pool import endpoints, jobs, messages
 
 # Orders, polling and links on the way from a start to the caller's answer.
 TRANSIT_MS = 10
@@ -56,8 +58,23 @@
 
 
 def is_hopeless(job: jobs.Job, now_ms: int, best_speed: float) -> bool:
-    """Say whether a job cannot end while its caller still waits."""
-    return now_ms + job.longest_ms / best_speed > job.give_up_ms
+    """Say whether a job cannot end while its answer is of use to its caller."""
+    ends_ms = now_ms + job.longest_ms / best_speed
+    return ends_ms > min(job.give_up_ms, job.worthless_ms)
+
+
+def get_backlog_ms(
+    queued: collections.abc.Iterable[jobs.Job],
+    held: collections.abc.Iterable[endpoints.Endpoint],
+) -> float:
+    """Return how long the held endpoints take for all that waits."""
+    waiting = sum(
+        task.spec.cpu_millis * task.spec.estimate_ms
+        for job in queued
+        for task in job.waiting
+    )
+    room = sum(each.capacity.cpu_millis * each.speed.value for each in held)
+    return waiting / room if room else MAX_RETRY_AFTER_MS
 
 
 def build_refusal(
--- a/packages/core/tests/pool/test_dispatcher.py
+++ b/packages/core/tests/pool/test_dispatcher.py
@@ -72,6 +72,10 @@
         self.assertNotIn("e0", {name for _, name, _ in self.world.starts})
         self.assertEqual(self.world.get_outcome("j"), "JobComplete")
 
+    def test_a_job_that_fits_nowhere_is_refused_at_once(self) -> None:
+        self.world.submit(self.dispatcher, "j", cpu_millis=65_000)
+        self.assertEqual(self.world.get_outcome("j"), "JobRefused")
+
     def test_a_job_that_can_never_be_served_in_time_is_refused_at_once(self) -> None:
         self.world.submit(self.dispatcher, "j", work_ms=2_000, patience_ms=500)
         self.world.advance(40)
--- a/packages/core/tests/pool/test_queueing.py
+++ b/packages/core/tests/pool/test_queueing.py
@@ -6,7 +6,7 @@
 import unittest.mock
 
 from bench.pool import load
-from knapweedbeam_core.pool import placing, queueing
+from knapweedbeam_core.pool import messages, placing, queueing
 
 SECONDS = 6
 SEEDS = (1, 2)
@@ -36,6 +36,26 @@
         self.assertGreater(in_time, plain_in_time + 0.05)
         self.assertGreater(worth, plain_worth + 0.05)
 
+    def test_a_job_that_is_of_no_use_any_more_is_refused_long_before_its_caller_leaves(
+        self,
+    ) -> None:
+        played = load.Load(2.2, 1)
+        played.play(SECONDS)
+        played.world.advance(6_000)
+        refused = [
+            (played.world.outcomes[job.job_id], job)
+            for job in played.sent
+            if played.world.get_outcome(job.job_id) == "JobRefused"
+        ]
+        self.assertTrue(refused)
+        started = {order.task.partition(".")[0] for _, _, order in played.world.starts}
+        for (message, at_ms), job in refused:
+            assert isinstance(message, messages.JobRefused)
+            self.assertNotIn(job.job_id, started)
+            self.assertGreaterEqual(message.retry_after_ms, 200)
+            if job.name == "check":
+                self.assertLess(at_ms - job.at_ms, 1_200)
+
     def test_packing_is_better_than_first_fit(self) -> None:
         in_time, worth = play(1.4)
 
--- a/packages/ctl/src/knapweedbeam_ctl/__main__.py
+++ b/packages/ctl/src/knapweedbeam_ctl/__main__.py
@@ -8,6 +8,7 @@
 import typer
 
 from knapweedbeam_ctl import bundle_app, options
+from knapweedbeam_ctl.commands import explain as explain_command
 from knapweedbeam_ctl.commands import histograms as histograms_command
 from knapweedbeam_ctl.commands import limits as limits_command
 from knapweedbeam_ctl.commands import status as status_command
@@ -118,6 +119,21 @@
     raise typer.Exit(status_command.show_endpoints(access))
 
 
+@app.command()
+def explain(
+    request: typing.Annotated[
+        str, typer.Argument(metavar="ID", help="The request's id.")
+    ],
+    files: typing.Annotated[
+        list[pathlib.Path],
+        typer.Argument(metavar="FILE...", help="Log files of the processes."),
+    ],
+    as_json: options.Json = False,
+) -> None:
+    """Put in order what log files say of one request, and what changed meanwhile."""
+    raise typer.Exit(explain_command.show(request, files, as_json))
+
+
 @app.command()
 def histograms(
     member: typing.Annotated[str, typer.Option(help="Only this member.")] = "",
