Lose no jobs of an entry VM whose heartbeats are late for half a second

What waits and what runs is now kept for 0.6 s and goes on when the entry VM is heard; nothing is started meanwhile. Read besides: a job that had run and came again counted as never started, and could have been refused as not run. Tests for each failed before.

--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -223,8 +223,8 @@
             now_ms + submit.patience_ms,
             base,
         )
+        job.was_started = base > 0
         if submit.attempt_base:
-            job.was_started = True
             job.not_before_ms = now_ms + TAKEOVER_MS
         return job
 
@@ -257,17 +257,22 @@
         return produced + self.settler.stop_job(job)
 
     def on_entry_lost(self, entry: str) -> Effects:
-        """Let what runs for an entry VM that fell silent run on for a while."""
-        produced: Effects = []
-        for job in list(self.jobs.values()):
-            if job.entry != entry:
-                continue
-            if job.was_started:
-                job.entry = ""
-                job.orphaned_ms = self.clock.now_ms()
-            else:
-                produced += self.end_job(job, None)
-        return produced
+        """Start nothing more for an entry VM that fell silent.
+
+        What runs goes on for a while, in case it is heard again.
+        """
+        now_ms = self.clock.now_ms()
+        for job in self.jobs.values():
+            if job.entry == entry and not job.orphaned_ms:
+                job.orphaned_ms = now_ms
+        return []
+
+    def on_entry_heard(self, entry: str) -> Effects:
+        """Go on with the jobs of an entry VM that sends its jobs here."""
+        for job in self.jobs.values():
+            if job.entry == entry:
+                job.orphaned_ms = 0
+        return []
 
     # Time.
 
--- a/packages/core/src/knapweedbeam_core/pool/jobs.py
+++ b/packages/core/src/knapweedbeam_core/pool/jobs.py
@@ -82,7 +82,8 @@
 class Job:
     """A job from its arrival at the dispatcher to its end.
 
-    `entry` is the entry VM that waits for it, empty when that was lost.
+    `entry` is the entry VM that waits for it; `orphaned_ms` is since when that one is
+    silent, 0 while it is heard.
     `born_ms` is when its caller sent it, `give_up_ms` when the caller stops waiting.
     `work_factor` is the greatest work of a task that ended against its estimate, 0
     until one did: the tasks of a job share the error of its estimate. `overdue_on`
--- a/packages/core/tests/pool/test_dispatcher.py
+++ b/packages/core/tests/pool/test_dispatcher.py
@@ -235,6 +235,42 @@
         self.assertEqual(self.count("JobComplete", 6), 6)
 
 
+class SilentEntryTest(unittest.TestCase):
+    """An entry VM whose heartbeats are late for half a second, and one that died."""
+
+    def setUp(self) -> None:
+        self.world = world.World()
+        self.world.add_endpoint("e0")
+        self.dispatcher = self.world.add_dispatcher("a", 10)
+        self.world.advance(50)
+        self.world.submit(self.dispatcher, "runs", count=2, work_ms=400)
+        self.world.submit(self.dispatcher, "waits", work_ms=400)
+        self.world.advance(50)
+        self.dispatcher.on_entry_lost(world.ENTRY)
+
+    def test_one_that_is_heard_again_loses_nothing(self) -> None:
+        self.world.advance(300)
+        self.dispatcher.on_entry_heard(world.ENTRY)
+        self.world.advance(1_000)
+        for job_id in ("runs", "waits"):
+            self.assertEqual(self.world.get_outcome(job_id), "JobComplete")
+        self.assertEqual(len(self.world.starts), 3)
+
+    def test_a_job_that_had_run_is_never_refused_as_not_run(self) -> None:
+        self.world.advance(3_000)
+        self.world.submit(self.dispatcher, "runs", 2, 400, patience_ms=10)
+        self.world.advance(100)
+        self.assertEqual(self.world.get_outcome("runs"), "")
+        self.world.submit(self.dispatcher, "waits", 1, 400, patience_ms=10)
+        self.world.advance(100)
+        self.assertEqual(self.world.get_outcome("waits"), "JobRefused")
+
+    def test_nothing_is_started_for_one_that_is_silent(self) -> None:
+        self.world.advance(3_000)
+        self.assertEqual(len(self.world.starts), 2)
+        self.assertEqual(self.dispatcher.jobs, {})
+
+
 class TakeoverTest(unittest.TestCase):
     def setUp(self) -> None:
         self.world = world.World()
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -358,7 +358,9 @@
                 generation=presence.generation,
             )
             self.pass_endpoints(presence)
-        if presence.using not in ("", self.settings.name):
+        if presence.using == self.settings.name:
+            self.run(self.dispatcher.on_entry_heard(presence.name))
+        elif presence.using:
             self.run(self.dispatcher.on_entry_lost(presence.name))
         now_ms = self.clock.now_ms()
         lacks = presence.manifest_version > self.get_manifest_version()
