--- a/packages/core/tests/pool/test_dispatcher.py
+++ b/packages/core/tests/pool/test_dispatcher.py
@@ -257,12 +257,16 @@
         self.assertEqual(len(self.world.starts), 3)
 
     def test_a_job_that_had_run_is_never_refused_as_not_run(self) -> None:
-        self.world.advance(3_000)
-        self.world.submit(self.dispatcher, "runs", 2, 400, patience_ms=10)
-        self.world.advance(100)
-        self.assertEqual(self.world.get_outcome("runs"), "")
-        self.world.submit(self.dispatcher, "waits", 1, 400, patience_ms=10)
+        self.world.advance(1_000)
+        self.world.submit(self.dispatcher, "long", 1, 2_000)
+        self.world.advance(50)
+        self.dispatcher.on_entry_lost(world.ENTRY)
+        self.world.advance(1_000)
+        self.assertEqual(self.dispatcher.jobs, {})
+        for job_id in ("long", "waits"):
+            self.world.submit(self.dispatcher, job_id, 1, 2_000, patience_ms=10)
         self.world.advance(100)
+        self.assertEqual(self.world.get_outcome("long"), "")
         self.assertEqual(self.world.get_outcome("waits"), "JobRefused")
 
     def test_nothing_is_started_for_one_that_is_silent(self) -> None:
