--- a/packages/ctl/src/knapweedbeam_ctl/commands/explain.py
+++ b/packages/ctl/src/knapweedbeam_ctl/commands/explain.py
@@ -13,7 +13,6 @@
 # Events that change who dispatches or which manifest is in force, from 7004 to 7025:
 # what lies between a request's first and last line may be its cause.
 SURROUNDING = range(7004, 7026)
-HEADINGS = ("time", "where", "event", "what")
 
 
 class LogLine(msgspec.Struct, frozen=True):
@@ -47,6 +46,7 @@
             except msgspec.MsgspecError:
                 # Log files also hold what the platform and the interpreter print.
                 continue
+            # What collects logs may put the name of the process before each line.
             yield Found(line, " ".join([path.name, *head.split()[-1:]]))
 
 
@@ -58,16 +58,19 @@
 
 
 def select(found: list[Found], request: str) -> list[Found]:
-    """Return the lines about a request, and the changes that happened meanwhile."""
-    own = [each.line.time for each in found if mentions(each.line, request)]
+    """Return the lines about a request, and what changed meanwhile where it was."""
+    own = [each for each in found if mentions(each.line, request)]
     if not own:
         return []
-    first, last = min(own), max(own)
-    chosen = [
+    first = min(each.line.time for each in own)
+    last = max(each.line.time for each in own)
+    places = {each.place for each in own}
+    chosen = own + [
         each
         for each in found
-        if mentions(each.line, request)
-        or (each.line.event in SURROUNDING and first <= each.line.time <= last)
+        if each.line.event in SURROUNDING
+        and each.place in places
+        and first <= each.line.time <= last
     ]
     return sorted(chosen, key=lambda each: each.line.time)
 
@@ -87,9 +90,6 @@
     if as_json:
         output.print_json([each.line for each in chosen])
     else:
-        rows = [
-            (each.line.time, each.place, str(each.line.event), each.line.message)
-            for each in chosen
-        ]
-        output.print_table(HEADINGS, rows)
+        for each in chosen:
+            print(each.line.time, each.place, each.line.event, each.line.message)
     return exit_codes.ExitCode.OK if chosen else exit_codes.ExitCode.UNKNOWN
