--- /dev/null
+++ b/packages/core/tests/pool/test_speeds.py
@@ -0,0 +1,50 @@
+from __future__ import annotations
+
+import random
+import unittest
+
+from knapweedbeam_core.pool import clocks, health, speeds
+
+
+class SpeedTest(unittest.TestCase):
+    def test_a_speed_is_learned_from_estimates_that_are_off_by_two(self) -> None:
+        rng = random.Random(1)
+        known = speeds.Speed()
+        for _ in range(60):
+            work_ms = rng.uniform(50, 900)
+            estimate_ms = work_ms * 2 ** rng.uniform(-1, 1)
+            known.add(estimate_ms, work_ms / 0.55 + speeds.OVERHEAD_MS)
+        self.assertAlmostEqual(known.value, 0.55, delta=0.15)
+
+    def test_a_task_is_overdue_later_while_little_is_known(self) -> None:
+        fresh, known = speeds.Speed(), speeds.Speed(samples=20)
+        self.assertGreater(fresh.get_overdue_ms(100, 0), known.get_overdue_ms(100, 0))
+        self.assertGreater(known.get_overdue_ms(100, 0), known.get_overdue_ms(100, 1))
+
+
+class HealthTest(unittest.TestCase):
+    def test_rests_grow_and_end_with_a_task_that_is_done(self) -> None:
+        known = health.Health()
+        self.assertFalse(known.note_fault(0))
+        self.assertTrue(known.note_fault(0))
+        self.assertTrue(known.is_resting(health.FIRST_REST_MS - 1))
+        self.assertFalse(known.is_resting(health.FIRST_REST_MS))
+        self.assertTrue(known.note_fault(5_000))
+        self.assertTrue(known.is_resting(5_000 + health.FIRST_REST_MS))
+        known.note_done()
+        self.assertFalse(known.is_resting(5_000))
+        self.assertFalse(known.on_trial)
+
+
+class ReadingTest(unittest.TestCase):
+    def test_an_endpoints_clock_lies_between_its_bounds(self) -> None:
+        reading = clocks.Reading(clock_ms=1_000, sent_ms=50, received_ms=60)
+        for rate in (1 - clocks.DRIFT, 1.0, 1 + clocks.DRIFT):
+            for read_at_ms in (50, 60):
+                true_ms = 1_000 + (10_060 - read_at_ms) * rate
+                self.assertLessEqual(reading.get_earliest_ms(10_060), true_ms + 1)
+                self.assertGreaterEqual(reading.get_latest_ms(10_060), true_ms - 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/wire/tests/test_links.py
+++ b/packages/wire/tests/test_links.py
@@ -75,6 +75,30 @@
         self.opened.append(built)
         return built
 
+    def test_peers_are_added_and_dropped_while_it_runs(self) -> None:
+        members = [
+            links.Links(
+                ids.ProcessId(name, 7),
+                ("127.0.0.1", port),
+                (),
+                KEY,
+                build_codec(),
+                seen,
+                is_closed_group=False,
+            )
+            for name, port, seen in zip("ab", self.ports, self.seen, strict=True)
+        ]
+        for each in members:
+            each.start()
+            self.opened.append(each)
+        peer = links.PeerAddress("b", "127.0.0.1", self.ports[1])
+        members[0].set_peers([peer])
+        self.assertTrue(self.seen[0].up.wait(WAIT_S))
+        members[0].send("b", messages.BeginJob("t", "one"))
+        self.assertTrue(self.seen[1].arrived.wait(WAIT_S))
+        members[0].set_peers([])
+        self.assertEqual(members[0].outgoing, {})
+
     def test_a_turn_of_messages_shares_one_frame(self) -> None:
         first = self.open(0, "a1", "a2")
         second = self.open(1, "a2", "a1")
