--- a/tools/docs.py
+++ b/tools/docs.py
@@ -17,8 +17,8 @@
 With `[log] format = json` each line is one JSON object: `time` (UTC), `level`,
 `event` (the number below), `name`, `message` and `fields`. A number never gets
 another meaning. Of one kind of event at most 50 lines are written in a second (200 on
-the users' platform); the next line of that kind then carries `suppressed`, the count of those left out.
-Events carry no payloads, no tokens and no member's name.
+the users' platform); the next line of that kind then carries `suppressed`, the count of
+those left out. Events carry no payloads, no tokens and no member's name.
 """
 
 
