Count all endpoints as known only after two announcement periods

Ruled out: the lease arithmetic (unchanged histories hold), attempt numbers (run 101 is the second dispatcher's first). Change: the view of a process is whole once it has stood by for two announcement periods. Before: the new test in virtual time starts two tasks twice; after: none. Also: a loop of a fleet process that raises ends the process with a log line.

--- a/bench/pool/world.py
+++ b/bench/pool/world.py
@@ -15,7 +15,8 @@
 LEASE_MS = 1_000
 STOP_MS = 50
 CALL_TIMEOUT_MS = 300
-BOUNDS = settling.Bounds(LEASE_MS, STOP_MS)
+ANNOUNCE_MS = 1_500
+BOUNDS = settling.Bounds(LEASE_MS, STOP_MS, ANNOUNCE_MS)
 ENTRY = "entry"
 
 
@@ -208,12 +209,20 @@
         self.endpoints[name] = FakeEndpoint(self, name, cpu_millis, speed)
         return self.endpoints[name]
 
-    def add_dispatcher(self, name: str, fence: int) -> dispatcher.Dispatcher:
-        """Add a dispatcher that knows all endpoints."""
+    def add_dispatcher(
+        self,
+        name: str,
+        fence: int,
+        knows: typing.Iterable[str] | None = None,
+        stood_by_ms: int = 10_000,
+    ) -> dispatcher.Dispatcher:
+        """Add a dispatcher that has stood by and knows some endpoints, or all."""
         made = dispatcher.Dispatcher(name, BOUNDS, self.clock)
+        made.started_ms -= stood_by_ms
         self.dispatchers.append(made)
-        for endpoint in self.endpoints.values():
-            self.run(made, made.on_endpoint_news(endpoint.get_news()))
+        for known in self.endpoints if knows is None else knows:
+            news = self.endpoints[known].get_news()
+            self.run(made, made.on_endpoint_news(news))
         self.run(made, made.set_fence(fence))
         return made
 
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -32,6 +32,9 @@
 # one cannot see. By then the other one, which loses its entry VM within 0.5 s, has
 # stopped it (`ORPHAN_MS`), or its leases of a second have run out.
 TAKEOVER_MS = 1_800
+# Announcements that a sound endpoint makes before all endpoints count as known: one may
+# be lost with its link.
+ANNOUNCEMENTS_HEARD = 2
 # What runs for an entry VM that fell silent runs on for this long, in case the job
 # comes again; nothing of it is started meanwhile.
 ORPHAN_MS = 600
@@ -44,6 +47,7 @@
         self.name = name
         self.bounds = bounds
         self.clock = timer
+        self.started_ms = timer.now_ms()
         self.fence = 0
         self.endpoints: dict[str, endpoints.Endpoint] = {}
         self.jobs: dict[str, jobs.Job] = {}
@@ -135,8 +139,12 @@
     def has_whole_view(self, service: str) -> bool:
         """Say whether every endpoint of a service is held.
 
-        One that cannot be reached may be held by another dispatcher.
+        One that cannot be reached may be held by another dispatcher, and so may one
+        that this process has not heard of since it started.
         """
+        heard_ms = self.clock.now_ms() - self.started_ms
+        if heard_ms < ANNOUNCEMENTS_HEARD * self.bounds.announce_ms:
+            return False
         return all(
             known.is_held and not known.failed_polls
             for known in self.endpoints.values()
--- a/packages/core/src/knapweedbeam_core/pool/settling.py
+++ b/packages/core/src/knapweedbeam_core/pool/settling.py
@@ -39,11 +39,13 @@
 class Bounds:
     """What the endpoints' protocol grants.
 
-    `lease_ms` is the longest lease, `stop_ms` how long a stop may take.
+    `lease_ms` is the longest lease, `stop_ms` how long a stop may take, `announce_ms`
+    the time between two announcements of an endpoint.
     """
 
     lease_ms: int
     stop_ms: int
+    announce_ms: int
 
 
 class Settler:
--- a/packages/core/tests/pool/test_dispatcher.py
+++ b/packages/core/tests/pool/test_dispatcher.py
@@ -331,6 +331,21 @@
         self.world.advance(1_000)
         self.assertEqual(self.world.get_outcome("j"), "JobComplete")
 
+    def test_one_that_just_started_waits_for_endpoints_not_yet_heard_of(self) -> None:
+        self.world.submit(self.first, "j", count=4, work_ms=900)
+        self.world.advance(100)
+        used = {name for _, name, _ in self.world.starts}
+        (idle,) = set(self.world.endpoints) - used
+        second = self.world.add_dispatcher("b", 11, knows=(idle,), stood_by_ms=600)
+        self.world.submit(second, "j", 4, 900, age_ms=100, attempt_base=100)
+        self.world.advance(200)
+        for name in sorted(used):
+            news = self.world.endpoints[name].get_news()
+            self.world.run(second, second.on_endpoint_news(news))
+        self.world.advance(2_000)
+        self.assertEqual(self.world.get_outcome("j"), "JobComplete")
+        self.assertEqual(len(self.world.starts), 4)
+
     def test_what_runs_for_a_lost_entry_vm_ends_before_another_may_start_it(
         self,
     ) -> None:
--- a/packages/server/src/knapweedbeam_server/fleet/manifest_log.py
+++ b/packages/server/src/knapweedbeam_server/fleet/manifest_log.py
@@ -15,6 +15,7 @@
 from knapweedbeam_core.entry import parts
 from knapweedbeam_core.log import choosing, members, messages, replica, roles
 from knapweedbeam_core.manifests import machine
+from knapweedbeam_server.fleet import supervising
 from knapweedbeam_server.logs import catalogue, emit
 from knapweedbeam_wire import store
 
@@ -79,10 +80,10 @@
         self.applied = gevent.event.Event()
         self.seen_role: tuple[str, int, str] = ("", 0, "")
 
-    def start(self) -> None:
+    def start(self, supervisor: supervising.Supervisor) -> None:
         """Open the data folder and take part."""
         self.open()
-        gevent.spawn(self.write_forever)
+        supervisor.spawn("writes", self.write_forever)
 
     def open(self) -> bool:
         """Build the replica from what the data folder holds."""
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -17,7 +17,13 @@
 from knapweedbeam_core.log import messages as log_messages
 from knapweedbeam_core.manifests import manifest
 from knapweedbeam_core.pool import calls, desk, dispatcher, messages, notes, relay
-from knapweedbeam_server.fleet import manifest_log, orders, ports, telemetry
+from knapweedbeam_server.fleet import (
+    manifest_log,
+    orders,
+    ports,
+    supervising,
+    telemetry,
+)
 from knapweedbeam_server.fleet import settings as settings_
 from knapweedbeam_server.logs import catalogue, emit
 from knapweedbeam_wire import links, registry
@@ -81,6 +87,7 @@
     ) -> None:
         self.settings = settings
         self.clock = timer
+        self.supervisor = supervising.Supervisor()
         self.decode_manifest = decode_manifest
         number = xxhash.xxh32_intdigest(settings.name.encode())
         self.members = membership.Membership(
@@ -139,9 +146,9 @@
             first_start=self.settings.is_first_start,
         )
         if self.log is not None:
-            self.log.start()
+            self.log.start(self.supervisor)
         self.links.start()
-        gevent.spawn(self.tick_forever)
+        self.supervisor.spawn("ticks", self.tick_forever)
 
     # Effects.
 
--- a/packages/server/src/knapweedbeam_server/logs/catalogue.py
+++ b/packages/server/src/knapweedbeam_server/logs/catalogue.py
@@ -391,6 +391,14 @@
     "settings read again: {seeds} seeds, valid {valid}",
     "The settings file was read again. One that is not valid changes nothing.",
 )
+FLEET_FAILED = Event(
+    7005,
+    "fleet_failed",
+    Level.ERROR,
+    "loop {loop} failed: {error}",
+    "An error that nobody foresaw ended a loop: the process ends, to start afresh.",
+    "Report it with the lines before it.",
+)
 MEMBER_HEARD = Event(
     7010,
     "member_heard",
