--- a/bench/pool/world.py
+++ b/bench/pool/world.py
@@ -55,6 +55,8 @@
         self.hangs = False
         self.loses_answers = False
         self.late_start_ms = 0
+        self.rack = "r1"
+        self.saved: dict[str, str] = {}
         self.polls: list[tuple[calls.Hold, typing.Callable[[calls.Holding], None]]] = []
 
     def get_news(
@@ -73,8 +75,9 @@
             self.cpu_millis,
             100_000,
             0,
-            ("a", "r1"),
+            ("a", self.rack),
             self.world.now_ms,
+            rack=self.rack,
         )
 
     def start(self, order: calls.Start) -> calls.Verdict:
@@ -156,7 +159,10 @@
         """Answer the holds that wait."""
         polls, self.polls = self.polls, []
         for _, reply in polls:
-            running = tuple(calls.Running(r.task, r.number) for r in self.runs.values())
+            running = tuple(
+                calls.Running(r.task, r.number, self.saved.get(r.task, ""))
+                for r in self.runs.values()
+            )
             reading = clocks.Reading(self.world.now_ms, 0, 0)
             reply(calls.Holding(self.born_ms, reading, running, tuple(self.ended)))
 
@@ -274,6 +280,8 @@
                     self.call(by, effect, by.on_stop_answer)
                 case calls.BeginHolding(endpoint):
                     self.poll(by, endpoint)
+                case calls.NoteEnd():
+                    self.note_end(by, effect)
                 case effects.Send(_, message):
                     job_id = getattr(message, "job_id", "")
                     self.outcomes.setdefault(job_id, (message, self.now_ms))
@@ -281,6 +289,9 @@
             self.placing.add(by.name)
             self.after(0, lambda: self.place(by))
 
+    def note_end(self, by: dispatcher.Dispatcher, noted: calls.NoteEnd) -> None:
+        """Take an end that the log is to have: this world has none."""
+
     def place(self, by: dispatcher.Dispatcher) -> None:
         """Let a dispatcher place once after the events of a moment."""
         self.placing.discard(by.name)
--- a/packages/core/src/knapweedbeam_core/fleet/membership.py
+++ b/packages/core/src/knapweedbeam_core/fleet/membership.py
@@ -106,6 +106,18 @@
         """Say whether a member was heard lately and dispatches."""
         return any(known.name == name and known.generation for known in self.get_live())
 
+    def find_log_leader(self) -> str:
+        """Return the live member that leads the log, empty for none."""
+        leaders = [known.name for known in self.get_live() if known.leads_log]
+        return leaders[0] if len(leaders) == 1 else ""
+
+    def has_stored(self) -> bool:
+        """Say whether some member knew of stored jobs when it was last heard."""
+        return any(
+            member.presence is not None and member.presence.has_stored
+            for member in self.members.values()
+        )
+
     def find_relay(self) -> str:
         """Return an entry VM that still reaches a dispatcher, empty for none."""
         reaching = [
--- a/packages/core/src/knapweedbeam_core/fleet/messages.py
+++ b/packages/core/src/knapweedbeam_core/fleet/messages.py
@@ -13,8 +13,9 @@
     (empty where it has none). `generation` is the fencing token under which it
     dispatches, 0 while it doesn't; `highest` the greatest token it ever heard of.
     `following` names the process that it wants to dispatch, `using` the one that it
-    sends jobs to: these differ while an office changes hands. `members` lists the
-    link addresses that it knows and is left out of most heartbeats.
+    sends jobs to: these differ while an office changes hands. `leads_log` says that
+    its replica surely leads the log, `has_stored` that there are stored jobs. `members`
+    lists the link addresses that it knows and is left out of most heartbeats.
     """
 
     name: str
@@ -28,6 +29,8 @@
     following: str
     using: str
     manifest_version: int
+    leads_log: bool = False
+    has_stored: bool = False
     members: tuple[str, ...] = ()
 
 
--- a/packages/core/src/knapweedbeam_core/log/journal.py
+++ b/packages/core/src/knapweedbeam_core/log/journal.py
@@ -31,8 +31,14 @@
     A volatile journal counts everything as synced at once.
     """
 
-    def __init__(self, restored: records.RestoredState, volatile: bool) -> None:
+    def __init__(
+        self,
+        restored: records.RestoredState,
+        volatile: bool,
+        compact_bytes: int = MIN_COMPACT_BYTES,
+    ) -> None:
         self.volatile = volatile
+        self.compact_bytes = compact_bytes
         self.term = 0
         self.vote: members.ReplicaId | None = None
         self.founded = members.Members()
@@ -174,7 +180,7 @@
 
     def is_compaction_due(self) -> bool:
         """Say whether the entries outgrew the snapshot."""
-        return self.log_bytes > max(MIN_COMPACT_BYTES, len(self.snapshot_bytes))
+        return self.log_bytes > max(self.compact_bytes, len(self.snapshot_bytes))
 
     def compact(self, index: int, state: bytes) -> parts.Effects:
         """Put a snapshot of the state after `index` in place of the entries."""
--- a/packages/core/src/knapweedbeam_core/log/leading.py
+++ b/packages/core/src/knapweedbeam_core/log/leading.py
@@ -107,7 +107,7 @@
             self.journal.term,
             prev_index,
             prev_term,
-            self.journal.synced_committed,
+            self.journal.committed,
             now_ms,
             tuple(records.encode(entry) for entry in chosen),
         )
--- a/packages/core/src/knapweedbeam_core/log/replica.py
+++ b/packages/core/src/knapweedbeam_core/log/replica.py
@@ -36,12 +36,13 @@
         timer: clock.Clock,
         rng: random.Random,
         volatile: bool = False,
+        compact_bytes: int = journal.MIN_COMPACT_BYTES,
     ) -> None:
         self.me = me
         self.targets: collections.abc.Set[str] = frozenset(founders)
         self.machine = machine
         self.clock = timer
-        self.journal = journal.Journal(restored, volatile)
+        self.journal = journal.Journal(restored, volatile, compact_bytes)
         self.receiving = receiving.Receiving(me, self.journal)
         self.election = election.Election(me, self.journal, timer, rng)
         self.founding = founding.Founding(me, founders, timer)
@@ -234,9 +235,13 @@
         return self.journal.write(self.receiving.advance(index), [])
 
     def apply_committed(self) -> bool:
-        """Apply what is known as committed, on disk too; say whether there was any."""
+        """Apply what is known as committed; say whether there was any.
+
+        An entry on the disks of a quorum stays, whether or not this replica has written
+        down that it is committed.
+        """
         before = self.applied
-        while self.applied < self.journal.synced_committed:
+        while self.applied < self.journal.committed:
             self.applied += 1
             entry = self.journal.entries.get(self.applied)
             if entry.kind == records.EntryKind.COMMAND:
--- a/packages/core/src/knapweedbeam_core/manifests/manifest.py
+++ b/packages/core/src/knapweedbeam_core/manifests/manifest.py
@@ -10,7 +10,8 @@
     """Where callers hand in one class of jobs.
 
     A job's objective is `slack_factor` times its work plus `allowance_ms`. The
-    lowest `priority` comes first. A task may fail `max_attempts` times.
+    lowest `priority` comes first. A task may fail `max_attempts` times. Where
+    `needs_advice`, only a service beside the product knows which endpoints are allowed.
     """
 
     name: str
@@ -22,6 +23,7 @@
     priority: int
     max_attempts: int
     slack_factor: float
+    needs_advice: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/knapweedbeam_core/pool/calls.py
+++ b/packages/core/src/knapweedbeam_core/pool/calls.py
@@ -19,7 +19,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Start:
-    """Start one attempt of a task; `until_ms` is on the endpoint's clock."""
+    """Start one attempt of a task; `until_ms` is on the endpoint's clock.
+
+    `progress` is the saved state to go on from, empty for none.
+    """
 
     target: Target
     task: str
@@ -27,6 +30,7 @@
     spec: str
     until_ms: int
     fence: int
+    progress: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,10 +101,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Running:
-    """An attempt that runs."""
+    """An attempt that runs, and its newest saved state."""
 
     task: str
     number: int
+    progress: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -111,6 +116,7 @@
     task: str
     number: int
     kind: EndKind
+    progress: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,4 +136,13 @@
     verdict: Verdict
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoteEnd:
+    """Have the log keep the end of an attempt of a stored job."""
+
+    endpoint: str
+    born_ms: int
+    end: End
+
+
 Order = Start | Stop | BeginHolding
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -1,7 +1,7 @@
 """The decisions of a dispatcher: events in, orders and messages out.
 
-Best-effort jobs only live here, in memory. A job ends in one message to the entry
-VM that holds it open.
+Best-effort jobs only live here, in memory: such a job ends in one message to the entry
+VM that holds it open. Stored jobs come from the log and end there: see `keeping`.
 """
 
 from __future__ import annotations
@@ -14,15 +14,16 @@
     calls,
     endpoints,
     jobs,
+    keeping,
     messages,
     notes,
     placing,
-    queueing,
     room,
     settling,
+    starting,
 )
 
-Effect = effects.Send | calls.Order | notes.Note
+Effect = effects.Send | calls.Order | calls.NoteEnd | notes.Note
 Effects = list[Effect]
 
 # How long an ended job is remembered, so that a late copy starts nothing anew.
@@ -53,7 +54,8 @@
         self.jobs: dict[str, jobs.Job] = {}
         self.ended: collections.OrderedDict[str, Remembered] = collections.OrderedDict()
         self.settler = settling.Settler(self)
-        self.taken_ms = 0
+        self.keeper = keeping.Keeper(self)
+        self.starter = starting.Starter(self)
 
     # Office.
 
@@ -62,8 +64,8 @@
         if fence == self.fence:
             return []
         self.fence = fence
-        self.taken_ms = self.clock.now_ms()
         self.jobs.clear()
+        self.keeper.reset()
         self.ended.clear()
         for name, known in list(self.endpoints.items()):
             fresh = endpoints.Endpoint(known.said, known.heard_ms)
@@ -94,7 +96,10 @@
         if known is not None and said.born_ms == known.said.born_ms:
             before = known.said.state
             if known.renew(said, now_ms - said.age_ms) and before != said.state:
-                return [notes.EndpointChanged(said.endpoint, str(said.state))]
+                changed = notes.EndpointChanged(said.endpoint, str(said.state))
+                if said.state == messages.EndpointState.LEAVING:
+                    return [changed, *self.settler.evacuate(known)]
+                return [changed]
             return self.poll(known)
         produced: Effects = []
         if known is not None:
@@ -159,7 +164,7 @@
             and other.said.service == endpoint.said.service
             and other.is_open(now_ms)
             and other.speed.value >= endpoint.speed.value
-            and other.capacity.holds(task.spec.need)
+            and other.capacity.holds(task.need)
             for other in self.endpoints.values()
         )
 
@@ -180,9 +185,9 @@
             known.entry = sender
             return [notes.JobRejoined(submit.job_id, sender)]
         job = self.build_job(sender, submit, ended)
-        self.jobs[job.job_id] = job
+        self.jobs[job.key] = job
         if self.can_never_fit(job):
-            return self.refuse(job, reasons.Reason.NEVER_FITS, 0)
+            return self.starter.refuse(job, reasons.Reason.NEVER_FITS, 0)
         return self.settler.adopt(job)
 
     def can_never_fit(self, job: jobs.Job) -> bool:
@@ -206,27 +211,13 @@
             submit.slack_factor,
             submit.allowance_ms,
         )
-        steps = tuple(
-            jobs.Step(
-                step.count,
-                step.cpu_millis,
-                step.memory_mib,
-                step.gpus,
-                step.estimate_ms,
-                step.depends_on,
-                step.required_label,
-                step.data_rack,
-                step.max_per_endpoint,
-            )
-            for step in submit.steps
-        )
         base = max(submit.attempt_base, ended.last_attempt if ended else 0)
         job = jobs.Job(
             submit.job_id,
             sender,
             terms,
             submit.spec,
-            steps,
+            submit.steps,
             now_ms - submit.age_ms,
             now_ms + submit.patience_ms,
             base,
@@ -245,10 +236,10 @@
 
     def end_job(self, job: jobs.Job, outcome: Outcome | None) -> Effects:
         """End a job: tell its entry VM, stop what still runs, remember it."""
-        del self.jobs[job.job_id]
+        del self.jobs[job.key]
         last = max(task.last_attempt for tasks in job.tasks for task in tasks)
         kept = None if isinstance(outcome, messages.JobRefused) else outcome
-        self.ended[job.job_id] = Remembered(
+        self.ended[job.key] = Remembered(
             kept, max(last, job.attempt_base), self.clock.now_ms()
         )
         if len(self.ended) > REMEMBER_JOBS:
@@ -289,7 +280,7 @@
         if not self.fence:
             return []
         now_ms = self.clock.now_ms()
-        produced = self.settler.tick(now_ms)
+        produced = self.settler.tick(now_ms) + self.keeper.tick(now_ms)
         for job in list(self.jobs.values()):
             if job.orphaned_ms and now_ms - job.orphaned_ms > ORPHAN_MS:
                 produced += self.end_job(job, None)
@@ -310,108 +301,7 @@
         The shell calls this once after the events of a turn, not after each one: it
         looks at all that waits.
         """
-        if not self.fence:
-            return []
-        now_ms = self.clock.now_ms()
-        by_service: dict[str, list[jobs.Job]] = {}
-        for job in self.jobs.values():
-            if job.waiting and not job.orphaned_ms:
-                by_service.setdefault(job.terms.service, []).append(job)
-        produced: Effects = []
-        for service, queued in by_service.items():
-            produced += self.place_service(service, queued, now_ms)
-        return produced
-
-    def place_service(
-        self, service: str, queued: list[jobs.Job], now_ms: int
-    ) -> Effects:
-        """Start what fits on the endpoints of one service."""
-        known = [e for e in self.endpoints.values() if e.said.service == service]
-        held = [e for e in known if e.is_held]
-        best_speed = max((e.speed.value for e in held), default=1.0)
-        is_whole = self.has_whole_view(service)
-        openings = placing.Openings(e for e in held if e.is_open(now_ms))
-        produced: Effects = []
-        for job in queueing.sort_jobs(queued, now_ms, best_speed):
-            if now_ms < job.not_before_ms and not is_whole:
-                continue
-            if not job.was_started and queueing.is_hopeless(job, now_ms, best_speed):
-                backlog_ms = queueing.get_backlog_ms(queued, held)
-                produced += self.refuse(job, reasons.Reason.DEADLINE, backlog_ms)
-                continue
-            produced += self.place_job(job, openings, now_ms, best_speed)
-        return produced
-
-    def place_job(
-        self, job: jobs.Job, openings: placing.Openings, now_ms: int, best_speed: float
-    ) -> Effects:
-        """Start the tasks of a job that fit."""
-        produced: Effects = []
-        used: list[str] = []
-        full: set[int] = set()
-        for task in list(job.waiting):
-            if task.step in full or not openings.may_fit(task.spec):
-                continue
-            chosen = placing.choose(task, openings, now_ms, best_speed)
-            if chosen is not None:
-                produced.append(self.start(task, chosen, now_ms))
-                used.append(chosen.said.endpoint)
-                openings.measure()
-            elif not task.failures:
-                full.add(task.step)
-        if used:
-            produced.append(self.build_note(job, used, now_ms))
-        return produced
-
-    def build_note(
-        self, job: jobs.Job, used: list[str], now_ms: int
-    ) -> notes.TasksPlaced:
-        """Return what the log is to say of tasks just started."""
-        return notes.TasksPlaced(
-            job.job_id,
-            " ".join(used),
-            len(job.waiting),
-            now_ms - job.born_ms,
-            job.due_ms - now_ms,
-        )
-
-    def refuse(
-        self, job: jobs.Job, reason: reasons.Reason, backlog_ms: float
-    ) -> Effects:
-        """Refuse a job of which nothing was started."""
-        return self.end_job(job, queueing.build_refusal(job, reason, backlog_ms))
-
-    def start(
-        self, task: jobs.Task, endpoint: endpoints.Endpoint, now_ms: int
-    ) -> calls.Start:
-        """Start a task on an endpoint that has room for it."""
-        job = task.job
-        job.was_started = True
-        job.waiting.remove(task)
-        task.state = jobs.TaskState.PLACED
-        task.last_attempt = max(task.last_attempt, job.attempt_base) + 1
-        assert endpoint.reading is not None
-        until_ms = endpoint.reading.get_latest_ms(now_ms) + self.bounds.lease_ms
-        endpoint.lease_until_ms = max(endpoint.lease_until_ms, until_ms)
-        endpoint.add(
-            endpoints.Attempt(
-                task.name,
-                task.last_attempt,
-                task,
-                task.spec.need,
-                endpoints.AttemptState.STARTING,
-                now_ms,
-                until_ms,
-            )
-        )
-        return calls.Start(
-            endpoint.target,
-            task.name,
-            task.last_attempt,
-            job.spec,
-            until_ms,
-            self.fence,
-        )
+        return self.starter.place() if self.fence else []
 
     # What endpoints answer.
 
@@ -424,6 +314,11 @@
             return None
         return self.settler.build_hold(endpoint)
 
+    def has_open_ends(self, name: str) -> bool:
+        """Say whether an endpoint lists ends that must not be acknowledged yet."""
+        endpoint = self.endpoints.get(name)
+        return endpoint is not None and bool(endpoint.open_ends)
+
     def on_holding(self, hold: calls.Hold, answer: calls.Holding) -> Effects:
         """Take the lists of an endpoint."""
         endpoint = self.find(hold.target)
--- a/packages/core/src/knapweedbeam_core/pool/endpoints.py
+++ b/packages/core/src/knapweedbeam_core/pool/endpoints.py
@@ -42,7 +42,12 @@
 
 
 class Endpoint:
-    """One life of an endpoint."""
+    """One life of an endpoint.
+
+    `seen_end` is the place of the newest end that was taken. `open_ends` are ends that
+    must not be acknowledged yet, by place: the log has to keep them first, or it isn't
+    known whether it has to.
+    """
 
     def __init__(self, said: messages.EndpointNews, heard_ms: int) -> None:
         self.said = said
@@ -55,7 +60,8 @@
         self.is_held = False
         self.is_polled = False
         self.failed_polls = 0
-        self.acked_end = 0
+        self.seen_end = 0
+        self.open_ends: dict[int, calls.End] = {}
         self.lease_until_ms = 0
         self.reading: clocks.Reading | None = None
         self.speed = speeds.Speed()
@@ -66,6 +72,11 @@
         """Return where orders go."""
         return calls.Target(self.said.endpoint, self.said.born_ms, self.said.address)
 
+    @property
+    def acked_end(self) -> int:
+        """Return up to which place the endpoint may forget its ends."""
+        return min(self.open_ends) - 1 if self.open_ends else self.seen_end
+
     @property
     def has_strangers(self) -> bool:
         """Say whether something runs whose size is not known."""
@@ -95,6 +106,13 @@
             self.used = self.used.minus(attempt.need)
             self.free = self.capacity.minus(self.used)
 
+    def get_estimate_ms(
+        self, step: messages.SubmittedStep, remote_factor: float
+    ) -> float:
+        """Return a task's estimate here: longer away from the rack of its data."""
+        is_remote = step.data_rack and step.data_rack != self.said.rack
+        return step.estimate_ms * (remote_factor if is_remote else 1.0)
+
     def note_reading(self, reading: clocks.Reading | None) -> None:
         """Take a newer reading of the endpoint's clock."""
         if reading is None:
--- a/packages/core/src/knapweedbeam_core/pool/jobs.py
+++ b/packages/core/src/knapweedbeam_core/pool/jobs.py
@@ -4,9 +4,8 @@
 
 import dataclasses
 import enum
-import functools
 
-from knapweedbeam_core.pool import room
+from knapweedbeam_core.pool import messages, room
 
 # A job that ends within this many objectives still earns its caller something.
 LATE_FACTOR = 3.0
@@ -15,28 +14,49 @@
 OVERDUE_ENDPOINTS = 3
 
 
-@dataclasses.dataclass(frozen=True)
-class Step:
-    """Equal, independent tasks; `depends_on` are earlier steps that must be done.
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskName:
+    """The name of a task within its job: the occurrence, the step and the task."""
+
+    occurrence: int
+    step: int
+    index: int
+
+    @property
+    def task(self) -> str:
+        """Return the task's name within its job."""
+        return f"{self.gang}.{self.index}"
+
+    @property
+    def gang(self) -> str:
+        """Return the name that all tasks of the step share."""
+        return f"{self.occurrence}.{self.step}"
+
+
+def parse_name(name: str) -> TaskName | None:
+    """Return the parts of a task's whole name, or none if it is none."""
+    parts = name.split(".")
+    if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
+        return None
+    return TaskName(int(parts[1]), int(parts[2]), int(parts[3]))
+
+
+def get_job_id(task_name: str) -> str:
+    """Return the id of the job that a task's name belongs to."""
+    return task_name.partition(".")[0]
 
-    `estimate_ms` is the caller's rough guess of one task's time on a sound endpoint.
-    `required_label` is empty for none, `max_per_endpoint` 0 for no bound.
-    """
 
-    count: int
-    cpu_millis: int
-    memory_mib: int
-    gpus: int
-    estimate_ms: int
-    depends_on: tuple[int, ...] = ()
-    required_label: str = ""
-    data_rack: str = ""
-    max_per_endpoint: int = 0
+def build_key(job_id: str, occurrence: int) -> str:
+    """Return what a job, or one occurrence of it, is called among open jobs."""
+    return f"{job_id}.{occurrence}" if occurrence else job_id
 
-    @functools.cached_property
-    def need(self) -> room.Room:
-        """Return what one task takes."""
-        return room.Room(self.cpu_millis, self.memory_mib, self.gpus)
+
+def get_key(task_name: str) -> str:
+    """Return the key of the job or occurrence that a task's name belongs to."""
+    parts = task_name.split(".", 2)
+    if len(parts) < 3 or parts[1] == "0":
+        return parts[0]
+    return f"{parts[0]}.{parts[1]}"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,7 +81,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Task:
-    """One task; `last_attempt` is the number of its newest start."""
+    """One task; `last_attempt` is the number of its newest start.
+
+    `progress` is the newest saved state, empty for none.
+    """
 
     job: Job
     step: int
@@ -72,18 +95,21 @@
     failures: int = 0
     failed_on: tuple[str, ...] = ()
     was_moved: bool = False
-    spec: Step = dataclasses.field(init=False)
+    progress: str = ""
+    spec: messages.SubmittedStep = dataclasses.field(init=False)
+    need: room.Room = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
         """Look up the step that the task is one of."""
         self.spec = self.job.steps[self.step]
+        self.need = self.job.needs[self.step]
 
 
 class Job:
-    """A job from its arrival at the dispatcher to its end.
+    """A job, or one occurrence of it, from its arrival at the dispatcher to its end.
 
-    `entry` is the entry VM that waits for it; `orphaned_ms` is since when that one is
-    silent, 0 while it is heard.
+    `entry` is the entry VM that waits for it, empty for a stored job, which is kept in
+    the log; `orphaned_ms` is since when that one is silent, 0 while it is heard.
     `born_ms` is when its caller sent it, `give_up_ms` when the caller stops waiting.
     `work_factor` is the greatest work of a task that ended against its estimate, 0
     until one did: the tasks of a job share the error of its estimate. `overdue_on`
@@ -96,26 +122,31 @@
         entry: str,
         terms: Terms,
         spec: str,
-        steps: tuple[Step, ...],
+        steps: tuple[messages.SubmittedStep, ...],
         born_ms: int,
         give_up_ms: int,
         attempt_base: int,
+        occurrence: int = 0,
     ) -> None:
         self.job_id = job_id
+        self.occurrence = occurrence
         self.entry = entry
         self.terms = terms
         self.spec = spec
         self.steps = steps
+        self.needs = [room.get_need(step) for step in steps]
         self.born_ms = born_ms
         self.give_up_ms = give_up_ms
         self.attempt_base = attempt_base
         self.was_started = False
         self.is_cancelled = False
+        self.is_stored = False
+        self.is_lasting = any(step.is_lasting for step in steps)
         self.orphaned_ms = 0
         self.not_before_ms = 0
         self.tasks: list[list[Task]] = [
             [
-                Task(self, number, index, f"{job_id}.0.{number}.{index}")
+                Task(self, number, index, f"{job_id}.{occurrence}.{number}.{index}")
                 for index in range(step.count)
             ]
             for number, step in enumerate(steps)
@@ -125,11 +156,17 @@
         self.longest_ms = max(step.estimate_ms for step in steps)
         self.work_factor = 0.0
         self.overdue_on: set[str] = set()
+        self.failed_numbers: dict[int, set[int]] = {}
         longest_ms = self.get_chain_ms()
         objective_ms = int(terms.slack_factor * longest_ms) + terms.allowance_ms
         self.due_ms = born_ms + objective_ms
         self.worthless_ms = born_ms + int(LATE_FACTOR * objective_ms)
 
+    @property
+    def key(self) -> str:
+        """Return what the job is called among open jobs."""
+        return build_key(self.job_id, self.occurrence)
+
     @property
     def is_long(self) -> bool:
         """Say whether the job itself takes longer than its estimate can be off."""
@@ -159,15 +196,18 @@
 
     def find_task(self, name: str) -> Task | None:
         """Return the task of a name, or none."""
-        parts = name.split(".")
-        if len(parts) != 4 or parts[1] != "0":
+        parsed = parse_name(name)
+        if parsed is None or parsed.occurrence != self.occurrence:
             return None
-        if not (parts[2].isdecimal() and parts[3].isdecimal()):
+        if parsed.step >= len(self.tasks):
             return None
-        step, index = int(parts[2]), int(parts[3])
-        if step < len(self.tasks) and index < len(self.tasks[step]):
-            return self.tasks[step][index]
-        return None
+        if parsed.index >= len(self.tasks[parsed.step]):
+            return None
+        return self.tasks[parsed.step][parsed.index]
+
+    def find_members(self, task: Task) -> list[Task]:
+        """Return the tasks that end together with a task: itself, or its gang."""
+        return self.tasks[task.step] if task.spec.is_gang else [task]
 
     def put_back(self, task: Task) -> None:
         """Let a task wait for a new start."""
@@ -185,7 +225,20 @@
         if len(self.steps) > 1 and self.is_step_done(task.step):
             self.waiting = self.find_ready_tasks()
 
-
-def get_job_id(task_name: str) -> str:
-    """Return the id of the job that a task's name belongs to."""
-    return task_name.partition(".")[0]
+    def note_failure(self, task: Task, number: int) -> int:
+        """Count a failed attempt; return how often the task or its gang failed."""
+        if not task.spec.is_gang:
+            task.failures += 1
+            return task.failures
+        numbers = self.failed_numbers.setdefault(task.step, set())
+        numbers.add(number)
+        for member in self.tasks[task.step]:
+            member.failures = len(numbers)
+        return len(numbers)
+
+    def save(self, task: Task, progress: str) -> None:
+        """Note the newest saved state of a task; a gang shares one."""
+        if not progress:
+            return
+        for member in self.find_members(task):
+            member.progress = progress
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/pool/keeping.py
@@ -0,0 +1,316 @@
+"""The stored jobs of a dispatcher: it places them as the log has them.
+
+A dispatcher begins with them once the log has its token, which ends the say of the one
+before it, and works from its own replica's ledger. The log has an end of a stored job's
+task before the endpoint may forget it; whoever comes next finds it in one of the two.
+"""
+
+from __future__ import annotations
+
+import typing
+
+from knapweedbeam_core.pool import calls, endpoints, jobs, notes
+from knapweedbeam_core.stored import ledger
+from knapweedbeam_core.stored import messages as stored_messages
+
+if typing.TYPE_CHECKING:
+    from knapweedbeam_core.pool import dispatcher
+
+# Attempts of one task that one dispatcher may use before the next one's numbers begin.
+ATTEMPTS_PER_TERM = 1_000
+# A dispatcher that hears nothing of the log for this long may have been replaced: it
+# stops its stored jobs. An election of a new leader takes 1 to 2 s.
+OUT_OF_TOUCH_MS = 3_000
+# What a replaced dispatcher may still run where its successor cannot see: it stops by
+# `OUT_OF_TOUCH_MS`, counted from when its leader lost its own lease (0.8 s), and then
+# its leases of a second run out.
+TAKEOVER_MS = 5_500
+# Ends that the log didn't confirm are sent to it again.
+RESEND_MS = 500
+# Callers of stored jobs do not wait for them.
+FOR_GOOD_MS = 10**12
+
+
+class Keeper:
+    """Brings the ledger's jobs to a dispatcher, and its ends to the log.
+
+    `term` is 0 until the log has the dispatcher's token. `are_there_stored` says that
+    some process knows of stored jobs.
+    """
+
+    def __init__(self, owner: dispatcher.Dispatcher) -> None:
+        self.owner = owner
+        self.term = 0
+        self.are_there_stored = False
+        self.scheduled: dict[str, ledger.Entry] = {}
+        self.occurrences: dict[str, int] = {}
+        self.began_ms = 0
+        self.resend_due_ms = 0
+        self.in_touch_ms = 0
+
+    def reset(self) -> None:
+        """Forget the stored jobs: another dispatcher places them, or nobody yet."""
+        self.term = 0
+        self.began_ms = 0
+        self.scheduled.clear()
+        self.occurrences.clear()
+
+    # What the log says.
+
+    def on_changes(
+        self, changes: list[ledger.Change], known: ledger.Ledger
+    ) -> dispatcher.Effects:
+        """Take what the log applied."""
+        produced: dispatcher.Effects = []
+        for change in changes:
+            produced += self.on_change(change, known)
+        return produced
+
+    def on_change(
+        self, change: ledger.Change, known: ledger.Ledger
+    ) -> dispatcher.Effects:
+        """Take one change."""
+        match change:
+            case ledger.OfficeTaken(fence, term):
+                return self.on_office(fence, term, known)
+            case ledger.Accepted(job_id, is_new) if is_new and self.term:
+                entry = known.entries.get(job_id)
+                is_open = entry is not None and entry.is_open
+                return self.add(job_id, entry) if entry and is_open else []
+            case ledger.Cancelled(job_id) if self.term:
+                return self.drop(job_id)
+            case ledger.EndsTaken(ends):
+                return self.on_ends_taken(ends, known)
+        return []
+
+    def on_office(
+        self, fence: int, term: int, known: ledger.Ledger
+    ) -> dispatcher.Effects:
+        """Begin to place all open jobs; leave them to a later dispatcher."""
+        if not self.owner.fence or fence < self.owner.fence:
+            return []
+        if fence > self.owner.fence:
+            return self.abandon("replaced")
+        self.term = term
+        self.began_ms = self.in_touch_ms = self.owner.clock.now_ms()
+        produced: dispatcher.Effects = []
+        for job in [job for job in self.owner.jobs.values() if job.is_stored]:
+            entry = known.entries.get(job.job_id)
+            if entry is None or not entry.is_open:
+                produced += self.owner.end_job(job, None)
+        for job_id, entry in known.entries.items():
+            if entry.is_open:
+                produced += self.add(job_id, entry)
+        if term > 1:
+            # An earlier dispatcher may run tasks of these where this one cannot see.
+            for job in self.owner.jobs.values():
+                if job.is_stored:
+                    job.not_before_ms = self.began_ms + TAKEOVER_MS
+        self.forget_strange_ends()
+        count = sum(entry.is_open for entry in known.entries.values())
+        return [notes.StoredOffice(fence, term, count), *produced]
+
+    def begin_anew(self) -> None:
+        """Ask for the office again: a snapshot came, and changes were missed."""
+        self.term = 0
+
+    def forget_strange_ends(self) -> None:
+        """Let endpoints forget ends of jobs that the ledger doesn't hold open."""
+        for endpoint in self.owner.endpoints.values():
+            for place, end in list(endpoint.open_ends.items()):
+                if not self.is_open_here(end):
+                    del endpoint.open_ends[place]
+
+    def is_open_here(self, end: calls.End) -> bool:
+        """Say whether an end belongs to a stored job that is open."""
+        job_id = jobs.get_job_id(end.task)
+        known = self.owner.jobs.get(jobs.get_key(end.task))
+        return job_id in self.scheduled or (known is not None and known.is_stored)
+
+    def abandon(self, why: str) -> dispatcher.Effects:
+        """Stop all stored jobs: another dispatcher has them, or may have."""
+        stored = [job for job in self.owner.jobs.values() if job.is_stored]
+        if not self.term and not stored:
+            return []
+        self.reset()
+        produced: dispatcher.Effects = [notes.StoredLeft(why, len(stored))]
+        for job in stored:
+            produced += self.owner.end_job(job, None)
+        return produced
+
+    def add(self, job_id: str, entry: ledger.Entry) -> dispatcher.Effects:
+        """Take an open job up; a scheduled one when its occurrences are due."""
+        assert entry.job is not None
+        if entry.job.repeat_count:
+            self.scheduled[job_id] = entry
+            self.occurrences.setdefault(job_id, 0)
+            return self.add_due(job_id, entry)
+        if job_id in self.owner.jobs:
+            return []
+        return self.begin(entry, entry.job, 0)
+
+    def add_due(self, job_id: str, entry: ledger.Entry) -> dispatcher.Effects:
+        """Begin the occurrences whose time has come."""
+        job = entry.job
+        if job is None:
+            return []
+        produced: dispatcher.Effects = []
+        wall_ms = self.owner.clock.wall_ms()
+        while self.occurrences[job_id] < job.repeat_count:
+            number = self.occurrences[job_id]
+            if job.start_at_ms + number * job.interval_ms > wall_ms:
+                break
+            self.occurrences[job_id] = number + 1
+            if jobs.build_key(job_id, number) not in self.owner.jobs:
+                produced += self.begin(entry, job, number)
+        return produced
+
+    def begin(
+        self, entry: ledger.Entry, kept: stored_messages.StoredJob, occurrence: int
+    ) -> dispatcher.Effects:
+        """Hand a job, or one occurrence, to the dispatcher with what has ended."""
+        job = self.build_job(entry, kept, occurrence)
+        if not job.left:
+            return []
+        self.owner.jobs[job.key] = job
+        return self.owner.settler.adopt(job)
+
+    def build_job(
+        self, entry: ledger.Entry, kept: stored_messages.StoredJob, occurrence: int
+    ) -> jobs.Job:
+        """Return a job as the ledger has it."""
+        now_ms = self.owner.clock.now_ms()
+        since_ms = kept.start_at_ms + occurrence * kept.interval_ms
+        if not kept.repeat_count:
+            since_ms = entry.accepted_ms
+        age_ms = max(0, self.owner.clock.wall_ms() - since_ms)
+        base = (self.term - 1) * ATTEMPTS_PER_TERM
+        ended = self.owner.ended.get(jobs.build_key(kept.job_id, occurrence))
+        terms = jobs.Terms(
+            kept.queue,
+            kept.service,
+            kept.priority,
+            kept.max_attempts,
+            kept.slack_factor,
+            kept.allowance_ms,
+        )
+        job = jobs.Job(
+            kept.job_id,
+            "",
+            terms,
+            kept.spec,
+            kept.steps,
+            now_ms - age_ms,
+            now_ms + FOR_GOOD_MS,
+            max(base, ended.last_attempt if ended is not None else 0),
+            occurrence,
+        )
+        job.is_stored = True
+        job.was_started = entry.verdict == stored_messages.Verdict.ACTIVE
+        self.apply_ends(job, entry)
+        return job
+
+    def apply_ends(self, job: jobs.Job, entry: ledger.Entry) -> None:
+        """Note what the ledger knows of a job's tasks."""
+        for tasks in job.tasks:
+            for task in tasks:
+                name = jobs.TaskName(job.occurrence, task.step, task.index)
+                if name.task in entry.done:
+                    job.finish(task)
+                failed = name.gang if task.spec.is_gang else name.task
+                for number in entry.failures.get(failed, ()):
+                    job.note_failure(task, number)
+
+    def drop(self, job_id: str) -> dispatcher.Effects:
+        """Stop a job that was cancelled or failed, with all of its occurrences."""
+        self.scheduled.pop(job_id, None)
+        self.occurrences.pop(job_id, None)
+        produced: dispatcher.Effects = []
+        for job in [job for job in self.owner.jobs.values() if job.job_id == job_id]:
+            if job.is_stored:
+                produced += self.owner.end_job(job, None)
+        return produced
+
+    def on_ends_taken(
+        self, ends: tuple[stored_messages.NotedEnd, ...], known: ledger.Ledger
+    ) -> dispatcher.Effects:
+        """Let endpoints forget ends that the log has."""
+        produced: dispatcher.Effects = []
+        for end in ends:
+            endpoint = self.owner.endpoints.get(end.endpoint)
+            if endpoint is not None and endpoint.said.born_ms == end.born_ms:
+                endpoint.open_ends.pop(end.place, None)
+            entry = known.entries.get(jobs.get_job_id(end.task))
+            if entry is None or not entry.is_open:
+                produced += self.drop(jobs.get_job_id(end.task))
+        return produced
+
+    # What endpoints say.
+
+    def may_keep(self, end: calls.End) -> bool:
+        """Say whether an end of a job that isn't known may belong to a stored one."""
+        if end.kind not in (calls.EndKind.DONE, calls.EndKind.FAILED):
+            return False
+        if jobs.get_job_id(end.task) in self.scheduled:
+            return True
+        return self.are_there_stored and not self.term
+
+    def note_end(
+        self, endpoint: endpoints.Endpoint, end: calls.End, task: jobs.Task
+    ) -> dispatcher.Effects:
+        """Have the log keep the end of a stored job's task."""
+        if not task.job.is_stored or task.job.is_lasting or task.job.is_cancelled:
+            return []
+        if end.kind not in (calls.EndKind.DONE, calls.EndKind.FAILED):
+            return []
+        endpoint.open_ends[end.place] = end
+        return [calls.NoteEnd(endpoint.said.endpoint, endpoint.said.born_ms, end)]
+
+    # Time.
+
+    def note_touch(self) -> None:
+        """Note that the log's leader was heard just now."""
+        self.in_touch_ms = self.owner.clock.now_ms()
+
+    def tick(self, now_ms: int) -> dispatcher.Effects:
+        """Begin what is due, send ends again, and stop when out of touch."""
+        if not self.began_ms:
+            return []
+        if now_ms - self.in_touch_ms > OUT_OF_TOUCH_MS:
+            return self.abandon("out of touch with the log")
+        if not self.term:
+            return []
+        produced: dispatcher.Effects = []
+        for job_id, entry in list(self.scheduled.items()):
+            produced += self.add_due(job_id, entry)
+        if now_ms >= self.resend_due_ms:
+            self.resend_due_ms = now_ms + RESEND_MS
+            produced += self.send_ends_again()
+        return produced
+
+    def send_ends_again(self) -> dispatcher.Effects:
+        """Send the log the ends that it did not confirm."""
+        return [
+            calls.NoteEnd(endpoint.said.endpoint, endpoint.said.born_ms, end)
+            for endpoint in self.owner.endpoints.values()
+            for end in endpoint.open_ends.values()
+        ]
+
+    def count_waiting(self, queue: str) -> int:
+        """Return how many stored jobs of a queue have not begun."""
+        begun = {
+            job.job_id
+            for job in self.owner.jobs.values()
+            if job.is_stored and job.was_started
+        }
+        open_ids = {
+            job.job_id
+            for job in self.owner.jobs.values()
+            if job.is_stored and job.terms.queue == queue
+        }
+        later = {
+            job_id
+            for job_id, entry in self.scheduled.items()
+            if entry.queue == queue and not self.occurrences[job_id]
+        }
+        return len((open_ids | later) - begun)
--- a/packages/core/src/knapweedbeam_core/pool/messages.py
+++ b/packages/core/src/knapweedbeam_core/pool/messages.py
@@ -20,8 +20,8 @@
     """An endpoint's newest word about itself.
 
     `sequence` orders the words of one life, which `born_ms` (Unix time) names.
-    `rack` is empty where none is known. `age_ms` is how old the word was when it
-    was passed on.
+    `labels` name its kind and its rack; `rack` is empty where none is known. `age_ms`
+    is how old the word was when it was passed on.
     """
 
     endpoint: str
@@ -37,6 +37,7 @@
     labels: tuple[str, ...]
     clock_ms: int
     age_ms: int = 0
+    rack: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,7 +59,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SubmittedStep:
-    """A step of a job: see `jobs.Step`."""
+    """Equal tasks of a job; `depends_on` are earlier steps that must be done.
+
+    `estimate_ms` is the caller's rough guess of one task's time on a sound endpoint
+    near its data. `required_label` and `data_rack` are empty for none,
+    `max_per_endpoint` is 0 for no bound.
+
+    The tasks of a gang work only together and end together. Rack-local tasks are slow
+    on more than one rack. Tasks that keep progress go on from where they were saved.
+    Lasting tasks run until their job is cancelled; of these the system may take
+    `may_miss` away at a time. Filling tasks get the processor room that others leave.
+    `target_ms` is the response time that a lasting task owes its own users, 0 for none.
+    """
 
     count: int
     cpu_millis: int
@@ -69,6 +81,13 @@
     required_label: str
     data_rack: str
     max_per_endpoint: int
+    is_gang: bool = False
+    is_rack_local: bool = False
+    keeps_progress: bool = False
+    is_lasting: bool = False
+    is_filling: bool = False
+    target_ms: int = 0
+    may_miss: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/knapweedbeam_core/pool/notes.py
+++ b/packages/core/src/knapweedbeam_core/pool/notes.py
@@ -96,6 +96,23 @@
     fence: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredOffice:
+    """The log has this dispatcher's token: it places the `jobs` stored ones."""
+
+    fence: int
+    term: int
+    jobs: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredLeft:
+    """The dispatcher places stored jobs no longer and stops `jobs` of them."""
+
+    why: str
+    jobs: int
+
+
 Note = (
     Office
     | EndpointChanged
@@ -107,4 +124,6 @@
     | AttemptLost
     | EndpointRests
     | EndpointFenced
+    | StoredOffice
+    | StoredLeft
 )
--- a/packages/core/src/knapweedbeam_core/pool/placing.py
+++ b/packages/core/src/knapweedbeam_core/pool/placing.py
@@ -12,7 +12,7 @@
 import collections.abc
 import dataclasses
 
-from knapweedbeam_core.pool import endpoints, jobs, queueing
+from knapweedbeam_core.pool import endpoints, jobs, messages, queueing, room
 
 # Estimates are off by a factor of up to two; this much longer is planned for.
 CAUTION = 1.25
@@ -27,9 +27,12 @@
     """
 
     def __init__(
-        self, open_endpoints: collections.abc.Iterable[endpoints.Endpoint]
+        self,
+        open_endpoints: collections.abc.Iterable[endpoints.Endpoint],
+        remote_factor: float = 1.0,
     ) -> None:
         self.endpoints = list(open_endpoints)
+        self.remote_factor = remote_factor
         self.largest_cpu_millis = 0
         self.measure()
 
@@ -39,9 +42,58 @@
             (endpoint.free.cpu_millis for endpoint in self.endpoints), default=-1
         )
 
-    def may_fit(self, step: jobs.Step) -> bool:
-        """Say whether some endpoint has the processor room of a step's task."""
-        return step.cpu_millis <= self.largest_cpu_millis
+    def may_fit(self, task: jobs.Task) -> bool:
+        """Say whether some endpoint has the processor room of a task."""
+        return task.need.cpu_millis <= self.largest_cpu_millis
+
+    def limit(self, task: jobs.Task) -> Openings:
+        """Return the endpoints that a task's step is to share.
+
+        Rack-local tasks go to the rack where others of their step are, or else to the
+        one with the most room if it holds the whole step. Tasks that fill keep to one
+        half of the endpoints, so that those that serve find places without them.
+        """
+        if task.spec.is_filling:
+            names = sorted(endpoint.said.endpoint for endpoint in self.endpoints)
+            half = set(names[: (len(names) + 1) // 2])
+            return self.select(lambda each: each.said.endpoint in half)
+        if not task.spec.is_rack_local:
+            return self
+        rack = find_used_rack(task, self.endpoints)
+        if not rack:
+            rack = self.find_free_rack(task)
+        return self.select(lambda each: each.said.rack == rack) if rack else self
+
+    def select(
+        self, is_wanted: collections.abc.Callable[[endpoints.Endpoint], bool]
+    ) -> Openings:
+        """Return some of the endpoints."""
+        return Openings(
+            (endpoint for endpoint in self.endpoints if is_wanted(endpoint)),
+            self.remote_factor,
+        )
+
+    def find_free_rack(self, task: jobs.Task) -> str:
+        """Return the rack with the most room if it holds a whole step, else none."""
+        free: dict[str, int] = {}
+        for endpoint in self.endpoints:
+            rack = endpoint.said.rack
+            free[rack] = free.get(rack, 0) + max(0, endpoint.free.cpu_millis)
+        if not free:
+            return ""
+        best = max(free, key=lambda rack: (rack == task.spec.data_rack, free[rack]))
+        is_enough = free[best] >= task.spec.count * task.need.cpu_millis
+        return best if is_enough else ""
+
+
+def find_used_rack(
+    task: jobs.Task, known: collections.abc.Iterable[endpoints.Endpoint]
+) -> str:
+    """Return the rack on which other tasks of the same step run, or none."""
+    for endpoint in known:
+        if count_of_step(task, endpoint):
+            return endpoint.said.rack
+    return ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,7 +107,9 @@
 def fits(task: jobs.Task, endpoint: endpoints.Endpoint) -> bool:
     """Say whether an endpoint may run a task now."""
     step = task.spec
-    if not endpoint.free.holds(step.need):
+    if not endpoint.free.holds(task.need):
+        return False
+    if (step.is_filling or step.target_ms) and disturbs(task, endpoint):
         return False
     if step.required_label and step.required_label not in endpoint.said.labels:
         return False
@@ -67,6 +121,24 @@
     return not (is_last_attempt and task.failures and endpoint.health.faults)
 
 
+def disturbs(task: jobs.Task, endpoint: endpoints.Endpoint) -> bool:
+    """Say whether tasks that fill and tasks that serve would share an endpoint.
+
+    Filling tasks share what room is left, so they also bound each other.
+    """
+    filling_millis = task.spec.cpu_millis if task.spec.is_filling else 0
+    for attempt in endpoint.attempts.values():
+        if attempt.owner is None:
+            continue
+        other = attempt.owner.spec
+        if other.is_filling and task.spec.target_ms:
+            return True
+        if other.target_ms and task.spec.is_filling:
+            return True
+        filling_millis += other.cpu_millis if other.is_filling else 0
+    return filling_millis > endpoint.free.cpu_millis
+
+
 def count_of_step(task: jobs.Task, endpoint: endpoints.Endpoint) -> int:
     """Return how many tasks of the same step are on an endpoint."""
     return sum(
@@ -78,11 +150,11 @@
 
 
 def could_ever_fit(
-    step: jobs.Step, known: collections.abc.Iterable[endpoints.Endpoint]
+    step: messages.SubmittedStep, known: collections.abc.Iterable[endpoints.Endpoint]
 ) -> bool:
     """Say whether some endpoint is large enough for a task, and of the right kind."""
     return any(
-        endpoint.capacity.holds(step.need)
+        endpoint.capacity.holds(room.get_need(step))
         and (not step.required_label or step.required_label in endpoint.said.labels)
         for endpoint in known
     )
@@ -96,14 +168,20 @@
 ) -> endpoints.Endpoint | None:
     """Return the endpoint to start a task on, or none to let it wait."""
     planned_ms = task.spec.estimate_ms * CAUTION
+    factor = openings.remote_factor
     due_ms = task.job.due_ms - queueing.TRANSIT_MS
     in_time: list[Candidate] = []
     late: list[Candidate] = []
     for endpoint in openings.endpoints:
         if not fits(task, endpoint):
             continue
-        ends_ms = now_ms + endpoint.speed.get_run_ms(planned_ms)
+        here_ms = CAUTION * endpoint.get_estimate_ms(task.spec, factor)
+        ends_ms = now_ms + endpoint.speed.get_run_ms(here_ms)
         (in_time if ends_ms <= due_ms else late).append(Candidate(endpoint, ends_ms))
+    if task.spec.is_lasting:
+        # These end when their job is cancelled: nothing is gained by waiting.
+        fitting = in_time + late
+        return min(fitting, key=get_preference).endpoint if fitting else None
     if in_time:
         return min(in_time, key=get_preference).endpoint
     if not late:
--- a/packages/core/src/knapweedbeam_core/pool/queueing.py
+++ b/packages/core/src/knapweedbeam_core/pool/queueing.py
@@ -36,7 +36,12 @@
 
 
 def get_standing(job: jobs.Job, now_ms: int, best_speed: float) -> Standing:
-    """Return what a job can reach if it gets the fastest endpoints now."""
+    """Return what a job can reach if it gets the fastest endpoints now.
+
+    Lasting jobs earn from when they begin, so they never count as late.
+    """
+    if job.is_lasting:
+        return Standing.IN_TIME
     ends_ms = now_ms + job.longest_ms / best_speed + TRANSIT_MS
     if ends_ms <= job.due_ms:
         return Standing.IN_TIME
--- a/packages/core/src/knapweedbeam_core/pool/room.py
+++ b/packages/core/src/knapweedbeam_core/pool/room.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+from knapweedbeam_core.pool import messages
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Room:
@@ -36,3 +38,9 @@
             and need.memory_mib <= self.memory_mib
             and need.gpus <= self.gpus
         )
+
+
+def get_need(step: messages.SubmittedStep) -> Room:
+    """Return what one task of a step takes; filling tasks take no processor room."""
+    cpu_millis = 0 if step.is_filling else step.cpu_millis
+    return Room(cpu_millis, step.memory_mib, step.gpus)
--- a/packages/core/src/knapweedbeam_core/pool/settling.py
+++ b/packages/core/src/knapweedbeam_core/pool/settling.py
@@ -13,7 +13,15 @@
 import typing
 
 from knapweedbeam_core import reasons
-from knapweedbeam_core.pool import calls, endpoints, jobs, messages, notes, room, speeds
+from knapweedbeam_core.pool import (
+    calls,
+    endpoints,
+    jobs,
+    listing,
+    messages,
+    notes,
+    speeds,
+)
 
 if typing.TYPE_CHECKING:
     from knapweedbeam_core.pool import dispatcher
@@ -22,17 +30,11 @@
 POLL_MS = 250
 # While something is in doubt, the lists are asked for more often.
 DOUBT_POLL_MS = 30
-# A start without an answer is stopped once a list taken this long after it lacks it.
-DOUBT_MS = 100
-# A stop is sent again while the endpoint still lists what was to be stopped.
-STOP_AGAIN_MS = 150
 # Time for entry VMs to name the jobs of what runs on endpoints just taken over: they
 # hear of the new dispatcher within one message. Leases are not renewed meanwhile.
 ADOPT_MS = 250
 # An endpoint that answers no poll and announces nothing for this long is forgotten.
 FORGET_MS = 10_000
-# Clocks are read in whole milliseconds at both ends.
-ROUNDING_MS = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,12 +42,14 @@
     """What the endpoints' protocol grants.
 
     `lease_ms` is the longest lease, `stop_ms` how long a stop may take, `announce_ms`
-    the time between two announcements of an endpoint.
+    the time between two announcements of an endpoint. Away from its data a task takes
+    `remote_factor` times as long.
     """
 
     lease_ms: int
     stop_ms: int
     announce_ms: int
+    remote_factor: float = 1.0
 
 
 class Settler:
@@ -53,6 +57,7 @@
 
     def __init__(self, owner: dispatcher.Dispatcher) -> None:
         self.owner = owner
+        self.lists = listing.Lists(self)
 
     @property
     def now_ms(self) -> int:
@@ -93,6 +98,8 @@
         for attempt in endpoint.attempts.values():
             if attempt.owner is None or attempt.is_overdue:
                 continue
+            if attempt.owner.job.is_lasting:
+                continue
             due_ms = attempt.began_clock_ms + self.get_overdue_ms(endpoint, attempt)
             wait_ms = min(wait_ms, int(due_ms) + 1 - clock_ms)
         return max(DOUBT_POLL_MS, wait_ms)
@@ -103,9 +110,14 @@
         """Return after how long an attempt should have ended."""
         assert attempt.owner is not None
         return endpoint.speed.get_overdue_ms(
-            attempt.owner.spec.estimate_ms, attempt.owner.job.work_factor
+            self.get_estimate_ms(endpoint, attempt.owner),
+            attempt.owner.job.work_factor,
         )
 
+    def get_estimate_ms(self, endpoint: endpoints.Endpoint, task: jobs.Task) -> float:
+        """Return a task's estimate on an endpoint of normal speed at this place."""
+        return endpoint.get_estimate_ms(task.spec, self.owner.bounds.remote_factor)
+
     def has_doubts(self, endpoint: endpoints.Endpoint) -> bool:
         """Say whether the lists are needed to settle something."""
         doubtful = (endpoints.AttemptState.DOUBTFUL, endpoints.AttemptState.STRANGE)
@@ -140,12 +152,23 @@
 
     def adopt(self, job: jobs.Job) -> dispatcher.Effects:
         """Take up the attempts that run for a job which has just been named."""
-        prefix = job.job_id + "."
+        prefix = f"{job.job_id}.{job.occurrence}."
         for endpoint in self.owner.endpoints.values():
             for attempt in list(endpoint.attempts.values()):
                 if attempt.task.startswith(prefix):
                     self.attach(job, endpoint, attempt)
-        return []
+        return self.take_open_ends(job)
+
+    def take_open_ends(self, job: jobs.Job) -> dispatcher.Effects:
+        """Take ends that were seen before their job was named."""
+        produced: dispatcher.Effects = []
+        for endpoint in self.owner.endpoints.values():
+            for end in list(endpoint.open_ends.values()):
+                if jobs.get_key(end.task) != job.key:
+                    continue
+                del endpoint.open_ends[end.place]
+                produced += self.on_other_end(endpoint, end)
+        return produced
 
     def attach(
         self, job: jobs.Job, endpoint: endpoints.Endpoint, attempt: endpoints.Attempt
@@ -161,7 +184,7 @@
             task.state = jobs.TaskState.PLACED
         endpoint.remove(attempt)
         attempt.owner = task
-        attempt.need = task.spec.need
+        attempt.need = task.need
         if attempt.state == endpoints.AttemptState.STRANGE:
             attempt.state = endpoints.AttemptState.RUNNING
         endpoint.add(attempt)
@@ -177,7 +200,41 @@
             return []
         task.job.put_back(task)
         return [
-            notes.AttemptLost(attempt.task, attempt.number, endpoint.said.endpoint, why)
+            notes.AttemptLost(
+                attempt.task, attempt.number, endpoint.said.endpoint, why
+            ),
+            *self.stop_gang(task, attempt.number),
+        ]
+
+    def stop_gang(self, task: jobs.Task, number: int) -> dispatcher.Effects:
+        """Stop the other members of a gang that lost one: they only wait for it."""
+        if not task.spec.is_gang:
+            return []
+        names = {member.name for member in task.job.find_members(task)}
+        produced: dispatcher.Effects = []
+        for endpoint in self.owner.endpoints.values():
+            for attempt in endpoint.attempts.values():
+                if attempt.task not in names or attempt.number != number:
+                    continue
+                if attempt.state == endpoints.AttemptState.STARTING:
+                    attempt.is_unwanted = True
+                elif not attempt.stop_sent_ms:
+                    produced.append(self.stop_attempt(endpoint, attempt))
+        return produced
+
+    def evacuate(self, endpoint: endpoints.Endpoint) -> dispatcher.Effects:
+        """Stop what would only be lost on an endpoint that leaves.
+
+        Tasks that last begin elsewhere the sooner, and those that keep their progress
+        lose none of it.
+        """
+        return [
+            self.stop_attempt(endpoint, attempt)
+            for attempt in endpoint.attempts.values()
+            if attempt.owner is not None
+            and (attempt.owner.spec.is_lasting or attempt.owner.spec.keeps_progress)
+            and attempt.state != endpoints.AttemptState.STARTING
+            and not attempt.stop_sent_ms
         ]
 
     def drop(
@@ -264,10 +321,10 @@
         endpoint.is_held = True
         endpoint.failed_polls = 0
         for end in sorted(answer.ends, key=lambda end: end.place):
-            if end.place > endpoint.acked_end:
-                endpoint.acked_end = end.place
+            if end.place > endpoint.seen_end:
+                endpoint.seen_end = end.place
                 produced += self.on_end(endpoint, end)
-        produced += self.compare(endpoint, answer)
+        produced += self.lists.compare(endpoint, answer)
         return produced
 
     def on_end(
@@ -276,18 +333,37 @@
         """Take the end of an attempt."""
         attempt = endpoint.attempts.get(end.task)
         if attempt is None or attempt.number != end.number:
-            return self.on_other_end(end)
-        return self.note_end(endpoint, attempt, end.kind)
+            return self.on_other_end(endpoint, end)
+        produced: dispatcher.Effects = []
+        if attempt.owner is not None:
+            attempt.owner.job.save(attempt.owner, end.progress)
+            produced += self.owner.keeper.note_end(endpoint, end, attempt.owner)
+        elif self.owner.keeper.may_keep(end):
+            endpoint.open_ends[end.place] = end
+        return produced + self.note_end(endpoint, attempt, end.kind)
+
+    def on_other_end(
+        self, endpoint: endpoints.Endpoint, end: calls.End
+    ) -> dispatcher.Effects:
+        """Take the end of an attempt that this dispatcher didn't order.
 
-    def on_other_end(self, end: calls.End) -> dispatcher.Effects:
-        """Take the end of an attempt that this dispatcher didn't order."""
-        job = self.owner.jobs.get(jobs.get_job_id(end.task))
+        It counts for nothing once the task was started anew.
+        """
+        job = self.owner.jobs.get(jobs.get_key(end.task))
         task = job.find_task(end.task) if job is not None else None
-        if task is None or end.kind != calls.EndKind.DONE:
+        if task is None:
+            if self.owner.keeper.may_keep(end):
+                endpoint.open_ends[end.place] = end
             return []
         if task.state != jobs.TaskState.WAITING:
             return []
-        return self.finish(task)
+        task.last_attempt = max(task.last_attempt, end.number)
+        task.job.save(task, end.progress)
+        if end.kind == calls.EndKind.DONE and not task.job.is_lasting:
+            task.job.was_started = True
+            kept = self.owner.keeper.note_end(endpoint, end, task)
+            return [*kept, *self.finish(task)]
+        return []
 
     def note_end(
         self,
@@ -303,6 +379,8 @@
             self.learn(endpoint, attempt, took_ms)
         if task is None or task.job.is_cancelled:
             return []
+        if task.job.is_lasting:
+            return self.put_back(attempt, endpoint, str(kind))
         if kind == calls.EndKind.DONE:
             return self.finish(task)
         if kind == calls.EndKind.FAILED:
@@ -318,7 +396,10 @@
         task = attempt.owner
         if task is None or attempt.state == endpoints.AttemptState.STRANGE:
             return
-        estimate_ms = max(1, task.spec.estimate_ms)
+        if task.spec.is_gang or task.spec.is_lasting or task.progress:
+            # The time of these tells nothing of the endpoint: they wait, or were begun.
+            return
+        estimate_ms = max(1.0, self.get_estimate_ms(endpoint, task))
         if not attempt.is_overdue:
             worked_ms = (took_ms - speeds.OVERHEAD_MS) * endpoint.speed.value
             factor = max(1 / speeds.ESTIMATE_ERROR, worked_ms / estimate_ms)
@@ -328,8 +409,9 @@
         endpoint.speed.add(estimate_ms, took_ms)
 
     def finish(self, task: jobs.Task) -> dispatcher.Effects:
-        """Count a task as done; the last one completes its job."""
-        task.job.finish(task)
+        """Count a task as done, or its whole gang; the last one completes its job."""
+        for member in task.job.find_members(task):
+            task.job.finish(member)
         if task.job.left:
             return []
         return self.owner.end_job(task.job, messages.JobComplete(task.job.job_id))
@@ -341,13 +423,13 @@
         task: jobs.Task,
     ) -> dispatcher.Effects:
         """Try a failed task again elsewhere, as often as its queue allows."""
-        task.failures += 1
+        failures = task.job.note_failure(task, attempt.number)
         task.failed_on = (*task.failed_on, endpoint.said.endpoint)
         produced = self.note_fault(endpoint, "failed a task")
-        if task.failures > 1:
+        if failures > 1:
             # No endpoint is to blame for a task that fails on several.
             self.forgive_all(task.failed_on)
-        if task.failures < task.job.terms.max_attempts:
+        if failures < task.job.terms.max_attempts:
             return produced + self.put_back(attempt, endpoint, "failed")
         outcome = messages.JobFailed(task.job.job_id, reasons.Reason.TASK_FAILED)
         return produced + self.owner.end_job(task.job, outcome)
@@ -359,78 +441,6 @@
         rest_ms = endpoint.health.rest_ms
         return [notes.EndpointRests(endpoint.said.endpoint, why, rest_ms)]
 
-    def compare(
-        self, endpoint: endpoints.Endpoint, answer: calls.Holding
-    ) -> dispatcher.Effects:
-        """Settle what is in doubt by what the endpoint lists as running."""
-        produced: dispatcher.Effects = []
-        listed = {running.task: running for running in answer.running}
-        for running in answer.running:
-            produced += self.compare_listed(endpoint, running, answer)
-        for attempt in list(endpoint.attempts.values()):
-            if attempt.task not in listed:
-                produced += self.compare_missing(endpoint, attempt, answer)
-        return produced
-
-    def compare_listed(
-        self,
-        endpoint: endpoints.Endpoint,
-        running: calls.Running,
-        answer: calls.Holding,
-    ) -> dispatcher.Effects:
-        """Take an attempt that runs."""
-        attempt = endpoint.attempts.get(running.task)
-        if attempt is None:
-            return self.take_stranger(endpoint, running)
-        if attempt.state in (
-            endpoints.AttemptState.STARTING,
-            endpoints.AttemptState.DOUBTFUL,
-        ):
-            attempt.state = endpoints.AttemptState.RUNNING
-        if not attempt.began_clock_ms:
-            attempt.began_clock_ms = answer.reading.clock_ms
-        if not attempt.is_unwanted:
-            return self.check_overdue(endpoint, attempt, answer)
-        if self.now_ms - attempt.stop_sent_ms < STOP_AGAIN_MS:
-            return []
-        return [self.stop_attempt(endpoint, attempt)]
-
-    def check_overdue(
-        self,
-        endpoint: endpoints.Endpoint,
-        attempt: endpoints.Attempt,
-        answer: calls.Holding,
-    ) -> dispatcher.Effects:
-        """Stop a task that stands still or crawls, and start it elsewhere.
-
-        Its time is taken by the endpoint's clock, so that a dispatcher that was held
-        up itself blames nobody.
-        """
-        task = attempt.owner
-        if task is None or attempt.is_overdue or task.job.is_long:
-            return []
-        ran_ms = answer.reading.clock_ms - attempt.began_clock_ms
-        if ran_ms <= self.get_overdue_ms(endpoint, attempt):
-            return []
-        attempt.is_overdue = True
-        produced = self.blame(endpoint, task.job)
-        if task.was_moved or task.job.is_long:
-            return produced
-        if not self.owner.has_better(endpoint, task):
-            return produced
-        task.was_moved = True
-        return [*produced, self.stop_attempt(endpoint, attempt)]
-
-    def blame(self, endpoint: endpoints.Endpoint, job: jobs.Job) -> dispatcher.Effects:
-        """Hold an overdue task against its endpoint, unless its job is long itself."""
-        if endpoint.said.endpoint in job.overdue_on:
-            return []
-        job.overdue_on.add(endpoint.said.endpoint)
-        if not job.is_long:
-            return self.note_fault(endpoint, "a task is overdue")
-        self.forgive_all(job.overdue_on)
-        return []
-
     def forgive_all(self, names: collections.abc.Iterable[str]) -> None:
         """Take back one fault of each endpoint."""
         for name in names:
@@ -438,49 +448,6 @@
             if blamed is not None:
                 blamed.health.forgive_fault()
 
-    def take_stranger(
-        self, endpoint: endpoints.Endpoint, running: calls.Running
-    ) -> dispatcher.Effects:
-        """Count in an attempt that this dispatcher didn't order."""
-        attempt = endpoints.Attempt(
-            running.task,
-            running.number,
-            None,
-            room.Room(),
-            endpoints.AttemptState.STRANGE,
-            self.now_ms,
-        )
-        endpoint.add(attempt)
-        job = self.owner.jobs.get(jobs.get_job_id(running.task))
-        task = job.find_task(running.task) if job is not None else None
-        if job is None or task is None:
-            return []
-        if task.state == jobs.TaskState.WAITING:
-            self.attach(job, endpoint, attempt)
-            return []
-        return [self.stop_attempt(endpoint, attempt)]
-
-    def compare_missing(
-        self,
-        endpoint: endpoints.Endpoint,
-        attempt: endpoints.Attempt,
-        answer: calls.Holding,
-    ) -> dispatcher.Effects:
-        """Take an attempt that neither runs nor has ended, as of the lists."""
-        clock_ms = answer.reading.clock_ms
-        if attempt.stop_clock_ms:
-            stopped_ms = attempt.stop_clock_ms + self.owner.bounds.stop_ms
-            if clock_ms > stopped_ms + ROUNDING_MS:
-                return self.drop(endpoint, attempt, "stopped")
-        if attempt.until_ms and clock_ms > attempt.until_ms + ROUNDING_MS:
-            return self.drop(endpoint, attempt, "never started")
-        is_doubtful = attempt.state == endpoints.AttemptState.DOUBTFUL
-        is_old = self.now_ms - attempt.sent_ms > DOUBT_MS
-        is_due = self.now_ms - attempt.stop_sent_ms > STOP_AGAIN_MS
-        if is_doubtful and is_old and is_due:
-            return [self.stop_attempt(endpoint, attempt)]
-        return []
-
     def on_hold_failed(
         self, endpoint: endpoints.Endpoint, failed: calls.HoldFailed
     ) -> dispatcher.Effects:
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/pool/starting.py
@@ -0,0 +1,166 @@
+"""Goes through the waiting jobs and starts what fits."""
+
+from __future__ import annotations
+
+import typing
+
+from knapweedbeam_core import reasons
+from knapweedbeam_core.pool import calls, endpoints, jobs, notes, placing, queueing
+
+if typing.TYPE_CHECKING:
+    from knapweedbeam_core.pool import dispatcher
+
+
+class Starter:
+    """Starts the tasks of one dispatcher."""
+
+    def __init__(self, owner: dispatcher.Dispatcher) -> None:
+        self.owner = owner
+
+    def place(self) -> dispatcher.Effects:
+        """Start what fits, in order of urgency; refuse what is hopeless."""
+        now_ms = self.owner.clock.now_ms()
+        by_service: dict[str, list[jobs.Job]] = {}
+        for job in self.owner.jobs.values():
+            if job.waiting and not job.orphaned_ms:
+                by_service.setdefault(job.terms.service, []).append(job)
+        produced: dispatcher.Effects = []
+        for service, queued in by_service.items():
+            produced += self.place_service(service, queued, now_ms)
+        return produced
+
+    def place_service(
+        self, service: str, queued: list[jobs.Job], now_ms: int
+    ) -> dispatcher.Effects:
+        """Start what fits on the endpoints of one service."""
+        known = [e for e in self.owner.endpoints.values() if e.said.service == service]
+        held = [e for e in known if e.is_held]
+        best_speed = max((e.speed.value for e in held), default=1.0)
+        is_whole = self.owner.has_whole_view(service)
+        openings = placing.Openings(
+            (e for e in held if e.is_open(now_ms)), self.owner.bounds.remote_factor
+        )
+        produced: dispatcher.Effects = []
+        for job in queueing.sort_jobs(queued, now_ms, best_speed):
+            if now_ms < job.not_before_ms and not is_whole:
+                continue
+            is_refusable = not job.was_started and not job.is_stored
+            if is_refusable and queueing.is_hopeless(job, now_ms, best_speed):
+                backlog_ms = queueing.get_backlog_ms(queued, held)
+                produced += self.refuse(job, reasons.Reason.DEADLINE, backlog_ms)
+                continue
+            produced += self.place_job(job, openings, now_ms, best_speed)
+        return produced
+
+    def place_job(
+        self, job: jobs.Job, openings: placing.Openings, now_ms: int, best_speed: float
+    ) -> dispatcher.Effects:
+        """Start the tasks of a job that fit."""
+        produced: dispatcher.Effects = []
+        used: list[str] = []
+        full: set[int] = set()
+        for task in list(job.waiting):
+            if task.step in full or not openings.may_fit(task):
+                continue
+            allowed = openings.limit(task)
+            if task.spec.is_gang:
+                full.add(task.step)
+                started = self.start_gang(task, allowed, now_ms, best_speed)
+                produced += started
+                used += [start.target.endpoint for start in started]
+                openings.measure()
+                continue
+            chosen = placing.choose(task, allowed, now_ms, best_speed)
+            if chosen is not None:
+                produced.append(self.start(task, chosen, now_ms))
+                used.append(chosen.said.endpoint)
+                openings.measure()
+            elif not task.failures:
+                full.add(task.step)
+        if used:
+            produced.append(self.build_note(job, used, now_ms))
+        return produced
+
+    def start_gang(
+        self,
+        task: jobs.Task,
+        allowed: placing.Openings,
+        now_ms: int,
+        best_speed: float,
+    ) -> list[calls.Start]:
+        """Start all tasks of a gang under one number, or none of them."""
+        members = task.job.find_members(task)
+        if any(member.state != jobs.TaskState.WAITING for member in members):
+            return []
+        last_attempt = max(member.last_attempt for member in members)
+        was_started = task.job.was_started
+        started: list[tuple[jobs.Task, endpoints.Endpoint, calls.Start]] = []
+        for member in members:
+            chosen = placing.choose(member, allowed, now_ms, best_speed)
+            if chosen is None:
+                for other, endpoint, _ in started:
+                    self.take_back(other, endpoint, last_attempt)
+                task.job.was_started = was_started
+                return []
+            member.last_attempt = last_attempt
+            started.append((member, chosen, self.start(member, chosen, now_ms)))
+        return [start for _, _, start in started]
+
+    def take_back(
+        self, task: jobs.Task, endpoint: endpoints.Endpoint, last_attempt: int
+    ) -> None:
+        """Undo a start that was not sent."""
+        endpoint.remove(endpoint.attempts[task.name])
+        task.last_attempt = last_attempt
+        task.job.put_back(task)
+
+    def build_note(
+        self, job: jobs.Job, used: list[str], now_ms: int
+    ) -> notes.TasksPlaced:
+        """Return what the log is to say of tasks just started."""
+        return notes.TasksPlaced(
+            job.job_id,
+            " ".join(used),
+            len(job.waiting),
+            now_ms - job.born_ms,
+            job.due_ms - now_ms,
+        )
+
+    def refuse(
+        self, job: jobs.Job, reason: reasons.Reason, backlog_ms: float
+    ) -> dispatcher.Effects:
+        """Refuse a job of which nothing was started."""
+        return self.owner.end_job(job, queueing.build_refusal(job, reason, backlog_ms))
+
+    def start(
+        self, task: jobs.Task, endpoint: endpoints.Endpoint, now_ms: int
+    ) -> calls.Start:
+        """Start a task on an endpoint that has room for it."""
+        job = task.job
+        job.was_started = True
+        job.waiting.remove(task)
+        task.state = jobs.TaskState.PLACED
+        task.last_attempt = max(task.last_attempt, job.attempt_base) + 1
+        assert endpoint.reading is not None
+        until_ms = endpoint.reading.get_latest_ms(now_ms) + self.owner.bounds.lease_ms
+        endpoint.lease_until_ms = max(endpoint.lease_until_ms, until_ms)
+        endpoint.add(
+            endpoints.Attempt(
+                task.name,
+                task.last_attempt,
+                task,
+                task.need,
+                endpoints.AttemptState.STARTING,
+                now_ms,
+                until_ms,
+            )
+        )
+        return calls.Start(
+            endpoint.target,
+            task.name,
+            task.last_attempt,
+            job.spec,
+            until_ms,
+            self.owner.fence,
+            task.progress,
+        )
--- /dev/null
+++ b/packages/core/tests/stored/test_histories.py
@@ -0,0 +1,138 @@
+"""Histories of stored jobs, faults and takeovers: nothing is lost or run again."""
+
+from __future__ import annotations
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from bench.pool import stored_world
+
+ENDPOINTS = 4
+ACTIONS = (
+    "job",
+    "job",
+    "steps",
+    "gang",
+    "cut",
+    "heal",
+    "crash",
+    "return",
+    "lose answers",
+    "start late",
+    "sound",
+    "log down",
+    "log up",
+    "take over",
+    "cancel",
+)
+
+
+class History:
+    def __init__(self) -> None:
+        self.world = stored_world.StoredWorld()
+        for number in range(ENDPOINTS):
+            self.world.add_endpoint(f"e{number}", speed=1.0 + number % 2)
+        self.fence = 10
+        self.current = self.world.add_dispatcher("d10", self.fence)
+        self.jobs = 0
+        self.cancelled: set[str] = set()
+
+    def act(self, action: str, which: int, size: int) -> None:
+        endpoint = self.world.endpoints[f"e{which % ENDPOINTS}"]
+        match action:
+            case "job" | "steps" | "gang":
+                self.keep(action, size)
+            case "cut":
+                self.world.cut.add((self.current.name, endpoint.name))
+            case "heal":
+                self.world.cut.clear()
+            case "crash":
+                endpoint.crash()
+            case "return" if endpoint.is_silent:
+                fresh = self.world.add_endpoint(endpoint.name)
+                fresh.born_ms = endpoint.born_ms + 1
+                for each in self.world.dispatchers:
+                    news = fresh.get_news()
+                    self.world.run(each, each.on_endpoint_news(news))
+            case "lose answers":
+                endpoint.loses_answers = True
+            case "start late":
+                endpoint.late_start_ms = 100 + 100 * size
+            case "sound":
+                endpoint.loses_answers = False
+                endpoint.late_start_ms = 0
+            case "log down":
+                self.world.log_cut.add(self.current.name)
+            case "log up":
+                self.world.log_cut.clear()
+            case "take over":
+                self.take_over()
+            case "cancel" if self.jobs:
+                job_id = f"j{1 + size % self.jobs}"
+                self.cancelled.add(job_id)
+                self.world.cancel(job_id)
+
+    def keep(self, kind: str, size: int) -> None:
+        self.jobs += 1
+        work_ms = 30 + 60 * size
+        first = stored_world.build_step(
+            1 + size % 5, is_gang=kind == "gang", estimate_ms=work_ms
+        )
+        steps = (first,)
+        if kind == "steps":
+            steps += (stored_world.build_step(2, depends_on=(0,), estimate_ms=work_ms),)
+        self.world.keep(f"j{self.jobs}", steps, work_ms)
+
+    def take_over(self) -> None:
+        old = self.current
+        self.fence += 1
+        self.current = self.world.add_dispatcher(f"d{self.fence}", self.fence)
+        # The old one learns of it late, and stops what it can still reach.
+        self.world.after(
+            400, lambda: self.world.run(old, old.set_fence(0)) if old.fence else None
+        )
+
+
+class HistoriesTest(unittest.TestCase):
+    @hypothesis.settings(
+        max_examples=120, deadline=None, derandomize=True, database=None
+    )
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(ACTIONS),
+                strategies.integers(0, 7),
+                strategies.integers(0, 20),
+                strategies.integers(1, 400),
+            ),
+            max_size=40,
+        )
+    )
+    def test_promises_hold(self, steps: list[tuple[str, int, int, int]]) -> None:
+        history = History()
+        for action, which, size, pause_ms in steps:
+            history.act(action, which, size)
+            history.world.advance(pause_ms)
+        self.assertEqual(history.world.breaches, [])
+        history.world.cut.clear()
+        history.world.log_cut.clear()
+        for number in range(ENDPOINTS):
+            history.act("sound", number, 0)
+            history.act("return", number, 0)
+        history.world.advance(20_000)
+        self.assertEqual(history.world.breaches, [])
+        states = {
+            f"j{number + 1}": history.world.get_state(f"j{number + 1}")
+            for number in range(history.jobs)
+        }
+        for job_id, state in states.items():
+            allowed = {"complete"} | (
+                {"cancelled"} if job_id in history.cancelled else set()
+            )
+            self.assertIn(state, allowed, (job_id, states))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -5,7 +5,6 @@
 import collections.abc
 import dataclasses
 import random
-import typing
 
 import gevent
 import gevent.event
@@ -17,10 +16,15 @@
 from knapweedbeam_core.log import messages as log_messages
 from knapweedbeam_core.manifests import manifest
 from knapweedbeam_core.pool import calls, desk, dispatcher, messages, notes, relay
+from knapweedbeam_core.stored import messages as stored_messages
 from knapweedbeam_server.fleet import (
-    manifest_log,
+    announcing,
+    mail,
+    manifest_desk,
     orders,
     ports,
+    shared_log,
+    stored_jobs,
     supervising,
     telemetry,
 )
@@ -35,14 +39,15 @@
 LINK_TIMES = links.LinkTimes(
     connect_s=0.5, handshake_s=0.5, silence_s=3.0, unacked_ms=600, max_retry_s=0.25
 )
-# Between two requests for the same manifest; an answer takes a few milliseconds.
-WANTED_MS = 150
-# An endpoint that signs off waits a second for the acknowledgement.
-HELD_TIMEOUT_S = 0.8
 # After a refused token this process lets another one dispatch.
 REFUSED_PAUSE_MS = 1_000
 
-MESSAGE_CLASSES = (*fleet_messages.CLASSES, *messages.CLASSES, *log_messages.CLASSES)
+MESSAGE_CLASSES = (
+    *fleet_messages.CLASSES,
+    *messages.CLASSES,
+    *stored_messages.CLASSES,
+    *log_messages.CLASSES,
+)
 NOTE_EVENTS = {
     notes.Office: catalogue.OFFICE,
     notes.EndpointChanged: catalogue.POOL_ENDPOINT_CHANGED,
@@ -54,26 +59,14 @@
     notes.JobRejoined: catalogue.POOL_JOB_REJOINED,
     notes.JobWithdrawn: catalogue.POOL_JOB_WITHDRAWN,
     notes.AttemptLost: catalogue.POOL_ATTEMPT_LOST,
+    notes.StoredOffice: catalogue.STORED_OFFICE,
+    notes.StoredLeft: catalogue.STORED_LEFT,
 }
 
 
 Effect = dispatcher.Effect | desk.Settled
 
 
-class Decoder(typing.Protocol):
-    """Turns an operator's bytes into a manifest."""
-
-    def __call__(self, body: bytes) -> manifest.Manifest | manifest.InvalidManifest:
-        """Return the manifest, or why it is none."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AtControl:
-    """The call belongs to the control interface at `address`, empty if unknown."""
-
-    address: str
-
-
 class Node:
     """The parts of one process."""
 
@@ -81,14 +74,13 @@
         self,
         settings: settings_.FleetSettings,
         client: ports.EndpointClient,
-        decode_manifest: Decoder,
+        decode_manifest: manifest_desk.Decoder,
         timer: clock.Clock,
         rng: random.Random,
     ) -> None:
         self.settings = settings
         self.clock = timer
         self.supervisor = supervising.Supervisor()
-        self.decode_manifest = decode_manifest
         number = xxhash.xxh32_intdigest(settings.name.encode())
         self.members = membership.Membership(
             settings.name, settings.is_core, settings.seeds, timer
@@ -101,8 +93,11 @@
         self.orders = orders.Orders(self.dispatcher, client, self.run, self.telemetry)
         self.desk = desk.Desk(timer)
         self.relay = relay.Relay(timer)
-        self.directory: manifest.Directory | None = None
         self.log = self.build_log(rng)
+        self.manifests = manifest_desk.ManifestDesk(self, decode_manifest)
+        self.announcing = announcing.Announcing(self)
+        self.stored = stored_jobs.StoredJobs(self)
+        self.mail = mail.Mail(self)
         self.links = links.Links(
             ids.ProcessId(settings.name, rng.getrandbits(62)),
             settings_.split_address(settings.name),
@@ -114,28 +109,31 @@
             is_closed_group=False,
         )
         self.waiters: dict[str, list[gevent.event.AsyncResult[desk.Outcome]]] = {}
-        self.held: dict[tuple[str, int, int], gevent.event.Event] = {}
         self.silent: set[str] = set()
         self.followed = ""
         self.is_stopping = False
         self.is_placing = False
-        self.wanted_due_ms = 0
         self.links_due_ms = 0
 
-    def build_log(self, rng: random.Random) -> manifest_log.ManifestLog | None:
+    def build_log(self, rng: random.Random) -> shared_log.SharedLog | None:
         """Return the replica of a process that has a data folder."""
         if self.settings.data_folder is None:
             return None
         founders = self.settings.seeds if self.settings.is_first_start else ()
-        return manifest_log.ManifestLog(
+        return shared_log.SharedLog(
             self.settings.name,
             founders,
             self.settings.data_folder,
             self.clock,
             rng,
             self.send,
+            self.on_log_applied,
         )
 
+    def on_log_applied(self) -> None:
+        """Let the parts see what the log has applied."""
+        self.stored.on_applied()
+
     def start(self) -> None:
         """Open the links and begin to tick."""
         emit.emit(
@@ -161,7 +159,7 @@
 
     def on_own_message(self, message: effects.Message) -> None:
         """Take a message of this process to itself."""
-        gevent.spawn(self.take, self.settings.name, message)
+        gevent.spawn(self.mail.take, self.settings.name, message)
 
     def run(self, produced: collections.abc.Sequence[Effect]) -> None:
         """Carry out what the decisions ask for."""
@@ -171,6 +169,8 @@
                     self.send(effect)
                 case calls.Start() | calls.Stop() | calls.BeginHolding():
                     self.orders.take(effect)
+                case calls.NoteEnd():
+                    self.stored.note_end(effect)
                 case desk.Settled():
                     self.settle(effect)
                 case _:
@@ -224,7 +224,9 @@
         self.run(self.desk.tick())
         if self.log is not None:
             self.log.tick()
-            self.take_manifest(self.log.machine.stored.version)
+            self.manifests.take_committed()
+        self.dispatcher.keeper.are_there_stored = self.has_stored()
+        self.stored.tick()
         if now_ms >= self.links_due_ms:
             self.links_due_ms = now_ms + LINKS_MS
             self.update_links()
@@ -242,9 +244,42 @@
             self.members.highest_generation,
             self.leadership.following.name,
             self.desk.dispatcher,
-            self.get_manifest_version(),
+            self.manifests.get_version(),
+            self.log is not None and self.log.is_sure(),
+            self.stored.has_stored(),
         )
 
+    def has_stored(self) -> bool:
+        """Say whether this process knows of stored jobs anywhere."""
+        return self.stored.has_stored() or self.members.has_stored()
+
+    def find_log_leader(self) -> str:
+        """Return the process that leads the log, empty if unknown."""
+        if self.log is not None and self.log.is_sure():
+            return self.settings.name
+        return self.members.find_log_leader()
+
+    def get_dispatcher_name(self) -> str:
+        """Return the dispatcher that is followed, empty for none."""
+        return self.followed
+
+    def announce(self) -> None:
+        """Tell the others at once what changed here."""
+        self.members.due_ms = 0
+
+    def get_control(self, name: str) -> str:
+        """Return the address of a live member's control interface."""
+        for known in self.members.get_live():
+            if known.name == name:
+                return known.control
+        return ""
+
+    def get_dispatcher_control(self) -> str:
+        """Return where endpoints best announce themselves, empty if unknown."""
+        if self.leadership.generation:
+            return self.settings.control
+        return self.get_control(self.followed)
+
     def follow(self, choice: leadership.Choice) -> None:
         """Send open jobs to another dispatcher once it is in office.
 
@@ -282,25 +317,9 @@
         if self.log is not None:
             self.log.update_targets(self.members.list_core())
 
-    def note_silent(self) -> None:
-        """Log members that fell silent, and give up what they held open."""
-        now_ms = self.clock.now_ms()
-        for name, member in self.members.members.items():
-            if member.presence is None or self.members.is_live(name):
-                continue
-            if name in self.silent:
-                continue
-            self.silent.add(name)
-            emit.emit(
-                catalogue.MEMBER_SILENT, peer=name, silent_ms=now_ms - member.heard_ms
-            )
-            self.run(self.dispatcher.on_entry_lost(name))
-
-    # Messages.
-
     def on_message(self, sender: ids.ProcessId, message: effects.Message) -> None:
         """Take a message from another process."""
-        self.take(sender.name, message)
+        self.mail.take(sender.name, message)
 
     def link_up(self, peer: ids.ProcessId) -> None:
         """Hear that a link is up; heartbeats tell more."""
@@ -313,191 +332,19 @@
         """Hear that an incoming link was closed for what it sent."""
         emit.emit(catalogue.LINK_REFUSED_FRAME, peer=address, detail=detail)
 
-    def take(self, sender: str, message: effects.Message) -> None:
-        """Hand a message to the part that it is for."""
-        match message:
-            case fleet_messages.Presence():
-                self.hear(message)
-            case messages.Submit():
-                self.take_submit(sender, message)
-            case messages.Withdraw():
-                self.run(self.dispatcher.on_withdraw(message))
-                self.run(self.relay.withdraw(self.desk.dispatcher, message))
-            case messages.JobComplete() | messages.JobFailed():
-                self.run(self.desk.on_ended(sender, message))
-                self.run(self.relay.bring_back(message))
-            case messages.JobRefused():
-                self.run(self.desk.on_refused(sender, message))
-                self.run(self.relay.bring_back(message))
-            case messages.NotDispatching(job_id, _):
-                self.run(self.desk.on_not_dispatching(sender, job_id))
-            case messages.EndpointNews():
-                self.take_news(sender, message)
-            case messages.EndpointNewsHeld():
-                self.take_held(message)
-            case messages.EndpointGone():
-                self.run(self.dispatcher.on_gone(message))
-            case fleet_messages.ManifestWanted(held_version):
-                self.pass_manifest(sender, held_version)
-            case fleet_messages.ManifestNews(version, body):
-                self.put_in_force(version, body)
-            case _:
-                if self.log is not None:
-                    self.log.on_message(typing.cast(log_messages.Message, message))
-
-    def take_submit(self, sender: str, submit: messages.Submit) -> None:
-        """Dispatch a job, or pass it on for an entry VM that is cut off."""
-        dispatcher_name = self.desk.dispatcher
-        is_relay = not self.dispatcher.fence and not self.settings.is_core
-        if is_relay and self.members.is_in_office(dispatcher_name):
-            self.run(self.relay.pass_on(sender, dispatcher_name, submit))
-        else:
-            self.run(self.dispatcher.on_submit(sender, submit))
-
-    def hear(self, presence: fleet_messages.Presence) -> None:
-        """Take a heartbeat."""
-        if self.members.hear(presence):
-            self.silent.discard(presence.name)
+    def note_silent(self) -> None:
+        """Log members that fell silent, and give up what they held open."""
+        now_ms = self.clock.now_ms()
+        for name, member in self.members.members.items():
+            if member.presence is None or self.members.is_live(name):
+                continue
+            if name in self.silent:
+                continue
+            self.silent.add(name)
             emit.emit(
-                catalogue.MEMBER_HEARD,
-                peer=presence.name,
-                core=presence.is_core,
-                generation=presence.generation,
+                catalogue.MEMBER_SILENT, peer=name, silent_ms=now_ms - member.heard_ms
             )
-            self.pass_endpoints(presence)
-        if presence.using == self.settings.name:
-            self.run(self.dispatcher.on_entry_heard(presence.name))
-        elif presence.using:
-            self.run(self.dispatcher.on_entry_lost(presence.name))
-        now_ms = self.clock.now_ms()
-        lacks = presence.manifest_version > self.get_manifest_version()
-        if lacks and now_ms >= self.wanted_due_ms:
-            self.wanted_due_ms = now_ms + WANTED_MS
-            wanted = fleet_messages.ManifestWanted(self.get_manifest_version())
-            self.send(effects.Send(presence.name, wanted))
-
-    def pass_endpoints(self, presence: fleet_messages.Presence) -> None:
-        """Tell a process that was silent which endpoints there are."""
-        is_standby = presence.name in self.members.get_standbys()
-        if not self.leadership.generation or not (presence.is_core or is_standby):
-            return
-        for news in self.dispatcher.list_news():
-            self.send(effects.Send(presence.name, news))
-
-    # Manifests.
-
-    def get_manifest_version(self) -> int:
-        """Return the version in force here, 0 before the first."""
-        return self.directory.manifest.version if self.directory is not None else 0
-
-    def take_manifest(self, version: int) -> None:
-        """Put in force what the log has committed."""
-        if self.log is not None and version > self.get_manifest_version():
-            self.put_in_force(version, self.log.machine.stored.body)
-
-    def put_in_force(self, version: int, body: bytes) -> None:
-        """Handle requests by a newer manifest from now on."""
-        if version <= self.get_manifest_version():
-            return
-        decoded = self.decode_manifest(body)
-        if isinstance(decoded, manifest.InvalidManifest):
-            emit.emit(catalogue.MANIFEST_REFUSED, detail=decoded.detail)
-            return
-        self.directory = manifest.Directory(decoded)
-        emit.emit(
-            catalogue.MANIFEST_IN_FORCE,
-            version=version,
-            queues=len(decoded.queues),
-            services=len(decoded.services),
-        )
-        self.announce()
-
-    def announce(self) -> None:
-        """Tell the others at once what changed here."""
-        self.members.due_ms = 0
-
-    def pass_manifest(self, to: str, held_version: int) -> None:
-        """Send the manifest in force to a process that lacks it."""
-        if self.directory is None or self.get_manifest_version() <= held_version:
-            return
-        known = self.directory.manifest
-        news = fleet_messages.ManifestNews(known.version, known.body)
-        self.send(effects.Send(to, news))
-
-    def propose_manifest(
-        self, decoded: manifest.Manifest
-    ) -> manifest_log.Taken | AtControl | manifest_log.Unclear:
-        """Commit an operator's manifest, or say who can."""
-        if self.log is None:
-            return AtControl("")
-        answer = self.log.propose(decoded.version, decoded.body)
-        if isinstance(answer, manifest_log.Taken):
-            self.take_manifest(self.log.machine.stored.version)
-        if isinstance(answer, manifest_log.Elsewhere):
-            return AtControl(self.get_control(answer.name))
-        return answer
-
-    def read_manifest(self) -> manifest_log.Newest | AtControl:
-        """Return the newest manifest, or who surely has it."""
-        if self.log is None:
-            return AtControl("")
-        answer = self.log.read()
-        if isinstance(answer, manifest_log.Elsewhere):
-            return AtControl(self.get_control(answer.name))
-        return answer
-
-    def get_control(self, name: str) -> str:
-        """Return the address of a live member's control interface."""
-        for known in self.members.get_live():
-            if known.name == name:
-                return known.control
-        return ""
-
-    # Endpoints.
-
-    def hear_endpoint(self, news: messages.EndpointNews) -> bool:
-        """Take an endpoint's word; say whether it may count on being heard.
-
-        An endpoint that leaves is acknowledged only once its dispatcher knows.
-        """
-        self.run(self.dispatcher.on_endpoint_news(news))
-        hubs = self.members.get_core_names() | set(self.members.get_standbys())
-        for name in sorted(hubs - {self.settings.name}):
-            self.send(effects.Send(name, news))
-        if news.state != messages.EndpointState.LEAVING or self.leadership.generation:
-            return True
-        key = (news.endpoint, news.born_ms, news.sequence)
-        event = self.held.setdefault(key, gevent.event.Event())
-        try:
-            return bool(event.wait(HELD_TIMEOUT_S))
-        finally:
-            self.held.pop(key, None)
-
-    def take_news(self, sender: str, news: messages.EndpointNews) -> None:
-        """Take an endpoint's word that another process passed on."""
-        self.run(self.dispatcher.on_endpoint_news(news))
-        if self.leadership.generation:
-            held = messages.EndpointNewsHeld(news.endpoint, news.born_ms, news.sequence)
-            self.send(effects.Send(sender, held))
-
-    def take_held(self, held: messages.EndpointNewsHeld) -> None:
-        """Let an endpoint that leaves be acknowledged."""
-        event = self.held.get((held.endpoint, held.born_ms, held.sequence))
-        if event is not None:
-            event.set()
-
-    def lose_endpoint(self, gone: messages.EndpointGone) -> None:
-        """Take an endpoint's farewell and pass it on."""
-        self.run(self.dispatcher.on_gone(gone))
-        hubs = self.members.get_core_names() | set(self.members.get_standbys())
-        for name in sorted(hubs - {self.settings.name}):
-            self.send(effects.Send(name, gone))
-
-    def get_dispatcher_control(self) -> str:
-        """Return where endpoints best announce themselves, empty if unknown."""
-        if self.leadership.generation:
-            return self.settings.control
-        return self.get_control(self.followed)
+            self.run(self.dispatcher.on_entry_lost(name))
 
     # Jobs.
 
@@ -538,7 +385,7 @@
         """Say whether this process can take callers' jobs now."""
         return (
             not self.is_stopping
-            and self.directory is not None
+            and self.manifests.directory is not None
             and bool(self.desk.dispatcher)
         )
 
@@ -551,7 +398,7 @@
         self.telemetry.measure(self.dispatcher)
         self.telemetry.open.set(len(self.desk.jobs))
         self.telemetry.members.set(len(self.members.get_live()))
-        self.telemetry.version.set(self.get_manifest_version())
+        self.telemetry.version.set(self.manifests.get_version())
         return self.telemetry.render()
 
     def stop(self) -> None:
--- a/packages/server/src/knapweedbeam_server/fleet/orders.py
+++ b/packages/server/src/knapweedbeam_server/fleet/orders.py
@@ -13,6 +13,9 @@
 # Pauses between polls of an endpoint that doesn't answer.
 FIRST_PAUSE_S = 0.02
 MAX_PAUSE_S = 0.1
+# An endpoint answers at once while it lists ends that were not acknowledged; the log
+# takes some 20 ms to have them.
+OPEN_ENDS_PAUSE_S = 0.01
 
 Run = collections.abc.Callable[[dispatcher.Effects], None]
 
@@ -67,6 +70,8 @@
             if isinstance(answer, calls.Holding):
                 pause_s = FIRST_PAUSE_S
                 self.run(self.decisions.on_holding(order, answer))
+                if self.decisions.has_open_ends(endpoint):
+                    gevent.sleep(OPEN_ENDS_PAUSE_S)
                 continue
             self.counts.note_order("hold", answer.verdict.value)
             self.run(self.decisions.on_hold_failed(order, answer))
--- a/packages/server/src/knapweedbeam_server/fleet/manifest_log.py
+++ b/packages/server/src/knapweedbeam_server/fleet/shared_log.py
@@ -1,4 +1,4 @@
-"""The replicated log of manifests: the replica, its data folder and its callers."""
+"""The replicated log of a deployment: the replica, its data folder and its callers."""
 
 from __future__ import annotations
 
@@ -14,7 +14,8 @@
 from knapweedbeam_core import clock, effects, reasons
 from knapweedbeam_core.entry import parts
 from knapweedbeam_core.log import choosing, members, messages, replica, roles
-from knapweedbeam_core.manifests import machine
+from knapweedbeam_core.manifests import machine as manifest_machine
+from knapweedbeam_core.stored import commands, machine
 from knapweedbeam_server.fleet import supervising
 from knapweedbeam_server.logs import catalogue, emit
 from knapweedbeam_wire import store
@@ -23,6 +24,9 @@
 COMMIT_TIMEOUT_S = 0.9
 # A disk that is full or broken is tried again this often.
 REOPEN_S = 1.0
+# Stored jobs of some kilobytes come by the hundred a second, and a snapshot takes four
+# syncs: one each ten seconds or so.
+COMPACT_BYTES = 2 * 1024 * 1024
 
 Send = collections.abc.Callable[[effects.Send], None]
 
@@ -50,10 +54,10 @@
 class Newest:
     """The newest committed manifest; version 0 when there is none."""
 
-    stored: machine.Stored
+    stored: manifest_machine.Stored
 
 
-class ManifestLog:
+class SharedLog:
     """One replica over one data folder."""
 
     def __init__(
@@ -64,6 +68,7 @@
         timer: clock.Clock,
         rng: random.Random,
         send: Send,
+        on_applied: collections.abc.Callable[[], None],
     ) -> None:
         self.name = name
         self.founders = founders
@@ -72,7 +77,9 @@
         self.started_ms = timer.now_ms()
         self.rng = rng
         self.send = send
-        self.machine = machine.ManifestMachine()
+        self.on_applied = on_applied
+        self.seen_progress = (0, 0)
+        self.machine = machine.DeploymentMachine()
         self.targets: frozenset[str] = frozenset(founders)
         self.replica: replica.Replica | None = None
         self.store: store.Store | None = None
@@ -93,11 +100,17 @@
             emit.emit(catalogue.LOG_STORE_LOST, detail=restored.detail)
             return False
         me = members.ReplicaId(self.name, restored.identity)
-        self.machine = machine.ManifestMachine()
+        self.machine = machine.DeploymentMachine()
         self.store = opened
         self.writes = gevent.queue.Queue()
         self.replica = replica.Replica(
-            me, self.founders, restored, self.machine, self.clock, self.rng
+            me,
+            self.founders,
+            restored,
+            self.machine,
+            self.clock,
+            self.rng,
+            compact_bytes=COMPACT_BYTES,
         )
         self.replica.set_targets(self.targets)
         emit.emit(catalogue.LOG_STORE_BACK, identity=restored.identity)
@@ -111,13 +124,24 @@
                 self.open()
                 continue
             own, log = self.store, self.replica
-            persist = self.writes.get()
+            persist = self.get_writes()
             failure = own.apply(persist)
             if failure is not None:
                 self.lose_store(failure)
             elif self.replica is log:
                 self.run(log.persisted(persist.batch))
 
+    def get_writes(self) -> parts.Persist:
+        """Return all that waits to be written, as one batch that takes one sync."""
+        first: parts.Persist = self.writes.get()
+        records = list(first.records)
+        batch = first.batch
+        while not self.writes.empty() and not self.writes.peek().snapshot:
+            more = self.writes.get()
+            records += more.records
+            batch = more.batch
+        return dataclasses.replace(first, batch=batch, records=tuple(records))
+
     def lose_store(self, failure: store.StoreFailure) -> None:
         """Take no part until the data folder can be used again."""
         emit.emit(catalogue.LOG_STORE_LOST, detail=failure.detail)
@@ -134,6 +158,10 @@
             elif isinstance(effect, parts.Persist):
                 self.writes.put(effect)
         self.note_role()
+        progress = (self.machine.batches, self.machine.restores)
+        if progress != self.seen_progress:
+            self.seen_progress = progress
+            self.on_applied()
         self.applied.set()
         self.applied.clear()
 
@@ -191,6 +219,10 @@
             return ""
         return self.replica.leader.name
 
+    def is_in_touch(self) -> bool:
+        """Say whether the log has a leader that this replica hears, or is one."""
+        return self.replica is not None and self.replica.is_led()
+
     def is_sure(self) -> bool:
         """Say whether what this replica holds is surely the newest."""
         own = self.replica
@@ -202,21 +234,30 @@
             leader = self.get_leader()
             return Elsewhere(leader if leader != self.name else "")
         assert self.replica is not None
-        if self.machine.stored.version >= version:
+        if self.get_version() >= version:
             return Taken()
-        stored = machine.Stored(version, body)
-        self.run(self.replica.propose(machine.ENCODER.encode(stored)))
+        stored = manifest_machine.Stored(version, body)
+        self.propose_batch(commands.Batch(self.clock.wall_ms(), (stored,)))
         deadline_ms = self.clock.now_ms() + int(COMMIT_TIMEOUT_S * clock.SECOND_MS)
-        while self.machine.stored.version < version:
+        while self.get_version() < version:
             left_ms = deadline_ms - self.clock.now_ms()
             if left_ms <= 0 or self.replica is None:
                 return Unclear(reasons.Reason.NO_QUORUM)
             self.applied.wait(left_ms / clock.SECOND_MS)
         return Taken()
 
+    def get_version(self) -> int:
+        """Return the version of the newest committed manifest."""
+        return self.machine.manifests.stored.version
+
+    def propose_batch(self, batch: commands.Batch) -> None:
+        """Add a batch of commands to the log; this replica must lead it."""
+        if self.replica is not None and self.replica.leading is not None:
+            self.run(self.replica.propose(commands.ENCODER.encode(batch)))
+
     def read(self) -> Newest | Elsewhere:
         """Return the newest manifest if this replica surely holds it."""
         if self.is_sure():
-            return Newest(self.machine.stored)
+            return Newest(self.machine.manifests.stored)
         leader = self.get_leader()
         return Elsewhere(leader if leader != self.name else "")
--- a/packages/server/src/knapweedbeam_server/logs/catalogue.py
+++ b/packages/server/src/knapweedbeam_server/logs/catalogue.py
@@ -573,6 +573,36 @@
     "A body, or a list of an endpoint, was ignored or refused and changed nothing.",
     "Look at its sender.",
 )
+STORED_OFFICE = Event(
+    7070,
+    "stored_office",
+    Level.INFO,
+    "placing {jobs} stored jobs under token {fence}, dispatcher number {term}",
+    "The log has this dispatcher's token: no earlier one notes ends any more.",
+)
+STORED_LEFT = Event(
+    7071,
+    "stored_left",
+    Level.WARNING,
+    "placing stored jobs no longer: {why}; {jobs} are stopped here",
+    "Another dispatcher has them, or has them once the log can be reached.",
+    "Look for log_role lines of the control VMs.",
+)
+STORED_CHANGED = Event(
+    7072,
+    "stored_changed",
+    Level.INFO,
+    "stored job {job_id} is {state}, {left} tasks left",
+    "The log's leader committed a change of a job.",
+)
+STORED_ANSWERED = Event(
+    7073,
+    "stored_answered",
+    Level.INFO,
+    "{question} of job {job_id} in queue {queue}: {verdict} after {took_ms} ms, "
+    "log leader {leader}",
+    "A caller's question about a stored job was answered.",
+)
 
 
 NOT_EMITTED_YET: frozenset[Event] = frozenset(
--- a/packages/wire/src/knapweedbeam_wire/schema/fleet.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/fleet.capnp
@@ -14,6 +14,8 @@
   using @9 :Text;
   manifestVersion @10 :Int64;
   members @11 :List(Text);
+  leadsLog @12 :Bool;
+  hasStored @13 :Bool;
 }
 
 struct ManifestWanted {
--- a/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
@@ -11,6 +11,13 @@
   requiredLabel @6 :Text;
   dataRack @7 :Text;
   maxPerEndpoint @8 :Int64;
+  isGang @9 :Bool;
+  isRackLocal @10 :Bool;
+  keepsProgress @11 :Bool;
+  isLasting @12 :Bool;
+  isFilling @13 :Bool;
+  targetMs @14 :Int64;
+  mayMiss @15 :Int64;
 }
 
 struct EndpointNews {
@@ -27,6 +34,7 @@
   labels @10 :List(Text);
   clockMs @11 :Int64;
   ageMs @12 :Int64;
+  rack @13 :Text;
 }
 
 struct EndpointNewsHeld {
@@ -78,3 +86,64 @@
   jobId @0 :Text;
   following @1 :Text;
 }
+
+struct StoredJob {
+  jobId @0 :Text;
+  queue @1 :Text;
+  service @2 :Text;
+  priority @3 :Int64;
+  maxAttempts @4 :Int64;
+  slackFactor @5 :Float64;
+  allowanceMs @6 :Int64;
+  spec @7 :Text;
+  steps @8 :List(SubmittedStep);
+  repeatCount @9 :Int64;
+  startAtMs @10 :Int64;
+  intervalMs @11 :Int64;
+}
+
+struct KeepJob {
+  number @0 :Int64;
+  job @1 :StoredJob;
+}
+
+struct CancelJob {
+  number @0 :Int64;
+  jobId @1 :Text;
+  queue @2 :Text;
+}
+
+struct LookUpJob {
+  number @0 :Int64;
+  jobId @1 :Text;
+  queue @2 :Text;
+}
+
+struct CountWaiting {
+  number @0 :Int64;
+  queue @1 :Text;
+}
+
+struct Told {
+  number @0 :Int64;
+  verdict @1 :Text;
+  waiting @2 :Int64;
+}
+
+struct NotedEnd {
+  endpoint @0 :Text;
+  bornMs @1 :Int64;
+  place @2 :Int64;
+  task @3 :Text;
+  number @4 :Int64;
+  isDone @5 :Bool;
+}
+
+struct NoteEnds {
+  fence @0 :Int64;
+  ends @1 :List(NotedEnd);
+}
+
+struct BeginDispatch {
+  fence @0 :Int64;
+}
