--- a/bench/pool/stored_world.py
+++ b/bench/pool/stored_world.py
@@ -52,6 +52,7 @@
         repeat_count: int = 0,
         interval_ms: int = 0,
         start_in_ms: int = 0,
+        advice_valid_ms: int = 0,
     ) -> None:
         """Have a job kept."""
         self.work_ms[job_id] = work_ms
@@ -69,6 +70,7 @@
             repeat_count,
             self.clock.wall_ms() + start_in_ms,
             interval_ms,
+            advice_valid_ms,
         )
         self.commit(commands.Accept(job))
 
--- a/bench/pool/world.py
+++ b/bench/pool/world.py
@@ -92,6 +92,8 @@
             return calls.Verdict.OLD
         if order.task in self.runs:
             return calls.Verdict.ACCEPTED
+        if not self.world.is_ticket_good(self, order):
+            return calls.Verdict.NO_TICKET
         self.world.check_start(self, order)
         work_ms = self.world.get_work_ms(order.task)
         ends_ms = self.world.now_ms + int(work_ms / self.speed)
@@ -190,6 +192,8 @@
         self.starts: list[tuple[int, str, calls.Start]] = []
         self.breaches: list[str] = []
         self.placing: set[str] = set()
+        self.allowed: dict[str, set[str]] = {}
+        self.advice_calls: list[calls.AskAdvice] = []
 
     @property
     def now_ms(self) -> int:
@@ -280,6 +284,8 @@
                     self.call(by, effect, by.on_stop_answer)
                 case calls.BeginHolding(endpoint):
                     self.poll(by, endpoint)
+                case calls.AskAdvice():
+                    self.advise(by, effect)
                 case calls.NoteEnd():
                     self.note_end(by, effect)
                 case effects.Send(_, message):
@@ -289,6 +295,28 @@
             self.placing.add(by.name)
             self.after(0, lambda: self.place(by))
 
+    def advise(self, by: dispatcher.Dispatcher, asked: calls.AskAdvice) -> None:
+        """Answer which endpoints may run a step; a ticket names step and time."""
+        self.advice_calls.append(asked)
+        job_id = asked.step.partition(".")[0]
+        rows = tuple(
+            (name, f"{asked.step} {name} {self.now_ms + asked.valid_ms}")
+            for name, _ in asked.endpoints
+            if name in self.allowed.get(job_id, ())
+        )
+        self.after(
+            5 + len(asked.endpoints),
+            lambda: self.run(by, by.on_advice(asked, calls.Advice(rows))),
+        )
+
+    def is_ticket_good(self, endpoint: FakeEndpoint, order: calls.Start) -> bool:
+        """Say whether a start carries a valid ticket, where it needs one."""
+        if order.task.partition(".")[0] not in self.allowed:
+            return True
+        step, name, until_ms = (order.ticket or "- - 0").split(" ")
+        is_valid = self.now_ms <= int(until_ms)
+        return order.task.startswith(step + ".") and name == endpoint.name and is_valid
+
     def note_end(self, by: dispatcher.Dispatcher, noted: calls.NoteEnd) -> None:
         """Take an end that the log is to have: this world has none."""
 
--- a/packages/core/src/knapweedbeam_core/manifests/manifest.py
+++ b/packages/core/src/knapweedbeam_core/manifests/manifest.py
@@ -11,7 +11,8 @@
 
     A job's objective is `slack_factor` times its work plus `allowance_ms`. The
     lowest `priority` comes first. A task may fail `max_attempts` times. Where
-    `needs_advice`, only a service beside the product knows which endpoints are allowed.
+    `advice_valid_ms` is above 0, only a service beside the product knows which
+    endpoints are allowed, and its word is good for that long.
     """
 
     name: str
@@ -23,7 +24,7 @@
     priority: int
     max_attempts: int
     slack_factor: float
-    needs_advice: bool = False
+    advice_valid_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/knapweedbeam_core/pool/calls.py
+++ b/packages/core/src/knapweedbeam_core/pool/calls.py
@@ -21,7 +21,8 @@
 class Start:
     """Start one attempt of a task; `until_ms` is on the endpoint's clock.
 
-    `progress` is the saved state to go on from, empty for none.
+    `progress` is the saved state to go on from, `ticket` the right to start the step
+    where it takes one; both are empty for none.
     """
 
     target: Target
@@ -31,6 +32,7 @@
     until_ms: int
     fence: int
     progress: str = ""
+    ticket: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,6 +67,26 @@
     endpoint: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskAdvice:
+    """Ask which of the endpoints (id and birth) may run a step.
+
+    Answers are valid for `valid_ms` from `asked_ms` on, the dispatcher's time.
+    """
+
+    step: str
+    endpoints: tuple[tuple[str, int], ...]
+    valid_ms: int
+    asked_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Advice:
+    """The endpoints that may run the step, each with its ticket."""
+
+    allowed: tuple[tuple[str, str], ...]
+
+
 class Verdict(enum.Enum):
     """How an order to an endpoint ended."""
 
@@ -73,6 +95,7 @@
     OLD = "old"  # that attempt or a higher one was stopped or has ended
     LATE = "late"  # the lease that it carried had run out
     NO_ROOM = "no_room"
+    NO_TICKET = "no_ticket"  # the step's ticket is missing or not valid any more
     INVALID = "invalid"
     UNHEALTHY = "unhealthy"  # the endpoint refused and did nothing
     REBORN = "reborn"  # another endpoint answers at this address
@@ -145,4 +168,4 @@
     end: End
 
 
-Order = Start | Stop | BeginHolding
+Order = Start | Stop | BeginHolding | AskAdvice
--- a/packages/core/src/knapweedbeam_core/pool/desk.py
+++ b/packages/core/src/knapweedbeam_core/pool/desk.py
@@ -126,6 +126,7 @@
             now_ms - job.taken_ms,
             max(0, job.give_up_ms - now_ms),
             (job.sends - 1) * ATTEMPTS_PER_DISPATCHER,
+            job.queue.advice_valid_ms,
         )
         return [effects.Send(self.dispatcher, submit)]
 
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -11,6 +11,7 @@
 
 from knapweedbeam_core import clock, effects, reasons
 from knapweedbeam_core.pool import (
+    advising,
     calls,
     endpoints,
     jobs,
@@ -55,6 +56,7 @@
         self.ended: collections.OrderedDict[str, Remembered] = collections.OrderedDict()
         self.settler = settling.Settler(self)
         self.keeper = keeping.Keeper(self)
+        self.advisor = advising.Advisor(self)
         self.starter = starting.Starter(self)
 
     # Office.
@@ -66,6 +68,7 @@
         self.fence = fence
         self.jobs.clear()
         self.keeper.reset()
+        self.advisor.reset()
         self.ended.clear()
         for name, known in list(self.endpoints.items()):
             fresh = endpoints.Endpoint(known.said, known.heard_ms)
@@ -210,6 +213,7 @@
             submit.max_attempts,
             submit.slack_factor,
             submit.allowance_ms,
+            submit.advice_valid_ms,
         )
         base = max(submit.attempt_base, ended.last_attempt if ended else 0)
         job = jobs.Job(
@@ -245,6 +249,7 @@
         if len(self.ended) > REMEMBER_JOBS:
             self.ended.popitem(last=False)
         job.is_cancelled = True
+        self.advisor.forget(job)
         produced: Effects = []
         if outcome is not None:
             if job.entry:
@@ -340,6 +345,11 @@
             return []
         return self.settler.on_start_answer(endpoint, start, answer)
 
+    def on_advice(self, asked: calls.AskAdvice, advice: calls.Advice | None) -> Effects:
+        """Take which endpoints may run a step."""
+        self.advisor.on_advice(asked, advice)
+        return []
+
     def on_stop_answer(self, stop: calls.Stop, answer: calls.Answer) -> Effects:
         """Take the end of a stop."""
         endpoint = self.find(stop.target)
--- a/packages/core/src/knapweedbeam_core/pool/jobs.py
+++ b/packages/core/src/knapweedbeam_core/pool/jobs.py
@@ -61,7 +61,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Terms:
-    """What the queue of a job promises: see `manifests.manifest.Queue`."""
+    """What the queue of a job promises: see `manifests.manifest.Queue`.
+
+    `advice_valid_ms` is 0 where no advice is needed.
+    """
 
     queue: str
     service: str
@@ -69,6 +72,7 @@
     max_attempts: int
     slack_factor: float
     allowance_ms: int
+    advice_valid_ms: int = 0
 
 
 class TaskState(enum.Enum):
--- a/packages/core/src/knapweedbeam_core/pool/keeping.py
+++ b/packages/core/src/knapweedbeam_core/pool/keeping.py
@@ -193,6 +193,7 @@
             kept.max_attempts,
             kept.slack_factor,
             kept.allowance_ms,
+            kept.advice_valid_ms,
         )
         job = jobs.Job(
             kept.job_id,
--- a/packages/core/src/knapweedbeam_core/pool/messages.py
+++ b/packages/core/src/knapweedbeam_core/pool/messages.py
@@ -110,6 +110,7 @@
     age_ms: int
     patience_ms: int
     attempt_base: int
+    advice_valid_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/knapweedbeam_core/pool/settling.py
+++ b/packages/core/src/knapweedbeam_core/pool/settling.py
@@ -270,6 +270,8 @@
                 ]
             case calls.Verdict.INVALID:
                 return self.note_end(endpoint, attempt, calls.EndKind.FAILED)
+        if answer.verdict == calls.Verdict.NO_TICKET and attempt.owner is not None:
+            self.owner.advisor.refuse(attempt.owner, endpoint)
         produced = self.drop(endpoint, attempt, str(answer.verdict.value))
         if answer.verdict == calls.Verdict.UNHEALTHY:
             produced += self.note_fault(endpoint, "refused a start")
--- a/packages/core/src/knapweedbeam_core/pool/starting.py
+++ b/packages/core/src/knapweedbeam_core/pool/starting.py
@@ -62,11 +62,14 @@
         for task in list(job.waiting):
             if task.step in full or not openings.may_fit(task):
                 continue
-            allowed = openings.limit(task)
+            wanted = openings.limit(task)
+            allowed = self.owner.advisor.limit(task, wanted, now_ms)
             if task.spec.is_gang:
                 full.add(task.step)
                 started = self.start_gang(task, allowed, now_ms, best_speed)
                 produced += started
+                if not started:
+                    produced += self.owner.advisor.ask(task, wanted, now_ms)
                 used += [start.target.endpoint for start in started]
                 openings.measure()
                 continue
@@ -75,7 +78,9 @@
                 produced.append(self.start(task, chosen, now_ms))
                 used.append(chosen.said.endpoint)
                 openings.measure()
-            elif not task.failures:
+                continue
+            produced += self.owner.advisor.ask(task, wanted, now_ms)
+            if not task.failures:
                 full.add(task.step)
         if used:
             produced.append(self.build_note(job, used, now_ms))
@@ -163,4 +168,5 @@
             until_ms,
             self.owner.fence,
             task.progress,
+            self.owner.advisor.find_ticket(task, endpoint, now_ms),
         )
--- a/packages/core/src/knapweedbeam_core/stored/messages.py
+++ b/packages/core/src/knapweedbeam_core/stored/messages.py
@@ -28,6 +28,7 @@
     repeat_count: int = 0
     start_at_ms: int = 0
     interval_ms: int = 0
+    advice_valid_ms: int = 0
 
     @property
     def is_lasting(self) -> bool:
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -167,7 +167,12 @@
             match effect:
                 case effects.Send():
                     self.send(effect)
-                case calls.Start() | calls.Stop() | calls.BeginHolding():
+                case (
+                    calls.Start()
+                    | calls.Stop()
+                    | calls.BeginHolding()
+                    | calls.AskAdvice()
+                ):
                     self.orders.take(effect)
                 case calls.NoteEnd():
                     self.stored.note_end(effect)
--- a/packages/server/src/knapweedbeam_server/fleet/orders.py
+++ b/packages/server/src/knapweedbeam_server/fleet/orders.py
@@ -9,6 +9,7 @@
 
 from knapweedbeam_core.pool import calls, dispatcher
 from knapweedbeam_server.fleet import ports, telemetry
+from knapweedbeam_server.logs import catalogue, emit
 
 # Pauses between polls of an endpoint that doesn't answer.
 FIRST_PAUSE_S = 0.02
@@ -44,6 +45,8 @@
                 gevent.spawn(self.stop, order)
             case calls.BeginHolding(endpoint):
                 gevent.spawn(self.hold, endpoint)
+            case calls.AskAdvice():
+                gevent.spawn(self.ask_advice, order)
             case _:
                 typing.assert_never(order)
 
@@ -59,6 +62,18 @@
         self.counts.note_order("stop", answer.verdict.value)
         self.run(self.decisions.on_stop_answer(order, answer))
 
+    def ask_advice(self, order: calls.AskAdvice) -> None:
+        """Ask which endpoints may run a step."""
+        advice = self.client.ask_advice(order)
+        self.counts.note_order("advice", "none" if advice is None else "answered")
+        emit.emit(
+            catalogue.ADVICE_TAKEN,
+            step=order.step,
+            asked=len(order.endpoints),
+            allowed=-1 if advice is None else len(advice.allowed),
+        )
+        self.run(self.decisions.on_advice(order, advice))
+
     def hold(self, endpoint: str) -> None:
         """Poll an endpoint for as long as the dispatcher wants it."""
         pause_s = FIRST_PAUSE_S
--- a/packages/server/src/knapweedbeam_server/fleet/ports.py
+++ b/packages/server/src/knapweedbeam_server/fleet/ports.py
@@ -19,5 +19,8 @@
     def hold(self, order: calls.Hold) -> calls.Holding | calls.HoldFailed:
         """Renew the lease and return what runs and what has ended."""
 
+    def ask_advice(self, order: calls.AskAdvice) -> calls.Advice | None:
+        """Ask which endpoints may run a step; none when no answer can be had."""
+
     def forget(self, address: str) -> None:
         """Close the connections to an address."""
--- a/packages/server/src/knapweedbeam_server/fleet/stored_jobs.py
+++ b/packages/server/src/knapweedbeam_server/fleet/stored_jobs.py
@@ -160,7 +160,7 @@
         self.host.run(keeper.on_changes(changes, log.machine.ledger))
 
     def note_changes(self, changes: list[ledger.Change]) -> None:
-        """Log which jobs changed."""
+        """Log which jobs were accepted and which have ended."""
         assert self.host.log is not None
         known = self.host.log.machine.ledger
         for change in changes:
@@ -169,7 +169,9 @@
                     self.note_job(job_id, known)
                 case ledger.EndsTaken(ends):
                     for job_id in sorted({end.task.partition(".")[0] for end in ends}):
-                        self.note_job(job_id, known)
+                        entry = known.entries.get(job_id)
+                        if entry is not None and not entry.is_open:
+                            self.note_job(job_id, known)
 
     def note_job(self, job_id: str, known: ledger.Ledger) -> None:
         """Log the state of one job."""
--- a/packages/server/src/knapweedbeam_server/logs/catalogue.py
+++ b/packages/server/src/knapweedbeam_server/logs/catalogue.py
@@ -573,6 +573,13 @@
     "A body, or a list of an endpoint, was ignored or refused and changed nothing.",
     "Look at its sender.",
 )
+ADVICE_TAKEN = Event(
+    7055,
+    "advice_taken",
+    Level.INFO,
+    "step {step}: asked about {asked} endpoints, {allowed} may run it",
+    "Only these get tasks of the step; -1 says that no answer came.",
+)
 STORED_OFFICE = Event(
     7070,
     "stored_office",
--- a/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
@@ -61,6 +61,7 @@
   ageMs @9 :Int64;
   patienceMs @10 :Int64;
   attemptBase @11 :Int64;
+  adviceValidMs @12 :Int64;
 }
 
 struct Withdraw {
@@ -100,6 +101,7 @@
   repeatCount @9 :Int64;
   startAtMs @10 :Int64;
   intervalMs @11 :Int64;
+  adviceValidMs @12 :Int64;
 }
 
 struct KeepJob {
