Take the office where some entry VMs miss the one in office and others still hear it

Ruled out: the silence bound (the others followed the next core VM after 0.45 s), the endpoints (all reachable). Change: a process that some entry VM wants, and that hears nobody in office, takes it after 300 ms more; the higher token settles the rest. Before: the new test finds the old dispatcher alone in office after a second.

--- a/packages/core/src/knapweedbeam_core/fleet/leadership.py
+++ b/packages/core/src/knapweedbeam_core/fleet/leadership.py
@@ -22,6 +22,9 @@
 PROCESS_BITS = 20
 # A dispatcher that nobody follows for this long retires.
 UNFOLLOWED_MS = 1_000
+# Entry VMs that miss the one in office may still be outnumbered by others that hear it.
+# After this long, beside the silence that they waited for before, the office is taken.
+CONTEST_MS = 300
 # A process that just started first listens, so as not to disturb one in office.
 LISTEN_MS = 600
 
@@ -61,6 +64,7 @@
         self.followed_ms = timer.now_ms()
         self.following = Choice("", 0)
         self.barred_until_ms = 0
+        self.unwanted_ms = timer.now_ms()
 
     def choose(self, own: messages.Presence) -> Choice:
         """Return the dispatcher to follow, this process included."""
@@ -99,8 +103,15 @@
             self.generation = 0
 
     def claim(self, now_ms: int) -> None:
-        """Take the office once all entry VMs that are heard follow this process."""
-        if now_ms < self.barred_until_ms or not self.is_followed():
+        """Take the office once all entry VMs that are heard follow this process.
+
+        Where only some do, and for a while, the one in office is out of their reach and
+        of this process's, and the others can change over.
+        """
+        if not self.is_wanted():
+            self.unwanted_ms = now_ms
+        is_contest = now_ms - self.unwanted_ms > CONTEST_MS
+        if now_ms < self.barred_until_ms or not (self.is_followed() or is_contest):
             return
         highest = self.members.highest_generation
         self.generation = build_generation(
@@ -109,6 +120,17 @@
         self.members.highest_generation = self.generation
         self.followed_ms = now_ms
 
+    def is_wanted(self) -> bool:
+        """Say whether an entry VM wants this process to dispatch, and hears no other.
+
+        A process that hears one in office leaves the office to it.
+        """
+        live = self.members.get_live()
+        if any(known.generation for known in live):
+            return False
+        name = self.members.name
+        return any(p.following == name for p in live if not p.is_core)
+
     def is_followed(self) -> bool:
         """Say whether this process is the choice of the entry VMs that it hears."""
         name = self.members.name
--- a/packages/core/tests/fleet/test_leadership.py
+++ b/packages/core/tests/fleet/test_leadership.py
@@ -130,6 +130,22 @@
         self.deployment.advance(3_000)
         self.assertEqual(self.deployment.get_leaders(), ["c0"])
 
+    def test_one_cut_off_with_a_single_entry_process_is_replaced_for_all(self) -> None:
+        self.deployment.separate(["c0"], ["c1", "c2", "e1", "e2", "e3"])
+        self.deployment.advance(1_000)
+        self.assertIn("c1", self.deployment.get_leaders())
+        followed = self.deployment.get_followed("e0", "e1", "e2", "e3")
+        self.assertEqual(followed, {"c1"})
+        self.deployment.advance(1_500)
+        self.assertEqual(self.deployment.get_leaders(), ["c1"])
+
+    def test_a_short_silence_at_one_entry_process_contests_nothing(self) -> None:
+        self.deployment.separate(["c0"], ["e1"])
+        self.deployment.advance(700)
+        self.deployment.cut.clear()
+        self.deployment.advance(1_000)
+        self.assertEqual(self.deployment.get_leaders(), ["c0"])
+
     def test_entry_processes_dispatch_when_the_core_is_down(self) -> None:
         for name in ("c0", "c1", "c2"):
             self.deployment.processes[name].is_up = False
