Start a stored task again only once the log confirms the dispatcher after the loss

Ruled out: acknowledging ends too early (the order log, then endpoint, held). Change: what was lost with an endpoint waits for the log's answer to a question asked after the loss (some 40 ms); a replaced dispatcher gets none.

--- a/bench/pool/stored_world.py
+++ b/bench/pool/stored_world.py
@@ -135,9 +135,9 @@
             each.keeper.are_there_stored = bool(self.ledger.entries)
             each.keeper.note_touch()
             is_due = self.now_ms >= self.begin_due_ms.get(each.name, 0)
-            if each.fence and not each.keeper.term and is_due:
+            if each.fence and each.keeper.needs_office and is_due:
                 self.begin_due_ms[each.name] = self.now_ms + 200
-                self.commit(commands.TakeOffice(each.fence))
+                self.commit(commands.TakeOffice(each.fence, self.now_ms))
 
 
 def build_step(count: int = 1, **more: object) -> messages.SubmittedStep:
--- a/packages/core/src/knapweedbeam_core/log/leading.py
+++ b/packages/core/src/knapweedbeam_core/log/leading.py
@@ -21,6 +21,7 @@
     next_index: int
     acked_ms: int
     match: int = 0
+    told_commit: int = 0
     busy_until_ms: int = 0
     snapshot_index: int = 0
     snapshot_offset: int = 0
@@ -101,6 +102,7 @@
         prev_term = held.get_term(prev_index)
         assert prev_term is not None
         chosen = held.get_from(progress.next_index, MAX_APPEND_BYTES)
+        progress.told_commit = self.journal.committed
         append = messages.AppendEntries(
             self.me,
             progress.replica,
@@ -157,7 +159,9 @@
         else:
             lowest = progress.match + 1
             progress.next_index = max(lowest, min(reply.match + 1, progress.next_index))
-        if not reply.accepted or progress.next_index <= self.journal.entries.last_index:
+        is_behind = progress.next_index <= self.journal.entries.last_index
+        is_told = progress.told_commit >= self.journal.committed
+        if not reply.accepted or is_behind or not is_told:
             return [self.send_next(reply.sender, now_ms)]
         return []
 
--- a/packages/core/src/knapweedbeam_core/log/replica.py
+++ b/packages/core/src/knapweedbeam_core/log/replica.py
@@ -209,7 +209,8 @@
         produced = self.count_votes()
         produced += self.advance_commit()
         if self.apply_committed() and self.leading is not None:
-            produced += self.leading.send_all(self.clock.now_ms())
+            # Replicas that owe an answer hear of the commit when they give it.
+            produced += self.leading.send_idle(self.clock.now_ms())
         produced += self.compact()
         if self.leading is not None and self.me not in self.journal.group.voters:
             produced += self.leave_office()
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -133,6 +133,8 @@
         endpoint.is_held = False
         for attempt in lost:
             endpoint.remove(attempt)
+            if attempt.owner is not None:
+                self.keeper.note_lost(attempt.owner)
             produced += self.settler.put_back(attempt, endpoint, why)
         return produced
 
--- a/packages/core/src/knapweedbeam_core/pool/jobs.py
+++ b/packages/core/src/knapweedbeam_core/pool/jobs.py
@@ -87,7 +87,8 @@
 class Task:
     """One task; `last_attempt` is the number of its newest start.
 
-    `progress` is the newest saved state, empty for none.
+    `progress` is the newest saved state, empty for none. `lost_ms` is when an endpoint
+    was lost on which it may have run, 0 for never.
     """
 
     job: Job
@@ -100,6 +101,7 @@
     failed_on: tuple[str, ...] = ()
     was_moved: bool = False
     progress: str = ""
+    lost_ms: int = 0
     spec: messages.SubmittedStep = dataclasses.field(init=False)
     need: room.Room = dataclasses.field(init=False)
 
--- a/packages/core/src/knapweedbeam_core/pool/keeping.py
+++ b/packages/core/src/knapweedbeam_core/pool/keeping.py
@@ -3,6 +3,10 @@
 A dispatcher begins with them once the log has its token, which ends the say of the one
 before it, and works from its own replica's ledger. The log has an end of a stored job's
 task before the endpoint may forget it; whoever comes next finds it in one of the two.
+
+What ran on an endpoint that was lost may have ended there, and another dispatcher may
+have had that kept. So it is started again only once the log has confirmed, after the
+loss, that this dispatcher is still the one.
 """
 
 from __future__ import annotations
@@ -47,11 +51,15 @@
         self.began_ms = 0
         self.resend_due_ms = 0
         self.in_touch_ms = 0
+        self.confirmed_ms = 0
+        self.lost_ms = 0
 
     def reset(self) -> None:
         """Forget the stored jobs: another dispatcher places them, or nobody yet."""
         self.term = 0
         self.began_ms = 0
+        self.confirmed_ms = 0
+        self.lost_ms = 0
         self.scheduled.clear()
         self.occurrences.clear()
 
@@ -71,8 +79,8 @@
     ) -> dispatcher.Effects:
         """Take one change."""
         match change:
-            case ledger.OfficeTaken(fence, term):
-                return self.on_office(fence, term, known)
+            case ledger.OfficeTaken(fence, term, asked_ms):
+                return self.on_office(fence, term, asked_ms, known)
             case ledger.Accepted(job_id, is_new) if is_new and self.term:
                 entry = known.entries.get(job_id)
                 is_open = entry is not None and entry.is_open
@@ -83,14 +91,32 @@
                 return self.on_ends_taken(ends, known)
         return []
 
+    @property
+    def needs_office(self) -> bool:
+        """Say whether the log is to be asked for the office, or for a confirmation."""
+        return not self.term or self.confirmed_ms < self.lost_ms
+
+    def note_lost(self, task: jobs.Task) -> None:
+        """Hold a task back that may have ended on an endpoint that was lost."""
+        if task.job.is_stored:
+            # One more than now: a confirmation that was asked for before counts not.
+            task.lost_ms = self.lost_ms = self.owner.clock.now_ms() + 1
+
+    def may_start(self, task: jobs.Task) -> bool:
+        """Say whether a task of a stored job is not held back."""
+        return task.lost_ms <= self.confirmed_ms
+
     def on_office(
-        self, fence: int, term: int, known: ledger.Ledger
+        self, fence: int, term: int, asked_ms: int, known: ledger.Ledger
     ) -> dispatcher.Effects:
         """Begin to place all open jobs; leave them to a later dispatcher."""
         if not self.owner.fence or fence < self.owner.fence:
             return []
         if fence > self.owner.fence:
             return self.abandon("replaced")
+        self.confirmed_ms = max(self.confirmed_ms, asked_ms)
+        if self.term == term:
+            return []
         self.term = term
         self.began_ms = self.in_touch_ms = self.owner.clock.now_ms()
         produced: dispatcher.Effects = []
--- a/packages/core/src/knapweedbeam_core/pool/starting.py
+++ b/packages/core/src/knapweedbeam_core/pool/starting.py
@@ -62,6 +62,8 @@
         for task in list(job.waiting):
             if task.step in full or not openings.may_fit(task):
                 continue
+            if job.is_stored and not self.owner.keeper.may_start(task):
+                continue
             wanted = openings.limit(task)
             allowed = self.owner.advisor.limit(task, wanted, now_ms)
             if task.spec.is_gang:
@@ -97,6 +99,8 @@
         members = task.job.find_members(task)
         if any(member.state != jobs.TaskState.WAITING for member in members):
             return []
+        if not all(self.owner.keeper.may_start(member) for member in members):
+            return []
         last_attempt = max(member.last_attempt for member in members)
         was_started = task.job.was_started
         started: list[tuple[jobs.Task, endpoints.Endpoint, calls.Start]] = []
--- a/packages/core/src/knapweedbeam_core/stored/commands.py
+++ b/packages/core/src/knapweedbeam_core/stored/commands.py
@@ -31,6 +31,7 @@
     """A dispatcher with this token places stored jobs from now on."""
 
     fence: int
+    asked_ms: int = 0
 
 
 Command = machine.Stored | Accept | Cancel | TakeEnds | TakeOffice
--- a/packages/core/src/knapweedbeam_core/stored/ledger.py
+++ b/packages/core/src/knapweedbeam_core/stored/ledger.py
@@ -67,10 +67,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OfficeTaken:
-    """A dispatcher may place stored jobs."""
+    """A dispatcher may place stored jobs, as it asked at `asked_ms` of its clock."""
 
     fence: int
     term: int
+    asked_ms: int = 0
 
 
 Change = Accepted | Cancelled | EndsTaken | OfficeTaken
@@ -103,8 +104,8 @@
                 return self.cancel(job_id, wall_ms)
             case commands.TakeEnds(fence, ends):
                 return self.take_ends(fence, ends, wall_ms)
-            case commands.TakeOffice(fence):
-                return self.take_office(fence)
+            case commands.TakeOffice(fence, asked_ms):
+                return self.take_office(fence, asked_ms)
         return None
 
     def accept(self, job: messages.StoredJob, wall_ms: int) -> Accepted:
@@ -123,14 +124,14 @@
             self.end(job_id, entry, messages.Verdict.CANCELLED, wall_ms)
         return Cancelled(job_id)
 
-    def take_office(self, fence: int) -> OfficeTaken | None:
+    def take_office(self, fence: int, asked_ms: int) -> OfficeTaken | None:
         """Let a dispatcher place stored jobs, unless a later one does."""
         if fence < self.state.fence:
             return None
         if fence > self.state.fence:
             self.state.fence = fence
             self.state.term += 1
-        return OfficeTaken(fence, self.state.term)
+        return OfficeTaken(fence, self.state.term, asked_ms)
 
     def take_ends(
         self, fence: int, ends: tuple[messages.NotedEnd, ...], wall_ms: int
--- a/packages/core/src/knapweedbeam_core/stored/messages.py
+++ b/packages/core/src/knapweedbeam_core/stored/messages.py
@@ -118,9 +118,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BeginDispatch:
-    """A dispatcher asks to place stored jobs; earlier ones note nothing any more."""
+    """A dispatcher asks to place stored jobs; earlier ones note nothing any more.
+
+    `asked_ms` is when it asked, by its own clock: it comes back with the log's answer.
+    """
 
     fence: int
+    asked_ms: int
 
 
 Question = KeepJob | CancelJob | LookUpJob | CountWaiting
--- a/packages/core/src/knapweedbeam_core/stored/registrar.py
+++ b/packages/core/src/knapweedbeam_core/stored/registrar.py
@@ -117,7 +117,7 @@
         """Let a dispatcher place stored jobs."""
         if not self.is_sure:
             return []
-        return self.add(commands.TakeOffice(begin.fence))
+        return self.add(commands.TakeOffice(begin.fence, begin.asked_ms))
 
     def add(self, command: commands.Command) -> Effects:
         """Add a change to the next batch."""
--- a/packages/core/tests/stored/test_histories.py
+++ b/packages/core/tests/stored/test_histories.py
@@ -25,6 +25,7 @@
     "log down",
     "log up",
     "take over",
+    "split",
     "cancel",
 )
 
@@ -69,6 +70,8 @@
                 self.world.log_cut.clear()
             case "take over":
                 self.take_over()
+            case "split":
+                self.split(size)
             case "cancel" if self.jobs:
                 job_id = f"j{1 + size % self.jobs}"
                 self.cancelled.add(job_id)
@@ -85,6 +88,17 @@
             steps += (stored_world.build_step(2, depends_on=(0,), estimate_ms=work_ms),)
         self.world.keep(f"j{self.jobs}", steps, work_ms)
 
+    def split(self, size: int) -> None:
+        """Cut the old dispatcher from the log and from endpoints of its successor."""
+        old = self.current
+        self.fence += 1
+        self.world.log_cut.add(old.name)
+        self.current = self.world.add_dispatcher(f"d{self.fence}", self.fence)
+        for number in range(ENDPOINTS):
+            inside = number % 2 == size % 2
+            name = old.name if inside else self.current.name
+            self.world.cut.add((name, f"e{number}"))
+
     def take_over(self) -> None:
         old = self.current
         self.fence += 1
--- a/packages/core/tests/stored/test_keeping.py
+++ b/packages/core/tests/stored/test_keeping.py
@@ -104,6 +104,30 @@
         self.assertEqual(self.world.get_state("j"), "complete")
         self.assertEqual(self.get_numbers("j"), [1, 1, 2, 2])
 
+    def test_one_cut_off_starts_nothing_again_that_its_successor_saw_end(self) -> None:
+        step = stored_world.build_step(2, estimate_ms=500)
+        self.world.keep("j", (step,), work_ms=500)
+        self.world.advance(100)
+        (used,) = {name for _, name, _ in self.world.starts}
+        self.world.log_cut.add("a")
+        self.world.cut.add(("a", used))
+        second = self.world.add_dispatcher("b", 11)
+        self.world.cut |= {("b", n) for n in self.world.endpoints if n != used}
+        self.world.advance(2_500)
+        self.assertEqual(second.keeper.term, 2)
+        self.assertEqual(self.world.get_state("j"), "complete")
+        self.assertEqual(self.get_numbers("j"), [1, 1])
+
+    def test_what_was_lost_is_started_again_once_the_log_confirms(self) -> None:
+        step = stored_world.build_step(2, estimate_ms=500)
+        self.world.keep("j", (step,), work_ms=500)
+        self.world.advance(100)
+        (used,) = {name for _, name, _ in self.world.starts}
+        self.world.endpoints[used].crash()
+        self.world.advance(2_000)
+        self.assertEqual(self.world.get_state("j"), "complete")
+        self.assertEqual(self.get_numbers("j"), [1, 1, 2, 2])
+
     def test_a_task_that_fails_too_often_fails_its_job(self) -> None:
         for endpoint in self.world.endpoints.values():
             endpoint.fails = True
--- a/packages/core/tests/stored/test_registrar.py
+++ b/packages/core/tests/stored/test_registrar.py
@@ -81,7 +81,7 @@
         self.registrar.update(self.ledger, False)
         self.assertEqual(self.keep(2, "j"), ["2 elsewhere"])
         self.assertEqual(self.ask(messages.LookUpJob(3, "x", "q")), ["3 elsewhere"])
-        self.assertEqual(self.registrar.on_begin(messages.BeginDispatch(4)), [])
+        self.assertEqual(self.registrar.on_begin(messages.BeginDispatch(4, 1)), [])
 
     def test_a_lost_batch_does_not_hold_up_the_next(self) -> None:
         self.keep(1, "j")
--- a/packages/server/src/knapweedbeam_server/fleet/stored_jobs.py
+++ b/packages/server/src/knapweedbeam_server/fleet/stored_jobs.py
@@ -230,6 +230,8 @@
         own = self.host.dispatcher
         if log.is_in_touch():
             own.keeper.note_touch()
-        if own.fence and not own.keeper.term and leader and now_ms >= self.begin_due_ms:
+        is_due = leader and now_ms >= self.begin_due_ms
+        if own.fence and own.keeper.needs_office and is_due:
             self.begin_due_ms = now_ms + BEGIN_PAUSE_MS
-            self.host.send(effects.Send(leader, messages.BeginDispatch(own.fence)))
+            begin = messages.BeginDispatch(own.fence, now_ms)
+            self.host.send(effects.Send(leader, begin))
--- a/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
@@ -148,4 +148,5 @@
 
 struct BeginDispatch {
   fence @0 :Int64;
+  askedMs @1 :Int64;
 }
