Look at endpoints whose answers are late, beside the hold that is open there

A hold that was lost hid its endpoint for half a second and more, and a start that was lost kept its room for 0.4 s. Ruled out: shorter time-outs of calls (a time-out closes a connection, and lossy links need 200 ms for a packet sent again). Change: pool.looking: a late start is doubtful after 60 ms, lists are asked for at once where they settle something, and 30 ms after a hold's answer was due; lists that were overtaken change nothing; polls of busy endpoints wait 100 ms at most.

--- a/bench/pool/world.py
+++ b/bench/pool/world.py
@@ -145,13 +145,22 @@
         self.fence = order.fence
         self.until_ms = max(self.until_ms, min(order.until_ms, self.limit_ms))
         self.ended = [end for end in self.ended if end.place > order.acked_end]
-        self.polls.append((order, reply))
         if self.ended or not order.wait_ms:
-            self.wake()
-        else:
-            self.world.after(order.wait_ms, self.wake)
+            reply(self.build_lists())
+            return None
+        waiting = (order, reply)
+        self.polls.append(waiting)
+        self.world.after(order.wait_ms, lambda: self.time_out(waiting))
         return None
 
+    def time_out(
+        self, waiting: tuple[calls.Hold, typing.Callable[[calls.Holding], None]]
+    ) -> None:
+        """Answer a hold that waited for as long as it said."""
+        if waiting in self.polls:
+            self.polls.remove(waiting)
+            waiting[1](self.build_lists())
+
     @property
     def limit_ms(self) -> int:
         """Return the longest lease from now."""
@@ -161,12 +170,16 @@
         """Answer the holds that wait."""
         polls, self.polls = self.polls, []
         for _, reply in polls:
-            running = tuple(
-                calls.Running(r.task, r.number, self.saved.get(r.task, ""))
-                for r in self.runs.values()
-            )
-            reading = clocks.Reading(self.world.now_ms, 0, 0)
-            reply(calls.Holding(self.born_ms, reading, running, tuple(self.ended)))
+            reply(self.build_lists())
+
+    def build_lists(self) -> calls.Holding:
+        """Return what runs and what has ended."""
+        running = tuple(
+            calls.Running(r.task, r.number, self.saved.get(r.task, ""))
+            for r in self.runs.values()
+        )
+        reading = clocks.Reading(self.world.now_ms, 0, 0)
+        return calls.Holding(self.born_ms, reading, running, tuple(self.ended))
 
     def crash(self) -> None:
         """Run nothing and answer nothing from now on."""
@@ -192,6 +205,7 @@
         self.starts: list[tuple[int, str, calls.Start]] = []
         self.breaches: list[str] = []
         self.placing: set[str] = set()
+        self.drop_share = 0.0
         self.allowed: dict[str, set[str]] = {}
         self.advice_calls: list[calls.AskAdvice] = []
 
@@ -284,6 +298,8 @@
                     self.call(by, effect, by.on_stop_answer)
                 case calls.BeginHolding(endpoint):
                     self.poll(by, endpoint)
+                case calls.Look(endpoint):
+                    self.look(by, endpoint)
                 case calls.AskAdvice():
                     self.advise(by, effect)
                 case calls.NoteEnd():
@@ -327,6 +343,15 @@
         if produced:
             self.run(by, produced)
 
+    def draw_delay_ms(self) -> int:
+        """Return how late an order is carried out, 0 for at once.
+
+        A late one gets no answer.
+        """
+        if self.rng.random() >= self.drop_share:
+            return 0
+        return self.rng.randint(2_000, 12_000)
+
     def call(
         self,
         by: dispatcher.Dispatcher,
@@ -351,7 +376,8 @@
                 verdict = endpoint.start(order)
             else:
                 verdict = endpoint.stop(order)
-            if is_start and (endpoint.loses_answers or endpoint.late_start_ms):
+            is_lost = is_start and (endpoint.loses_answers or endpoint.late_start_ms)
+            if is_lost or dropped_ms:
                 return
             clock_ms = self.now_ms
             self.after(LATENCY_MS, lambda: settle(verdict, clock_ms))
@@ -362,7 +388,8 @@
                 answer(verdict, clock_ms)
 
         done: list[bool] = []
-        delay_ms = endpoint.late_start_ms if is_start else 0
+        dropped_ms = self.draw_delay_ms()
+        delay_ms = dropped_ms or (endpoint.late_start_ms if is_start else 0)
         self.after(LATENCY_MS + delay_ms, arrive)
         self.after(CALL_TIMEOUT_MS, lambda: settle(calls.Verdict.UNKNOWN, None))
 
@@ -371,36 +398,59 @@
         order = by.build_hold(name)
         if order is None:
             return
-        endpoint = self.endpoints[name]
+
+        def settle(answer: calls.Holding | calls.HoldFailed) -> None:
+            if isinstance(answer, calls.HoldFailed):
+                self.run(by, by.on_hold_failed(order, answer))
+                self.after(100, lambda: self.poll(by, name))
+                return
+            self.run(by, by.on_holding(order, answer))
+            self.poll(by, name)
+
+        self.hold(by, order, settle)
+
+    def look(self, by: dispatcher.Dispatcher, name: str) -> None:
+        """Look once at an endpoint's lists."""
+        order = by.build_look(name)
+        if order is not None:
+            self.hold(
+                by, order, lambda answer: self.run(by, by.on_looked(order, answer))
+            )
+
+    def hold(
+        self,
+        by: dispatcher.Dispatcher,
+        order: calls.Hold,
+        on_answer: typing.Callable[[calls.Holding | calls.HoldFailed], None],
+    ) -> None:
+        """Send a hold and bring back its end."""
+        endpoint = self.endpoints[order.target.endpoint]
         sent_ms = self.now_ms
+        dropped_ms = self.draw_delay_ms()
         done: list[bool] = []
 
         def answered(holding: calls.Holding) -> None:
-            if self.is_cut(by.name, endpoint):
+            if self.is_cut(by.name, endpoint) or dropped_ms:
                 return
             self.after(LATENCY_MS, lambda: settle(holding))
 
-        def settle(holding: calls.Holding | calls.HoldFailed) -> None:
+        def settle(answer: calls.Holding | calls.HoldFailed) -> None:
             if done:
                 return
             done.append(True)
-            if isinstance(holding, calls.HoldFailed):
-                self.run(by, by.on_hold_failed(order, holding))
-                self.after(100, lambda: self.poll(by, name))
-                return
-            reading = clocks.Reading(holding.reading.clock_ms, sent_ms, self.now_ms)
-            holding = dataclasses.replace(holding, reading=reading)
-            self.run(by, by.on_holding(order, holding))
-            self.poll(by, name)
+            if isinstance(answer, calls.Holding):
+                reading = clocks.Reading(answer.reading.clock_ms, sent_ms, self.now_ms)
+                answer = dataclasses.replace(answer, reading=reading)
+            on_answer(answer)
 
         def arrive() -> None:
             if self.is_cut(by.name, endpoint):
                 return
             verdict = endpoint.hold(order, answered)
-            if verdict is not None:
+            if verdict is not None and not dropped_ms:
                 self.after(LATENCY_MS, lambda: settle(calls.HoldFailed(verdict)))
 
-        self.after(LATENCY_MS, arrive)
+        self.after(LATENCY_MS + dropped_ms, arrive)
         timeout_ms = order.wait_ms + CALL_TIMEOUT_MS
         failed = calls.HoldFailed(calls.Verdict.UNKNOWN)
         self.after(timeout_ms, lambda: settle(failed))
--- a/packages/core/src/knapweedbeam_core/pool/calls.py
+++ b/packages/core/src/knapweedbeam_core/pool/calls.py
@@ -87,6 +87,13 @@
     allowed: tuple[tuple[str, str], ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Look:
+    """Look once at what an endpoint lists, beside the hold that is open."""
+
+    endpoint: str
+
+
 class Verdict(enum.Enum):
     """How an order to an endpoint ended."""
 
@@ -168,4 +175,4 @@
     end: End
 
 
-Order = Start | Stop | BeginHolding | AskAdvice
+Order = Start | Stop | BeginHolding | Look | AskAdvice
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -326,6 +326,27 @@
         endpoint = self.endpoints.get(name)
         return endpoint is not None and bool(endpoint.open_ends)
 
+    def build_look(self, name: str) -> calls.Hold | None:
+        """Return a look at an endpoint, or none if it is not held any more."""
+        endpoint = self.endpoints.get(name)
+        if endpoint is None or not self.fence or not endpoint.is_held:
+            return None
+        return self.settler.build_look(endpoint)
+
+    def on_looked(
+        self, hold: calls.Hold, answer: calls.Holding | calls.HoldFailed
+    ) -> Effects:
+        """Take the end of a look; one that fails shows nothing but a higher token."""
+        endpoint = self.find(hold.target)
+        if endpoint is None or hold.fence != self.fence:
+            return []
+        endpoint.open_looks = max(0, endpoint.open_looks - 1)
+        if isinstance(answer, calls.Holding):
+            return self.settler.on_holding(endpoint, hold, answer)
+        if answer.verdict == calls.Verdict.FENCED:
+            return self.settler.on_fenced(endpoint)
+        return []
+
     def on_holding(self, hold: calls.Hold, answer: calls.Holding) -> Effects:
         """Take the lists of an endpoint."""
         endpoint = self.find(hold.target)
--- a/packages/core/src/knapweedbeam_core/pool/endpoints.py
+++ b/packages/core/src/knapweedbeam_core/pool/endpoints.py
@@ -46,7 +46,8 @@
 
     `seen_end` is the place of the newest end that was taken. `open_ends` are ends that
     must not be acknowledged yet, by place: the log has to keep them first, or it isn't
-    known whether it has to.
+    known whether it has to. `list_clock_ms` is the endpoint's clock in its newest
+    lists, `listed_ms` when they came; the open hold's answer is due at `answer_due_ms`.
     """
 
     def __init__(self, said: messages.EndpointNews, heard_ms: int) -> None:
@@ -60,6 +61,11 @@
         self.is_held = False
         self.is_polled = False
         self.failed_polls = 0
+        self.list_clock_ms = -1
+        self.listed_ms = 0
+        self.answer_due_ms = 0
+        self.look_due_ms = 0
+        self.open_looks = 0
         self.seen_end = 0
         self.open_ends: dict[int, calls.End] = {}
         self.lease_until_ms = 0
--- a/packages/core/src/knapweedbeam_core/pool/listing.py
+++ b/packages/core/src/knapweedbeam_core/pool/listing.py
@@ -10,7 +10,7 @@
     from knapweedbeam_core.pool import dispatcher, settling
 
 # A start without an answer is stopped once a list taken this long after it lacks it.
-DOUBT_MS = 100
+DOUBT_MS = 60
 # A stop is sent again while the endpoint still lists what was to be stopped.
 STOP_AGAIN_MS = 150
 # Clocks are read in whole milliseconds at both ends.
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/pool/looking.py
@@ -0,0 +1,49 @@
+"""When to look at an endpoint beside the hold that is open there.
+
+Load: a share of all orders gets no answer and is carried out seconds later. A hold
+that is lost hides an endpoint until its time-out, and a start that is lost keeps room
+and task until its stop is seen to be done. A look costs one small call and settles both.
+"""
+
+from __future__ import annotations
+
+from knapweedbeam_core.pool import calls, endpoints
+
+# Links take about a millisecond; pauses of a sound process stay below this.
+LATE_ANSWER_MS = 30
+# A start is answered as soon; one that is not may be lost.
+LATE_START_MS = 60
+# Between two looks at one endpoint, and how many may be open there.
+LOOK_PAUSE_MS = 40
+OPEN_LOOKS = 2
+
+
+def doubt_late_starts(endpoint: endpoints.Endpoint, now_ms: int) -> None:
+    """Count starts that were not answered in time as doubtful."""
+    for attempt in endpoint.attempts.values():
+        is_late = now_ms - attempt.sent_ms > LATE_START_MS
+        if attempt.state == endpoints.AttemptState.STARTING and is_late:
+            attempt.state = endpoints.AttemptState.DOUBTFUL
+
+
+def look(endpoint: endpoints.Endpoint, now_ms: int, stop_ms: int) -> list[calls.Look]:
+    """Return a look if the lists are needed sooner than the open hold brings them."""
+    is_late = now_ms > endpoint.answer_due_ms + LATE_ANSWER_MS
+    if not is_late and not has_open_question(endpoint, now_ms, stop_ms):
+        return []
+    if now_ms < endpoint.look_due_ms or endpoint.open_looks >= OPEN_LOOKS:
+        return []
+    endpoint.look_due_ms = now_ms + LOOK_PAUSE_MS
+    endpoint.open_looks += 1
+    return [calls.Look(endpoint.said.endpoint)]
+
+
+def has_open_question(endpoint: endpoints.Endpoint, now_ms: int, stop_ms: int) -> bool:
+    """Say whether new lists would settle a start or a stop."""
+    for attempt in endpoint.attempts.values():
+        if attempt.stop_clock_ms:
+            if now_ms - attempt.stop_sent_ms > stop_ms:
+                return True
+        elif attempt.state == endpoints.AttemptState.DOUBTFUL:
+            return True
+    return False
--- a/packages/core/src/knapweedbeam_core/pool/settling.py
+++ b/packages/core/src/knapweedbeam_core/pool/settling.py
@@ -18,6 +18,7 @@
     endpoints,
     jobs,
     listing,
+    looking,
     messages,
     notes,
     speeds,
@@ -28,11 +29,16 @@
 
 # A poll comes back at the next end; this long bounds how stale the lists get.
 POLL_MS = 250
+# Where something runs, a poll that was lost is to be noticed before its end is late:
+# objectives grant some 100 ms beside the work.
+BUSY_POLL_MS = 100
 # While something is in doubt, the lists are asked for more often.
 DOUBT_POLL_MS = 30
 # Time for entry VMs to name the jobs of what runs on endpoints just taken over: they
 # hear of the new dispatcher within one message. Leases are not renewed meanwhile.
 ADOPT_MS = 250
+# A poll that was lost counts for nothing when other lists came this lately.
+FRESH_LIST_MS = 200
 # An endpoint that answers no poll and announces nothing for this long is forgotten.
 FORGET_MS = 10_000
 
@@ -85,13 +91,24 @@
             wait_ms = 0
         elif self.has_doubts(endpoint):
             wait_ms = DOUBT_POLL_MS
+        endpoint.answer_due_ms = self.now_ms + wait_ms
+        return self.build_call(endpoint, until_ms, wait_ms)
+
+    def build_look(self, endpoint: endpoints.Endpoint) -> calls.Hold:
+        """Return a hold that renews nothing and is answered at once."""
+        return self.build_call(endpoint, 0, 0)
+
+    def build_call(
+        self, endpoint: endpoints.Endpoint, until_ms: int, wait_ms: int
+    ) -> calls.Hold:
+        """Return a hold."""
         return calls.Hold(
             endpoint.target, self.owner.fence, until_ms, endpoint.acked_end, wait_ms
         )
 
     def get_wait_ms(self, endpoint: endpoints.Endpoint) -> int:
         """Return how long a hold may wait: no longer than until a task is overdue."""
-        wait_ms = POLL_MS
+        wait_ms = BUSY_POLL_MS if endpoint.attempts else POLL_MS
         if endpoint.reading is None:
             return wait_ms
         clock_ms = endpoint.reading.get_earliest_ms(self.now_ms)
@@ -326,7 +343,11 @@
             if end.place > endpoint.seen_end:
                 endpoint.seen_end = end.place
                 produced += self.on_end(endpoint, end)
-        produced += self.lists.compare(endpoint, answer)
+        endpoint.listed_ms = self.now_ms
+        if answer.reading.clock_ms > endpoint.list_clock_ms:
+            # Answers on different connections may overtake each other.
+            endpoint.list_clock_ms = answer.reading.clock_ms
+            produced += self.lists.compare(endpoint, answer)
         return produced
 
     def on_end(
@@ -460,6 +481,9 @@
         """
         if failed.verdict == calls.Verdict.FENCED:
             return self.on_fenced(endpoint)
+        is_listed = self.now_ms - endpoint.listed_ms < FRESH_LIST_MS
+        if failed.verdict == calls.Verdict.UNKNOWN and is_listed:
+            return []
         endpoint.failed_polls += 1
         if failed.verdict == calls.Verdict.REBORN and endpoint.attempts:
             return self.owner.lose_endpoint(endpoint, "another life answers")
@@ -471,6 +495,10 @@
         """Settle what only time settles."""
         produced: dispatcher.Effects = []
         for endpoint in list(self.owner.endpoints.values()):
+            if endpoint.is_held:
+                looking.doubt_late_starts(endpoint, now_ms)
+                stop_ms = self.owner.bounds.stop_ms
+                produced += looking.look(endpoint, now_ms, stop_ms)
             if endpoint.failed_polls:
                 produced += self.tick_silent(endpoint, now_ms)
             else:
--- a/packages/core/tests/pool/test_dispatcher.py
+++ b/packages/core/tests/pool/test_dispatcher.py
@@ -235,6 +235,44 @@
         self.assertEqual(self.count("JobComplete", 6), 6)
 
 
+class LostOrdersTest(unittest.TestCase):
+    """A share of all orders gets no answer and is carried out seconds later."""
+
+    def setUp(self) -> None:
+        self.world = world.World()
+        for number in range(8):
+            self.world.add_endpoint(f"e{number}")
+        self.dispatcher = self.world.add_dispatcher("a", 10)
+        self.world.advance(50)
+
+    def play(self, drop_share: float) -> list[int]:
+        """Play 100 jobs of two tasks of 100 ms; return how long the ended ones took."""
+        self.world.drop_share = drop_share
+        began: dict[str, int] = {}
+        for number in range(100):
+            began[f"j{number}"] = self.world.now_ms
+            self.world.submit(self.dispatcher, f"j{number}", 2, 100)
+            self.world.advance(40)
+        self.world.advance(3_000)
+        self.assertEqual(self.world.breaches, [])
+        return [
+            self.world.outcomes[job_id][1] - began_ms
+            for job_id, began_ms in began.items()
+            if self.world.get_outcome(job_id) == "JobComplete"
+        ]
+
+    def test_few_lost_orders_delay_few_jobs(self) -> None:
+        took = self.play(0.055)
+        self.assertEqual(len(took), 100)
+        # Of jobs that lose no start, 0.945 squared of all, nine in ten are in time.
+        self.assertGreaterEqual(sum(each <= 220 for each in took), 80)
+        self.assertGreaterEqual(sum(each <= 660 for each in took), 99)
+
+    def test_many_lost_orders_leave_most_jobs_of_use(self) -> None:
+        took = self.play(0.3)
+        self.assertGreaterEqual(sum(each <= 660 for each in took), 75)
+
+
 class SilentEntryTest(unittest.TestCase):
     """An entry VM whose heartbeats are late for half a second, and one that died."""
 
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -171,6 +171,7 @@
                     calls.Start()
                     | calls.Stop()
                     | calls.BeginHolding()
+                    | calls.Look()
                     | calls.AskAdvice()
                 ):
                     self.orders.take(effect)
--- a/packages/server/src/knapweedbeam_server/fleet/orders.py
+++ b/packages/server/src/knapweedbeam_server/fleet/orders.py
@@ -45,6 +45,8 @@
                 gevent.spawn(self.stop, order)
             case calls.BeginHolding(endpoint):
                 gevent.spawn(self.hold, endpoint)
+            case calls.Look(endpoint):
+                gevent.spawn(self.look, endpoint)
             case calls.AskAdvice():
                 gevent.spawn(self.ask_advice, order)
             case _:
@@ -62,6 +64,16 @@
         self.counts.note_order("stop", answer.verdict.value)
         self.run(self.decisions.on_stop_answer(order, answer))
 
+    def look(self, endpoint: str) -> None:
+        """Look once at what an endpoint lists."""
+        order = self.decisions.build_look(endpoint)
+        if order is None:
+            return
+        answer = self.client.hold(order)
+        end = answer.verdict.value if isinstance(answer, calls.HoldFailed) else "listed"
+        self.counts.note_order("look", end)
+        self.run(self.decisions.on_looked(order, answer))
+
     def ask_advice(self, order: calls.AskAdvice) -> None:
         """Ask which endpoints may run a step."""
         advice = self.client.ask_advice(order)
