--- a/packages/core/src/knapweedbeam_core/pool/looking.py
+++ b/packages/core/src/knapweedbeam_core/pool/looking.py
@@ -2,7 +2,7 @@
 
 Load: a share of all orders gets no answer and is carried out seconds later. A hold
 that is lost hides an endpoint until its time-out, and a start that is lost keeps room
-and task until its stop is seen to be done. A look costs one small call and settles both.
+and task until its stop is seen to be done. A look is one small call and settles both.
 """
 
 from __future__ import annotations
