Tell those that may dispatch next how fast endpoints are

Ruled out: detection (office taken 0.57 s after the last heartbeat), room (tasks were placed with 127 ms of slack in the middle). Change: the dispatcher passes on what it learned once a second; it counts in the same life of an endpoint alone. Before: the new test places on the slow endpoint after a takeover; after: not.

--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -146,6 +146,30 @@
             for known in self.endpoints.values()
         ]
 
+    def list_speeds(self) -> messages.SpeedsLearned:
+        """Return what was learned of the endpoints' speeds."""
+        return messages.SpeedsLearned(
+            tuple(
+                messages.LearnedSpeed(
+                    known.said.endpoint,
+                    known.said.born_ms,
+                    known.speed.value,
+                    known.speed.samples,
+                )
+                for known in self.endpoints.values()
+                if known.speed.samples
+            )
+        )
+
+    def on_speeds(self, learned: messages.SpeedsLearned) -> None:
+        """Take what the dispatcher learned, in case this process follows it."""
+        if self.fence:
+            return
+        for each in learned.speeds:
+            known = self.endpoints.get(each.endpoint)
+            if known is not None and known.said.born_ms == each.born_ms:
+                known.speed.take_over(each.speed, each.samples)
+
     def has_whole_view(self, service: str) -> bool:
         """Say whether every endpoint of a service is held.
 
--- a/packages/core/src/knapweedbeam_core/pool/messages.py
+++ b/packages/core/src/knapweedbeam_core/pool/messages.py
@@ -152,7 +152,25 @@
     following: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LearnedSpeed:
+    """How fast one life of an endpoint works: see `speeds.Speed`."""
+
+    endpoint: str
+    born_ms: int
+    speed: float
+    samples: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SpeedsLearned:
+    """What the dispatcher has learned of endpoints, for those that may follow it."""
+
+    speeds: tuple[LearnedSpeed, ...]
+
+
 CLASSES: tuple[type, ...] = (
+    SpeedsLearned,
     EndpointNews,
     EndpointNewsHeld,
     EndpointGone,
--- a/packages/core/src/knapweedbeam_core/pool/speeds.py
+++ b/packages/core/src/knapweedbeam_core/pool/speeds.py
@@ -46,6 +46,12 @@
         weight = max(WEIGHT, FIRST_WEIGHT / self.samples)
         self.log_mean += weight * (math.log(ratio) - self.log_mean)
 
+    def take_over(self, speed: float, samples: int) -> None:
+        """Go on from what another dispatcher has learned."""
+        bounded = min(MAX_SPEED, max(MIN_SPEED, speed))
+        self.log_mean = math.log(bounded)
+        self.samples = samples
+
     def get_run_ms(self, estimate_ms: float) -> float:
         """Return how long a task of this estimate takes here."""
         return estimate_ms / self.value + OVERHEAD_MS
--- a/packages/core/src/knapweedbeam_core/stored/clerk.py
+++ b/packages/core/src/knapweedbeam_core/stored/clerk.py
@@ -25,7 +25,7 @@
 
 @dataclasses.dataclass(slots=True)
 class OpenQuestion:
-    """A question on its way; `was_taken` says that it may have changed something."""
+    """A question on its way; once `was_sent`, it may have changed something."""
 
     question: messages.Question
     asked_ms: int
--- a/packages/core/tests/pool/test_dispatcher.py
+++ b/packages/core/tests/pool/test_dispatcher.py
@@ -410,6 +410,32 @@
         self.assertTrue(second.endpoints[used].is_held)
         self.assertEqual(self.world.get_outcome("j"), "JobComplete")
 
+    def test_a_successor_knows_how_fast_endpoints_are(self) -> None:
+        self.world.endpoints["e0"].speed = 0.4
+        for number in range(30):
+            self.world.submit(self.first, f"j{number}", 3, 200)
+            self.world.advance(150)
+        self.world.advance(1_000)
+        second = self.world.add_dispatcher("b", 0)
+        second.on_speeds(self.first.list_speeds())
+        self.world.run(self.first, self.first.set_fence(0))
+        self.world.run(second, second.set_fence(11))
+        self.world.advance(50)
+        before = len(self.world.starts)
+        self.world.submit(second, "k", 4, 200)
+        self.world.advance(20)
+        used = {name for _, name, _ in self.world.starts[before:]}
+        self.assertEqual(used, {"e1", "e2"})
+
+    def test_speeds_of_another_life_or_in_office_are_not_taken(self) -> None:
+        learned = messages.SpeedsLearned((messages.LearnedSpeed("e0", 2, 0.4, 9),))
+        standby = self.world.add_dispatcher("b", 0)
+        standby.on_speeds(learned)
+        self.assertEqual(standby.endpoints["e0"].speed.samples, 0)
+        known = messages.SpeedsLearned((messages.LearnedSpeed("e0", 1, 0.4, 9),))
+        self.first.on_speeds(known)
+        self.assertEqual(self.first.endpoints["e0"].speed.samples, 0)
+
     def test_strangers_that_nobody_names_are_stopped(self) -> None:
         self.world.submit(self.first, "j", count=6, work_ms=5_000, estimate_ms=500)
         self.world.advance(100)
--- a/packages/server/src/knapweedbeam_server/fleet/announcing.py
+++ b/packages/server/src/knapweedbeam_server/fleet/announcing.py
@@ -42,11 +42,7 @@
         An endpoint that leaves is acknowledged only once its dispatcher knows.
         """
         self.host.run(self.host.dispatcher.on_endpoint_news(news))
-        hubs = self.host.members.get_core_names() | set(
-            self.host.members.get_standbys()
-        )
-        for name in sorted(hubs - {self.host.members.name}):
-            self.host.send(effects.Send(name, news))
+        self.tell_hubs(news)
         if (
             news.state != messages.EndpointState.LEAVING
             or self.host.leadership.generation
@@ -75,8 +71,16 @@
     def lose(self, gone: messages.EndpointGone) -> None:
         """Take an endpoint's farewell and pass it on."""
         self.host.run(self.host.dispatcher.on_gone(gone))
-        hubs = self.host.members.get_core_names() | set(
-            self.host.members.get_standbys()
-        )
-        for name in sorted(hubs - {self.host.members.name}):
-            self.host.send(effects.Send(name, gone))
+        self.tell_hubs(gone)
+
+    def tell_hubs(self, message: effects.Message) -> None:
+        """Tell every process that may dispatch."""
+        members = self.host.members
+        hubs = members.get_core_names() | set(members.get_standbys())
+        for name in sorted(hubs - {members.name}):
+            self.host.send(effects.Send(name, message))
+
+    def pass_speeds(self) -> None:
+        """Tell those that may follow this dispatcher how fast endpoints are."""
+        if self.host.leadership.generation:
+            self.tell_hubs(self.host.dispatcher.list_speeds())
--- a/packages/server/src/knapweedbeam_server/fleet/mail.py
+++ b/packages/server/src/knapweedbeam_server/fleet/mail.py
@@ -49,6 +49,8 @@
                 self.node.announcing.take_news(sender, message)
             case messages.EndpointNewsHeld():
                 self.node.announcing.take_held(message)
+            case messages.SpeedsLearned():
+                self.node.dispatcher.on_speeds(message)
             case messages.EndpointGone():
                 self.node.run(self.node.dispatcher.on_gone(message))
             case fleet_messages.ManifestWanted(held_version):
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -35,6 +35,8 @@
 TICK_S = 0.02
 # The group of links changes with members only, and a look at it costs some time.
 LINKS_MS = 200
+# Speeds change within seconds; a message names some 40 bytes for each endpoint.
+SPEEDS_MS = 1_000
 # A lost peer is to be noticed within half a second: see `membership.SILENT_MS`.
 LINK_TIMES = links.LinkTimes(
     connect_s=0.5, handshake_s=0.5, silence_s=3.0, unacked_ms=600, max_retry_s=0.25
@@ -114,6 +116,7 @@
         self.is_stopping = False
         self.is_placing = False
         self.links_due_ms = 0
+        self.speeds_due_ms = 0
 
     def build_log(self, rng: random.Random) -> shared_log.SharedLog | None:
         """Return the replica of a process that has a data folder."""
@@ -236,6 +239,9 @@
         if now_ms >= self.links_due_ms:
             self.links_due_ms = now_ms + LINKS_MS
             self.update_links()
+        if now_ms >= self.speeds_due_ms:
+            self.speeds_due_ms = now_ms + SPEEDS_MS
+            self.announcing.pass_speeds()
 
     def build_presence(self) -> fleet_messages.Presence:
         """Return what this process says of itself."""
--- a/packages/server/src/knapweedbeam_server/fleet/stored_jobs.py
+++ b/packages/server/src/knapweedbeam_server/fleet/stored_jobs.py
@@ -212,7 +212,7 @@
     # Time.
 
     def has_stored(self) -> bool:
-        """Say whether the ledger of this process holds open jobs."""
+        """Say whether the ledger of this process holds any jobs."""
         log = self.host.log
         return log is not None and bool(log.machine.ledger.entries)
 
--- a/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
@@ -150,3 +150,14 @@
   fence @0 :Int64;
   askedMs @1 :Int64;
 }
+
+struct LearnedSpeed {
+  endpoint @0 :Text;
+  bornMs @1 :Int64;
+  speed @2 :Float64;
+  samples @3 :Int64;
+}
+
+struct SpeedsLearned {
+  speeds @0 :List(LearnedSpeed);
+}
