--- a/bench/pool/stored_world.py
+++ b/bench/pool/stored_world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from bench.pool import world
+from knapweedbeam_core.manifests import manifest
 from knapweedbeam_core.pool import calls, dispatcher, jobs, messages
 from knapweedbeam_core.stored import commands, ledger
 from knapweedbeam_core.stored import messages as stored_messages
@@ -59,18 +60,14 @@
         self.cpu_millis[job_id] = max(step.cpu_millis for step in steps)
         job = stored_messages.StoredJob(
             job_id,
-            "queue",
-            "service",
-            0,
-            max_attempts,
-            1.6,
-            60,
+            manifest.Terms(
+                "queue", "service", 0, max_attempts, 1.6, 60, advice_valid_ms
+            ),
             "spec",
             steps,
             repeat_count,
             self.clock.wall_ms() + start_in_ms,
             interval_ms,
-            advice_valid_ms,
         )
         self.commit(commands.Accept(job))
 
--- a/bench/pool/world.py
+++ b/bench/pool/world.py
@@ -9,6 +9,7 @@
 import typing
 
 from knapweedbeam_core import clock, effects
+from knapweedbeam_core.manifests import manifest
 from knapweedbeam_core.pool import calls, clocks, dispatcher, messages, settling
 
 LATENCY_MS = 1
@@ -274,12 +275,7 @@
         )
         submit = messages.Submit(
             job_id,
-            queue,
-            "service",
-            priority,
-            max_attempts,
-            slack_factor,
-            60,
+            manifest.Terms(queue, "service", priority, max_attempts, slack_factor, 60),
             "spec",
             (step,),
             age_ms,
--- a/packages/core/src/knapweedbeam_core/manifests/manifest.py
+++ b/packages/core/src/knapweedbeam_core/manifests/manifest.py
@@ -6,8 +6,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Queue:
-    """Where callers hand in one class of jobs.
+class Terms:
+    """What a queue promises of its jobs.
 
     A job's objective is `slack_factor` times its work plus `allowance_ms`. The
     lowest `priority` comes first. A task may fail `max_attempts` times. Where
@@ -15,18 +15,30 @@
     endpoints are allowed, and its word is good for that long.
     """
 
-    name: str
-    host: str
-    path_prefix: str
+    queue: str
     service: str
-    timeout_ms: int
-    allowance_ms: int
     priority: int
     max_attempts: int
     slack_factor: float
+    allowance_ms: int
     advice_valid_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Queue:
+    """Where callers hand in one class of jobs, and on which terms."""
+
+    host: str
+    path_prefix: str
+    timeout_ms: int
+    terms: Terms
+
+    @property
+    def name(self) -> str:
+        """Return the queue's name."""
+        return self.terms.queue
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
     """A group of endpoints; some guard their own room."""
@@ -96,7 +108,7 @@
         if place in places:
             return InvalidManifest(f"queue {queue.name} shares host and prefix")
         places.add(place)
-        if queue.service not in services:
+        if queue.terms.service not in services:
             return InvalidManifest(f"queue {queue.name} names an unknown service")
         if queue.timeout_ms <= 0:
             return InvalidManifest(f"queue {queue.name} has no time-out")
--- a/packages/core/src/knapweedbeam_core/pool/desk.py
+++ b/packages/core/src/knapweedbeam_core/pool/desk.py
@@ -115,18 +115,12 @@
         job.sent_ms = now_ms
         submit = messages.Submit(
             job.job_id,
-            job.queue.name,
-            job.queue.service,
-            job.queue.priority,
-            job.queue.max_attempts,
-            job.queue.slack_factor,
-            job.queue.allowance_ms,
+            job.queue.terms,
             job.spec,
             job.steps,
             now_ms - job.taken_ms,
             max(0, job.give_up_ms - now_ms),
             (job.sends - 1) * ATTEMPTS_PER_DISPATCHER,
-            job.queue.advice_valid_ms,
         )
         return [effects.Send(self.dispatcher, submit)]
 
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -232,20 +232,11 @@
     ) -> jobs.Job:
         """Return the job that a message describes."""
         now_ms = self.clock.now_ms()
-        terms = jobs.Terms(
-            submit.queue,
-            submit.service,
-            submit.priority,
-            submit.max_attempts,
-            submit.slack_factor,
-            submit.allowance_ms,
-            submit.advice_valid_ms,
-        )
         base = max(submit.attempt_base, ended.last_attempt if ended else 0)
         job = jobs.Job(
             submit.job_id,
             sender,
-            terms,
+            submit.terms,
             submit.spec,
             submit.steps,
             now_ms - submit.age_ms,
--- a/packages/core/src/knapweedbeam_core/pool/jobs.py
+++ b/packages/core/src/knapweedbeam_core/pool/jobs.py
@@ -5,6 +5,7 @@
 import dataclasses
 import enum
 
+from knapweedbeam_core.manifests import manifest
 from knapweedbeam_core.pool import messages, room
 
 # A job that ends within this many objectives still earns its caller something.
@@ -59,22 +60,6 @@
     return f"{parts[0]}.{parts[1]}"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Terms:
-    """What the queue of a job promises: see `manifests.manifest.Queue`.
-
-    `advice_valid_ms` is 0 where no advice is needed.
-    """
-
-    queue: str
-    service: str
-    priority: int
-    max_attempts: int
-    slack_factor: float
-    allowance_ms: int
-    advice_valid_ms: int = 0
-
-
 class TaskState(enum.Enum):
     """Where a task stands."""
 
@@ -126,7 +111,7 @@
         self,
         job_id: str,
         entry: str,
-        terms: Terms,
+        terms: manifest.Terms,
         spec: str,
         steps: tuple[messages.SubmittedStep, ...],
         born_ms: int,
--- a/packages/core/src/knapweedbeam_core/pool/keeping.py
+++ b/packages/core/src/knapweedbeam_core/pool/keeping.py
@@ -212,19 +212,10 @@
         age_ms = max(0, self.owner.clock.wall_ms() - since_ms)
         base = (self.term - 1) * ATTEMPTS_PER_TERM
         ended = self.owner.ended.get(jobs.build_key(kept.job_id, occurrence))
-        terms = jobs.Terms(
-            kept.queue,
-            kept.service,
-            kept.priority,
-            kept.max_attempts,
-            kept.slack_factor,
-            kept.allowance_ms,
-            kept.advice_valid_ms,
-        )
         job = jobs.Job(
             kept.job_id,
             "",
-            terms,
+            kept.terms,
             kept.spec,
             kept.steps,
             now_ms - age_ms,
--- a/packages/core/src/knapweedbeam_core/pool/messages.py
+++ b/packages/core/src/knapweedbeam_core/pool/messages.py
@@ -6,6 +6,7 @@
 import enum
 
 from knapweedbeam_core import reasons
+from knapweedbeam_core.manifests import manifest
 
 
 class EndpointState(enum.StrEnum):
@@ -99,18 +100,12 @@
     """
 
     job_id: str
-    queue: str
-    service: str
-    priority: int
-    max_attempts: int
-    slack_factor: float
-    allowance_ms: int
+    terms: manifest.Terms
     spec: str
     steps: tuple[SubmittedStep, ...]
     age_ms: int
     patience_ms: int
     attempt_base: int
-    advice_valid_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/knapweedbeam_core/stored/ledger.py
+++ b/packages/core/src/knapweedbeam_core/stored/ledger.py
@@ -113,7 +113,7 @@
         if job.job_id in self.entries:
             return Accepted(job.job_id, False)
         self.entries[job.job_id] = Entry(
-            job.queue, messages.Verdict.QUEUED, wall_ms, job, count_tasks(job)
+            job.terms.queue, messages.Verdict.QUEUED, wall_ms, job, count_tasks(job)
         )
         return Accepted(job.job_id, True)
 
@@ -165,7 +165,7 @@
         numbers = entry.failures.setdefault(failed, [])
         if end.number not in numbers:
             numbers.append(end.number)
-        if len(numbers) >= entry.job.max_attempts and name.task not in entry.done:
+        if len(numbers) >= entry.job.terms.max_attempts and name.task not in entry.done:
             self.end(job_id, entry, messages.Verdict.FAILED, wall_ms)
 
     def note_done(
--- a/packages/core/src/knapweedbeam_core/stored/messages.py
+++ b/packages/core/src/knapweedbeam_core/stored/messages.py
@@ -5,6 +5,7 @@
 import dataclasses
 import enum
 
+from knapweedbeam_core.manifests import manifest
 from knapweedbeam_core.pool import messages as pool_messages
 
 
@@ -17,18 +18,12 @@
     """
 
     job_id: str
-    queue: str
-    service: str
-    priority: int
-    max_attempts: int
-    slack_factor: float
-    allowance_ms: int
+    terms: manifest.Terms
     spec: str
     steps: tuple[pool_messages.SubmittedStep, ...]
     repeat_count: int = 0
     start_at_ms: int = 0
     interval_ms: int = 0
-    advice_valid_ms: int = 0
 
     @property
     def is_lasting(self) -> bool:
--- a/packages/core/tests/pool/test_desk.py
+++ b/packages/core/tests/pool/test_desk.py
@@ -6,7 +6,8 @@
 from knapweedbeam_core.manifests import manifest
 from knapweedbeam_core.pool import desk, messages
 
-QUEUE = manifest.Queue("q", "h", "/p/", "service", 1_500, 60, 0, 3, 1.6)
+TERMS = manifest.Terms("q", "service", 0, 3, 1.6, 60)
+QUEUE = manifest.Queue("h", "/p/", 1_500, TERMS)
 STEPS = (messages.SubmittedStep(1, 1_000, 64, 0, 60, (), "", "", 0),)
 
 
--- a/packages/core/tests/pool/test_relay.py
+++ b/packages/core/tests/pool/test_relay.py
@@ -3,9 +3,11 @@
 import unittest
 
 from knapweedbeam_core import clock, effects
+from knapweedbeam_core.manifests import manifest
 from knapweedbeam_core.pool import messages, relay
 
-SUBMIT = messages.Submit("j", "q", "s", 0, 3, 1.6, 60, "", (), 5, 3_000, 0)
+TERMS = manifest.Terms("q", "s", 0, 3, 1.6, 60)
+SUBMIT = messages.Submit("j", TERMS, "", (), 5, 3_000, 0)
 
 
 class RelayTest(unittest.TestCase):
--- a/packages/core/tests/stored/test_ledger.py
+++ b/packages/core/tests/stored/test_ledger.py
@@ -4,6 +4,7 @@
 
 from bench.pool import stored_world
 from knapweedbeam_core.manifests import machine as manifest_machine
+from knapweedbeam_core.manifests import manifest
 from knapweedbeam_core.stored import commands, ledger, machine, messages
 
 NOW_MS = 1_700_000_000_000
@@ -12,12 +13,7 @@
 def build_job(job_id: str = "j", count: int = 2, **more: object) -> messages.StoredJob:
     fields: dict[str, object] = {
         "job_id": job_id,
-        "queue": "q",
-        "service": "s",
-        "priority": 0,
-        "max_attempts": 2,
-        "slack_factor": 1.6,
-        "allowance_ms": 60,
+        "terms": manifest.Terms("q", "s", 0, 2, 1.6, 60),
         "spec": "text",
         "steps": (stored_world.build_step(count),),
     }
--- a/packages/server/src/knapweedbeam_server/fleet/stored_jobs.py
+++ b/packages/server/src/knapweedbeam_server/fleet/stored_jobs.py
@@ -58,7 +58,7 @@
     def keep(self, job: messages.StoredJob) -> messages.Told:
         """Have a job kept; waits for the log."""
         question = messages.KeepJob(self.clerk.take_number(), job)
-        return self.ask(question, job.job_id, job.queue)
+        return self.ask(question, job.job_id, job.terms.queue)
 
     def cancel(self, job_id: str, queue: str) -> messages.Told:
         """Have a job cancelled; waits for the log."""
--- a/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
@@ -48,20 +48,24 @@
   bornMs @1 :Int64;
 }
 
+struct Terms {
+  queue @0 :Text;
+  service @1 :Text;
+  priority @2 :Int64;
+  maxAttempts @3 :Int64;
+  slackFactor @4 :Float64;
+  allowanceMs @5 :Int64;
+  adviceValidMs @6 :Int64;
+}
+
 struct Submit {
   jobId @0 :Text;
-  queue @1 :Text;
-  service @2 :Text;
-  priority @3 :Int64;
-  maxAttempts @4 :Int64;
-  slackFactor @5 :Float64;
-  allowanceMs @6 :Int64;
-  spec @7 :Text;
-  steps @8 :List(SubmittedStep);
-  ageMs @9 :Int64;
-  patienceMs @10 :Int64;
-  attemptBase @11 :Int64;
-  adviceValidMs @12 :Int64;
+  terms @1 :Terms;
+  spec @2 :Text;
+  steps @3 :List(SubmittedStep);
+  ageMs @4 :Int64;
+  patienceMs @5 :Int64;
+  attemptBase @6 :Int64;
 }
 
 struct Withdraw {
@@ -90,18 +94,12 @@
 
 struct StoredJob {
   jobId @0 :Text;
-  queue @1 :Text;
-  service @2 :Text;
-  priority @3 :Int64;
-  maxAttempts @4 :Int64;
-  slackFactor @5 :Float64;
-  allowanceMs @6 :Int64;
-  spec @7 :Text;
-  steps @8 :List(SubmittedStep);
-  repeatCount @9 :Int64;
-  startAtMs @10 :Int64;
-  intervalMs @11 :Int64;
-  adviceValidMs @12 :Int64;
+  terms @1 :Terms;
+  spec @2 :Text;
+  steps @3 :List(SubmittedStep);
+  repeatCount @4 :Int64;
+  startAtMs @5 :Int64;
+  intervalMs @6 :Int64;
 }
 
 struct KeepJob {
--- a/packages/wire/tests/test_stored_messages.py
+++ b/packages/wire/tests/test_stored_messages.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from knapweedbeam_core.manifests import manifest
 from knapweedbeam_core.pool import messages as pool_messages
 from knapweedbeam_core.stored import messages
 from knapweedbeam_wire import registry
@@ -11,18 +12,12 @@
 )
 JOB = messages.StoredJob(
     "5c0e7a21d94b36f8",
-    "queue",
-    "service",
-    1,
-    3,
-    1.6,
-    60,
+    manifest.Terms("queue", "service", 1, 3, 1.6, 60, 900),
     "spec",
     (STEP, STEP),
     5,
     1_700_000_000_000,
     400,
-    900,
 )
 END = messages.NotedEnd("i-1", 17, 3, "5c0e7a21d94b36f8.0.1.17", 2, True)
 
