Add a fault soak: real processes, faults from outside, promises checked meanwhile

Processes are killed, paused, told to stop and to reload; executors crash, hang and lose answers; proxies delay, reset, silence and cut one way what goes to executors and from callers. Callers and executors are the witness: double runs, room, order of steps, false refusals, partial answers, stored jobs that are lost. The platform's tests use its stand-ins in place of their own. make soak was the histories of hypothesis before; these are make histories now.

--- a/Makefile
+++ b/Makefile
@@ -6,12 +6,13 @@
 SCENARIO ?= steady
 SECONDS ?= 60
 SEED ?= 1
+SEEDS ?= 1
 OWN = --no-emit-index-url $(foreach name,core wire server ctl platform,--no-emit-package knapweedbeam-$(name))
 STAMP = $(VENV)/.installed
 PACKAGES = packages/core packages/wire packages/server packages/ctl platform
 SOURCES = packages platform bench tools
 
-.PHONY: setup demo test check format types bench soak lock
+.PHONY: setup demo test check format types bench histories soak lock
 
 setup: $(STAMP)
 
@@ -32,6 +33,7 @@
 	$(BIN)/ruff format --check $(SOURCES)
 	$(BIN)/ruff check $(SOURCES)
 	$(BIN)/mypy $(addsuffix /src,$(PACKAGES)) bench tools
+	cd platform/soak && $(abspath $(BIN))/mypy --config-file ../../pyproject.toml .
 
 format: setup
 	$(BIN)/ruff check --fix $(SOURCES)
@@ -40,9 +42,12 @@
 bench: setup
 	$(BIN)/python -m bench run $(SCENARIO)
 
-soak: setup
+histories: setup
 	$(BIN)/python -m bench soak --seconds $(SECONDS) --seed $(SEED)
 
+soak: setup
+	$(BIN)/python platform/soak --seconds $(SECONDS) --seed $(SEED) --seeds $(SEEDS)
+
 lock: setup
 	$(BIN)/uv pip compile --quiet --universal --generate-hashes --no-header --no-annotate \
 	  $(OWN) --group dev --group build pyproject.toml -o requirements.lock
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -19,6 +19,8 @@
     "platform",
     "bench",
 )
+# Tests of the platform use the stand-ins of the soak, which is run as a folder.
+SOAK = ROOT / "platform" / "soak"
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 SUITE_TIMEOUT_S = 400
 RAN = re.compile(r"^Ran (\d+) tests? in", re.MULTILINE)
@@ -49,7 +51,8 @@
     """Run one package's tests in a process of its own."""
     start = ROOT / suite / "tests"
     command = [sys.executable, "-m", "nose2", "-s", str(start), "-t", str(start)]
-    environment = os.environ | {"PYTHONPATH": str(ROOT), "PYTHONHASHSEED": "0"}
+    paths = os.pathsep.join((str(ROOT), str(SOAK)))
+    environment = os.environ | {"PYTHONPATH": paths, "PYTHONHASHSEED": "0"}
     try:
         done = subprocess.run(
             command,
