Start nothing for late copies of refused jobs; move a task again that stands still again

Ruled out: the caller (one request, one answer), the entry VM (no second one took it). Change: every copy of one request carries the same number; what was refused or withdrawn under it starts nothing. Each further move of an overdue task takes four times longer. Before: three new tests fail; after: none.

--- a/bench/pool/world.py
+++ b/bench/pool/world.py
@@ -266,6 +266,7 @@
         slack_factor: float = 1.6,
         priority: int = 0,
         queue: str = "queue",
+        hand_in: int = 0,
     ) -> None:
         """Hand in a job of one step."""
         self.work_ms[job_id] = work_ms
@@ -281,6 +282,7 @@
             age_ms,
             patience_ms,
             attempt_base,
+            hand_in,
         )
         self.run(to, to.on_submit(ENTRY, submit))
 
--- a/packages/core/src/knapweedbeam_core/pool/desk.py
+++ b/packages/core/src/knapweedbeam_core/pool/desk.py
@@ -14,6 +14,8 @@
 
 # Attempts that one dispatcher may use before the next one's numbers begin.
 ATTEMPTS_PER_DISPATCHER = 100
+# More than one entry VM takes.
+HAND_INS_PER_MS = 1_000
 # Without any dispatcher a new job waits this long; an election takes about half.
 NO_DISPATCHER_MS = 1_200
 # A caller that was refused for want of a dispatcher comes back after this long.
@@ -62,7 +64,7 @@
     """A job that some caller waits for; `sent_to` is empty until it went out.
 
     `sends` counts the dispatchers that may have taken the job, `tries` the messages
-    to the one that has it now.
+    to the one that has it now. `hand_in` tells it from the same job handed in again.
     """
 
     job_id: str
@@ -75,6 +77,7 @@
     sent_ms: int = -RESEND_MS
     sends: int = 0
     tries: int = 0
+    hand_in: int = 0
 
 
 Effects = list[effects.Send | Settled]
@@ -87,6 +90,8 @@
         self.clock = timer
         self.jobs: dict[str, OpenJob] = {}
         self.dispatcher = ""
+        # Rises over restarts too, as long as time does.
+        self.hand_ins = timer.wall_ms() * HAND_INS_PER_MS
 
     def take(
         self,
@@ -101,6 +106,8 @@
             return []
         now_ms = self.clock.now_ms()
         job = OpenJob(job_id, queue, spec, steps, now_ms, now_ms + patience_ms)
+        self.hand_ins += 1
+        job.hand_in = self.hand_ins
         self.jobs[job_id] = job
         return self.send(job) if self.dispatcher else []
 
@@ -121,6 +128,7 @@
             now_ms - job.taken_ms,
             max(0, job.give_up_ms - now_ms),
             (job.sends - 1) * ATTEMPTS_PER_DISPATCHER,
+            job.hand_in,
         )
         return [effects.Send(self.dispatcher, submit)]
 
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -206,6 +206,9 @@
         ended = self.ended.get(submit.job_id)
         if ended is not None and ended.outcome is not None:
             return [effects.Send(sender, ended.outcome)]
+        if ended is not None and ended.hand_in and ended.hand_in == submit.hand_in:
+            # A late copy of what was refused or withdrawn.
+            return [effects.Send(sender, ended.refusal)] if ended.refusal else []
         known = self.jobs.get(submit.job_id)
         if known is not None:
             known.orphaned_ms = 0
@@ -244,6 +247,7 @@
             base,
         )
         job.was_started = base > 0
+        job.hand_in = submit.hand_in
         if submit.attempt_base:
             job.not_before_ms = now_ms + TAKEOVER_MS
         return job
@@ -253,15 +257,21 @@
         job = self.jobs.get(withdraw.job_id)
         if job is None:
             return []
-        return [notes.JobWithdrawn(job.job_id), *self.end_job(job, None)]
+        produced = self.end_job(job, None)
+        self.ended[job.key].hand_in = job.hand_in
+        return [notes.JobWithdrawn(job.job_id), *produced]
 
     def end_job(self, job: jobs.Job, outcome: Outcome | None) -> Effects:
         """End a job: tell its entry VM, stop what still runs, remember it."""
         del self.jobs[job.key]
         last = max(task.last_attempt for tasks in job.tasks for task in tasks)
-        kept = None if isinstance(outcome, messages.JobRefused) else outcome
+        refusal = outcome if isinstance(outcome, messages.JobRefused) else None
         self.ended[job.key] = Remembered(
-            kept, max(last, job.attempt_base), self.clock.now_ms()
+            None if refusal else outcome,
+            max(last, job.attempt_base),
+            self.clock.now_ms(),
+            refusal,
+            job.hand_in if refusal else 0,
         )
         if len(self.ended) > REMEMBER_JOBS:
             self.ended.popitem(last=False)
@@ -421,12 +431,16 @@
 Outcome = messages.JobComplete | messages.JobFailed | messages.JobRefused
 
 
+@dataclasses.dataclass(slots=True)
 class Remembered:
-    """An ended job: its outcome, none when it was withdrawn or refused."""
-
-    def __init__(
-        self, outcome: Outcome | None, last_attempt: int, ended_ms: int
-    ) -> None:
-        self.outcome = outcome
-        self.last_attempt = last_attempt
-        self.ended_ms = ended_ms
+    """An ended job: its outcome, none when it was withdrawn, orphaned or refused.
+
+    Copies of the `hand_in` that was withdrawn or refused start nothing; 0 stands for
+    none. Handed in anew, the job may run.
+    """
+
+    outcome: Outcome | None
+    last_attempt: int
+    ended_ms: int
+    refusal: messages.JobRefused | None = None
+    hand_in: int = 0
--- a/packages/core/src/knapweedbeam_core/pool/jobs.py
+++ b/packages/core/src/knapweedbeam_core/pool/jobs.py
@@ -72,6 +72,7 @@
 class Task:
     """One task; `last_attempt` is the number of its newest start.
 
+    `moves` counts how often it was stopped as overdue to go elsewhere.
     `progress` is the newest saved state, empty for none. `lost_ms` is when an endpoint
     was lost on which it may have run, 0 for never.
     """
@@ -84,7 +85,7 @@
     last_attempt: int = 0
     failures: int = 0
     failed_on: tuple[str, ...] = ()
-    was_moved: bool = False
+    moves: int = 0
     progress: str = ""
     lost_ms: int = 0
     spec: messages.SubmittedStep = dataclasses.field(init=False)
@@ -132,6 +133,7 @@
         self.was_started = False
         self.is_cancelled = False
         self.is_stored = False
+        self.hand_in = 0
         self.is_lasting = any(step.is_lasting for step in steps)
         self.orphaned_ms = 0
         self.not_before_ms = 0
--- a/packages/core/src/knapweedbeam_core/pool/listing.py
+++ b/packages/core/src/knapweedbeam_core/pool/listing.py
@@ -13,6 +13,9 @@
 DOUBT_MS = 60
 # A stop is sent again while the endpoint still lists what was to be stopped.
 STOP_AGAIN_MS = 150
+# Each further move of an overdue task takes so many times longer: the task is long, or
+# stands still on one endpoint after the other.
+MOVE_PATIENCE = 4
 # Clocks are read in whole milliseconds at both ends.
 ROUNDING_MS = 2
 
@@ -73,20 +76,23 @@
         up itself blames nobody.
         """
         task = attempt.owner
-        if task is None or attempt.is_overdue or task.job.is_long:
-            return []
-        if task.spec.is_lasting or task.spec.is_gang:
+        if task is None or task.spec.is_lasting or task.spec.is_gang:
             return []
         ran_ms = answer.reading.clock_ms - attempt.began_clock_ms
-        if ran_ms <= self.settler.get_overdue_ms(endpoint, attempt):
+        limit_ms = self.settler.get_overdue_ms(endpoint, attempt)
+        if ran_ms <= limit_ms:
             return []
+        produced: dispatcher.Effects = []
+        if not attempt.is_overdue and not task.job.is_long:
+            produced += self.blame(endpoint, task.job)
         attempt.is_overdue = True
-        produced = self.blame(endpoint, task.job)
-        if task.was_moved or task.job.is_long:
+        # A job that is long itself has as much patience as one that was moved.
+        patience = max(task.moves, int(task.job.is_long))
+        if attempt.is_unwanted or ran_ms <= limit_ms * MOVE_PATIENCE**patience:
             return produced
         if not self.settler.owner.has_better(endpoint, task):
             return produced
-        task.was_moved = True
+        task.moves += 1
         return [*produced, self.settler.stop_attempt(endpoint, attempt)]
 
     def blame(self, endpoint: endpoints.Endpoint, job: jobs.Job) -> dispatcher.Effects:
--- a/packages/core/src/knapweedbeam_core/pool/messages.py
+++ b/packages/core/src/knapweedbeam_core/pool/messages.py
@@ -97,6 +97,8 @@
 
     `age_ms` is how long ago the caller sent it, `patience_ms` how much longer the
     caller waits. `attempt_base` rises each time the job goes to another dispatcher.
+    `hand_in` is the same in every copy of what one caller's request led to, and differs
+    when the job is handed in anew.
     """
 
     job_id: str
@@ -106,6 +108,7 @@
     age_ms: int
     patience_ms: int
     attempt_base: int
+    hand_in: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/tests/pool/test_dispatcher.py
+++ b/packages/core/tests/pool/test_dispatcher.py
@@ -64,6 +64,28 @@
             self.world.advance(120)
         self.assertEqual(len(self.world.starts), 2)
 
+    def test_a_late_copy_of_what_was_refused_starts_nothing(self) -> None:
+        self.world.submit(
+            self.dispatcher, "j", work_ms=2_000, patience_ms=500, hand_in=7
+        )
+        self.world.advance(40)
+        self.assertEqual(self.world.get_outcome("j"), "JobRefused")
+        self.world.submit(self.dispatcher, "j", hand_in=7)
+        self.world.advance(100)
+        self.assertEqual(self.world.starts, [])
+        self.world.submit(self.dispatcher, "j", hand_in=8)
+        self.world.advance(100)
+        self.assertEqual(len(self.world.starts), 1)
+
+    def test_a_late_copy_of_what_was_withdrawn_starts_nothing(self) -> None:
+        self.world.submit(self.dispatcher, "j", hand_in=7)
+        withdraw = messages.Withdraw("j")
+        self.world.run(self.dispatcher, self.dispatcher.on_withdraw(withdraw))
+        self.world.submit(self.dispatcher, "j", hand_in=7)
+        self.world.advance(200)
+        self.assertEqual(self.world.starts, [])
+        self.assertEqual(self.dispatcher.jobs, {})
+
     def test_a_leaving_endpoint_gets_nothing_new(self) -> None:
         leaving = self.world.endpoints["e0"].get_news(messages.EndpointState.LEAVING)
         self.world.run(self.dispatcher, self.dispatcher.on_endpoint_news(leaving))
@@ -119,6 +141,20 @@
         self.assertLess(max(took), 1_500)
         self.assertGreaterEqual(sum(each <= 380 for each in took), 54)
 
+    def test_a_task_that_stands_still_twice_is_moved_again(self) -> None:
+        self.world.submit(self.dispatcher, "j", 1, 200, patience_ms=60_000)
+        self.world.advance(20)
+        for endpoint in self.world.endpoints.values():
+            endpoint.hangs = True
+        self.world.advance(1_500)
+        for endpoint in self.world.endpoints.values():
+            endpoint.hangs = False
+        hung = [e for e in self.world.endpoints.values() if "j.0.0.0" in e.runs]
+        for run in [e.runs["j.0.0.0"] for e in hung]:
+            run.ends_ms = 10**9
+        self.world.advance(9_000)
+        self.assertEqual(self.world.get_outcome("j"), "JobComplete")
+
     def test_an_endpoint_that_crawls_gets_little(self) -> None:
         self.world.endpoints["e0"].speed = 0.15
         took = self.play("j", 60)
--- a/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
@@ -66,6 +66,7 @@
   ageMs @4 :Int64;
   patienceMs @5 :Int64;
   attemptBase @6 :Int64;
+  handIn @7 :Int64;
 }
 
 struct Withdraw {
