Keep ends for the log though their endpoint is gone

The end was kept with the endpoint's life and went with it; the job stayed active for good. Change: ends that the log lacks are the dispatcher's own and are sent until it has them. Before: the new test finds the job queued; after: complete.

--- a/packages/core/src/knapweedbeam_core/pool/keeping.py
+++ b/packages/core/src/knapweedbeam_core/pool/keeping.py
@@ -34,6 +34,9 @@
 # Callers of stored jobs do not wait for them.
 FOR_GOOD_MS = 10**12
 
+# Endpoint, its birth, and the place of an end there.
+EndKey = tuple[str, int, int]
+
 
 class Keeper:
     """Brings the ledger's jobs to a dispatcher, and its ends to the log.
@@ -50,6 +53,8 @@
         self.occurrences: dict[str, int] = {}
         self.began_ms = 0
         self.resend_due_ms = 0
+        # Ends that the log doesn't have yet; their endpoint may be gone meanwhile.
+        self.unnoted: dict[EndKey, calls.NoteEnd] = {}
         self.in_touch_ms = 0
         self.confirmed_ms = 0
         self.lost_ms = 0
@@ -60,6 +65,7 @@
         self.began_ms = 0
         self.confirmed_ms = 0
         self.lost_ms = 0
+        self.unnoted.clear()
         self.scheduled.clear()
         self.occurrences.clear()
 
@@ -255,6 +261,7 @@
         """Let endpoints forget ends that the log has."""
         produced: dispatcher.Effects = []
         for end in ends:
+            self.unnoted.pop((end.endpoint, end.born_ms, end.place), None)
             endpoint = self.owner.endpoints.get(end.endpoint)
             if endpoint is not None and endpoint.said.born_ms == end.born_ms:
                 endpoint.open_ends.pop(end.place, None)
@@ -282,7 +289,10 @@
         if end.kind not in (calls.EndKind.DONE, calls.EndKind.FAILED):
             return []
         endpoint.open_ends[end.place] = end
-        return [calls.NoteEnd(endpoint.said.endpoint, endpoint.said.born_ms, end)]
+        said = endpoint.said
+        noted = calls.NoteEnd(said.endpoint, said.born_ms, end)
+        self.unnoted[said.endpoint, said.born_ms, end.place] = noted
+        return [noted]
 
     # Time.
 
@@ -308,11 +318,13 @@
 
     def send_ends_again(self) -> dispatcher.Effects:
         """Send the log the ends that it did not confirm."""
-        return [
-            calls.NoteEnd(endpoint.said.endpoint, endpoint.said.born_ms, end)
-            for endpoint in self.owner.endpoints.values()
-            for end in endpoint.open_ends.values()
-        ]
+        again = dict(self.unnoted)
+        for endpoint in self.owner.endpoints.values():
+            said = endpoint.said
+            for place, end in endpoint.open_ends.items():
+                noted = calls.NoteEnd(said.endpoint, said.born_ms, end)
+                again.setdefault((said.endpoint, said.born_ms, place), noted)
+        return [*again.values()]
 
     def count_waiting(self, queue: str) -> int:
         """Return how many stored jobs of a queue have not begun."""
--- a/packages/core/tests/stored/test_keeping.py
+++ b/packages/core/tests/stored/test_keeping.py
@@ -57,6 +57,23 @@
         ends = [end.task for e in self.world.endpoints.values() for end in e.ended]
         self.assertEqual(ends, [])
 
+    def test_an_end_is_kept_though_its_endpoint_is_gone(self) -> None:
+        self.world.keep("j", (stored_world.build_step(1, estimate_ms=200),))
+        self.world.advance(60)
+        self.world.log_cut.add("a")
+        self.world.advance(300)
+        (used,) = {name for _, name, _ in self.world.starts}
+        self.world.endpoints[used].crash()
+        fresh = self.world.add_endpoint(used)
+        fresh.born_ms = 2
+        news = fresh.get_news()
+        self.world.run(self.dispatcher, self.dispatcher.on_endpoint_news(news))
+        self.world.advance(500)
+        self.world.log_cut.clear()
+        self.world.advance(1_500)
+        self.assertEqual(self.world.get_state("j"), "complete")
+        self.assertEqual(self.get_numbers("j"), [1])
+
     def test_a_successor_finds_what_the_log_lacks_at_the_endpoints(self) -> None:
         self.world.keep("j", (stored_world.build_step(6),), work_ms=300)
         self.world.advance(150)
