Log the delays of the event loop, the load by queue and the steps of recovery

The logs could not tell a lack of capacity from a late event loop, nor which step of a recovery was late.

No decision changes.

--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -16,9 +16,11 @@
     calls,
     endpoints,
     jobs,
+    load_report,
     log_events,
     messages,
     placing,
+    recovery_steps,
     resources,
     stored_scheduler,
     task_starter,
@@ -60,6 +62,8 @@
         self.stored_scheduler = stored_scheduler.StoredJobScheduler(self)
         self.advice_cache = advising.AdviceCache(self)
         self.task_starter = task_starter.TaskStarter(self)
+        self.load_report = load_report.LoadReport()
+        self.recovery_steps = recovery_steps.RecoverySteps(self.started_ms)
 
     # Dispatcher role.
 
@@ -75,6 +79,8 @@
         self.stored_scheduler.reset()
         self.advice_cache.reset()
         self.ended.clear()
+        self.load_report.reset()
+        self.recovery_steps.reset(self.clock.now_ms())
         for name, endpoint in list(self.endpoints.items()):
             replacement = endpoints.Endpoint(
                 endpoint.announcement, endpoint.announced_ms
@@ -244,6 +250,7 @@
             return [log_events.JobRejoined(submit.job_id, sender)]
         job = self.build_job(sender, submit, ended)
         self.jobs[job.key] = job
+        self.load_report.record_arrival(job)
         if self.can_never_fit(job):
             return self.task_starter.refuse(job, reasons.Reason.NEVER_FITS, 0)
         return self.tracker.adopt_attempts(job)
@@ -313,6 +320,7 @@
         if len(self.ended) > MAX_ENDED_JOBS:
             self.ended.popitem(last=False)
         job.is_cancelled = True
+        self.load_report.record_end(job, outcome, self.clock.now_ms())
         self.advice_cache.forget(job)
         produced: Effects = []
         if outcome is not None:
@@ -322,6 +330,10 @@
             produced.append(
                 log_events.JobEnded(job.job_id, type(outcome).__name__, age_ms, last)
             )
+        if isinstance(outcome, messages.JobComplete):
+            produced += self.recovery_steps.record(
+                recovery_steps.Step.FIRST_JOB_COMPLETE, self.clock.now_ms()
+            )
         return produced + self.tracker.stop_job(job)
 
     def on_entry_lost(self, entry: str) -> Effects:
@@ -354,6 +366,23 @@
             if job.orphaned_ms and now_ms - job.orphaned_ms > ORPHAN_GRACE_MS:
                 produced += self.end_job(job, None)
         self.forget_ended(now_ms)
+        produced += self.load_report.build(self.jobs.values(), now_ms)
+        return produced + self.record_recovery(now_ms)
+
+    def record_recovery(self, now_ms: int) -> Effects:
+        """Record the steps of recovery that the state of endpoints and jobs shows."""
+        steps = self.recovery_steps
+        if recovery_steps.Step.BACKLOG_DONE in steps.reached:
+            return []
+        produced: Effects = []
+        held = [endpoint.is_held for endpoint in self.endpoints.values()]
+        if any(held):
+            produced += steps.record(recovery_steps.Step.FIRST_ENDPOINT_HELD, now_ms)
+        if held and all(held):
+            produced += steps.record(recovery_steps.Step.ALL_ENDPOINTS_HELD, now_ms)
+        has_started = recovery_steps.Step.FIRST_TASK_STARTED in steps.reached
+        if has_started and not any(job.waiting for job in self.jobs.values()):
+            produced += steps.record(recovery_steps.Step.BACKLOG_DONE, now_ms)
         return produced
 
     def forget_ended(self, now_ms: int) -> None:
@@ -461,6 +490,10 @@
         used = sum(e.used.cpu_millis for e in held)
         return used / total if total else 0.0
 
+    def count_attempts(self) -> int:
+        """Return how many attempts are on the endpoints."""
+        return sum(len(endpoint.attempts) for endpoint in self.endpoints.values())
+
     def get_free_resources(self) -> resources.Resources:
         """Return the total of free resources on all held endpoints."""
         free = resources.Resources()
--- a/packages/core/src/knapweedbeam_core/pool/log_events.py
+++ b/packages/core/src/knapweedbeam_core/pool/log_events.py
@@ -116,6 +116,37 @@
     jobs: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueueLoad:
+    """What became of a queue's jobs since the last report.
+
+    `waiting` jobs have tasks that wait now, the oldest for `oldest_ms` since its caller
+    sent it. `max_start_age_ms` is the highest age at which a job's first task started.
+    `in_time` and `late` jobs are complete.
+    """
+
+    queue: str
+    waiting: int
+    oldest_ms: int
+    arrived: int
+    started: int
+    max_start_age_ms: int
+    in_time: int
+    late: int
+    failed: int
+    refused: int
+    withdrawn: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecoveryStepReached:
+    """A dispatcher reached a step for the first time since it became active."""
+
+    step: str
+    since_active_ms: int
+    since_start_ms: int
+
+
 LogEvent = (
     DispatcherRoleChanged
     | EndpointChanged
@@ -129,4 +160,6 @@
     | EndpointFenced
     | StoredDispatchStarted
     | StoredDispatchStopped
+    | QueueLoad
+    | RecoveryStepReached
 )
--- a/packages/core/src/knapweedbeam_core/pool/task_starter.py
+++ b/packages/core/src/knapweedbeam_core/pool/task_starter.py
@@ -5,7 +5,15 @@
 import typing
 
 from knapweedbeam_core import reasons
-from knapweedbeam_core.pool import calls, endpoints, jobs, log_events, placing, queueing
+from knapweedbeam_core.pool import (
+    calls,
+    endpoints,
+    jobs,
+    log_events,
+    placing,
+    queueing,
+    recovery_steps,
+)
 
 if typing.TYPE_CHECKING:
     from knapweedbeam_core.pool import dispatcher
@@ -101,6 +109,9 @@
             if not task.failures:
                 blocked_steps.add(task.step)
         if used_endpoints:
+            produced += self.owner.recovery_steps.record(
+                recovery_steps.Step.FIRST_TASK_STARTED, now_ms
+            )
             produced.append(self.build_log_event(job, used_endpoints, now_ms))
         return produced
 
@@ -172,6 +183,8 @@
         The endpoint refuses the start after `until_ms` on its own clock.
         """
         job = task.job
+        if not job.was_started:
+            self.owner.load_report.record_first_start(job, now_ms)
         job.was_started = True
         job.waiting.remove(task)
         task.state = jobs.TaskState.PLACED
--- a/packages/server/src/knapweedbeam_server/fleet/endpoint_calls.py
+++ b/packages/server/src/knapweedbeam_server/fleet/endpoint_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc
+import dataclasses
 import typing
 
 import gevent
@@ -18,6 +19,18 @@
 # takes about 20 ms to store them.
 OPEN_ENDS_PAUSE_S = 0.01
 
+
+@dataclasses.dataclass(slots=True)
+class CallCounts:
+    """The calls that were sent in a time window, by kind, and those without answer."""
+
+    starts: int = 0
+    stops: int = 0
+    holds: int = 0
+    probes: int = 0
+    unanswered: int = 0
+
+
 Run = collections.abc.Callable[[dispatcher.Effects], None]
 
 
@@ -35,6 +48,18 @@
         self.client = client
         self.run = run
         self.telemetry = metrics
+        self.counts = CallCounts()
+
+    def take_counts(self) -> CallCounts:
+        """Return the counts since the last call, and start again from 0."""
+        counts = self.counts
+        self.counts = CallCounts()
+        return counts
+
+    def count_verdict(self, kind: str, verdict: calls.Verdict) -> None:
+        """Count how a call ended."""
+        self.counts.unanswered += verdict == calls.Verdict.UNKNOWN
+        self.telemetry.count_call(kind, verdict.value)
 
     def spawn(self, call: calls.Call) -> None:
         """Make one call in a new greenlet."""
@@ -54,14 +79,16 @@
 
     def start(self, call: calls.Start) -> None:
         """Start an attempt."""
+        self.counts.starts += 1
         answer = self.client.start(call)
-        self.telemetry.count_call("start", answer.verdict.value)
+        self.count_verdict("start", answer.verdict)
         self.run(self.dispatcher.on_start_answer(call, answer))
 
     def stop(self, call: calls.Stop) -> None:
         """Stop an attempt."""
+        self.counts.stops += 1
         answer = self.client.stop(call)
-        self.telemetry.count_call("stop", answer.verdict.value)
+        self.count_verdict("stop", answer.verdict)
         self.run(self.dispatcher.on_stop_answer(call, answer))
 
     def probe(self, endpoint: str) -> None:
@@ -69,9 +96,12 @@
         call = self.dispatcher.build_probe(endpoint)
         if call is None:
             return
+        self.counts.probes += 1
         answer = self.client.hold(call)
-        end = answer.verdict.value if isinstance(answer, calls.HoldFailed) else "listed"
-        self.telemetry.count_call("look", end)
+        if isinstance(answer, calls.HoldFailed):
+            self.count_verdict("look", answer.verdict)
+        else:
+            self.telemetry.count_call("look", "listed")
         self.run(self.dispatcher.on_probe_result(call, answer))
 
     def request_advice(self, call: calls.RequestAdvice) -> None:
@@ -93,6 +123,7 @@
             call = self.dispatcher.build_hold(endpoint)
             if call is None:
                 return
+            self.counts.holds += 1
             answer = self.client.hold(call)
             if isinstance(answer, calls.HoldResult):
                 pause_s = FIRST_PAUSE_S
@@ -100,7 +131,7 @@
                 if self.dispatcher.has_unacked_ends(endpoint):
                     gevent.sleep(OPEN_ENDS_PAUSE_S)
                 continue
-            self.telemetry.count_call("hold", answer.verdict.value)
+            self.count_verdict("hold", answer.verdict)
             self.run(self.dispatcher.on_hold_failed(call, answer))
             gevent.sleep(pause_s)
             pause_s = min(2 * pause_s, MAX_PAUSE_S)
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -27,6 +27,7 @@
 from knapweedbeam_server.fleet import (
     announcing,
     endpoint_calls,
+    loop_monitor,
     manifest_manager,
     message_router,
     ports,
@@ -42,6 +43,9 @@
 TICK_INTERVAL_S = 0.02
 # The set of links changes only with the members, and computing it takes time.
 LINK_UPDATE_INTERVAL_MS = 200
+# A start and its end wait for the loop once each, and objectives allow about 100 ms in
+# addition to the work.
+LOGGED_LAG_MS = 50
 # Speeds change within seconds; a message takes about 40 bytes for each endpoint.
 SPEEDS_INTERVAL_MS = 1_000
 # A lost peer must be noticed within half a second: see `membership.UNRESPONSIVE_MS`.
@@ -74,6 +78,8 @@
     log_events.AttemptLost: catalogue.POOL_ATTEMPT_LOST,
     log_events.StoredDispatchStarted: catalogue.STORED_OFFICE,
     log_events.StoredDispatchStopped: catalogue.STORED_LEFT,
+    log_events.QueueLoad: catalogue.QUEUE_LOAD,
+    log_events.RecoveryStepReached: catalogue.RECOVERY_STEP_REACHED,
 }
 
 
@@ -105,6 +111,7 @@
             settings.name, settings.endpoint_bounds, timer
         )
         self.telemetry = telemetry.Telemetry()
+        self.loop_monitor = loop_monitor.LoopMonitor(timer)
         self.endpoint_calls = endpoint_calls.EndpointCalls(
             self.dispatcher, client, self.run, self.telemetry
         )
@@ -229,7 +236,24 @@
         """Run `tick` at fixed intervals."""
         while True:
             self.tick()
+            self.loop_monitor.start_pause()
             gevent.sleep(TICK_INTERVAL_S)
+            self.record_lag(self.loop_monitor.end_pause(TICK_INTERVAL_S))
+
+    def record_lag(self, load: loop_monitor.LoopLoad | None) -> None:
+        """Publish how late the event loop was in a window, and log a long delay."""
+        if load is None:
+            return
+        self.telemetry.set_loop_load(load)
+        if max(load.timer_lag_ms, load.wake_lag_ms) >= LOGGED_LAG_MS:
+            emit.emit(catalogue.LOOP_LAGGED, **dataclasses.asdict(load))
+        calls_made = self.endpoint_calls.take_counts()
+        if self.dispatcher.fence and (self.dispatcher.jobs or calls_made.starts):
+            emit.emit(
+                catalogue.ENDPOINT_CALL_LOAD,
+                **dataclasses.asdict(calls_made),
+                running=self.dispatcher.count_attempts(),
+            )
 
     def tick(self) -> None:
         """Do what is due in all parts."""
--- a/packages/server/src/knapweedbeam_server/fleet/telemetry.py
+++ b/packages/server/src/knapweedbeam_server/fleet/telemetry.py
@@ -6,6 +6,7 @@
 import prometheus_client.exposition
 
 from knapweedbeam_core.pool import dispatcher
+from knapweedbeam_server.fleet import loop_monitor
 
 # Objectives lie between 0.1 and 2 s; callers are lost after 3 s.
 ANSWER_TIME_BUCKETS_S = (0.02, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1.0, 1.5, 2.5, 4.0)
@@ -50,6 +51,12 @@
         self.held_endpoints = self.build_gauge("endpoints_held", "Endpoints held.")
         self.used_capacity = self.build_gauge("room_used", "Share of held room in use.")
         self.live_members = self.build_gauge("members_live", "Other processes heard.")
+        self.loop_lag = self.build_gauge(
+            "loop_lag_ms", "Longest delay of the event loop in the last second."
+        )
+        self.cpu_share = self.build_gauge(
+            "cpu_share", "CPU time of the process in the last second."
+        )
         self.manifest_version = self.build_gauge(
             "manifest_version", "Manifest in force."
         )
@@ -85,6 +92,11 @@
         )
         self.used_capacity.set(owner.get_used_share())
 
+    def set_loop_load(self, load: loop_monitor.LoopLoad) -> None:
+        """Set the gauges of the event loop."""
+        self.loop_lag.set(max(load.timer_lag_ms, load.wake_lag_ms))
+        self.cpu_share.set(load.cpu_ms / max(1, load.window_ms))
+
     def render(self) -> bytes:
         """Return all metrics as text."""
         return prometheus_client.exposition.generate_latest(self.registry)
--- a/packages/server/src/knapweedbeam_server/logs/catalogue.py
+++ b/packages/server/src/knapweedbeam_server/logs/catalogue.py
@@ -430,6 +430,24 @@
     "dispatching under token {fence} with {endpoints} endpoints known",
     "The process is the active dispatcher; with token 0 it no longer is.",
 )
+RECOVERY_STEP_REACHED = Event(
+    7014,
+    "recovery_step_reached",
+    Level.INFO,
+    "{step} {since_active_ms} ms after becoming dispatcher, {since_start_ms} ms after "
+    "the start of the process",
+    "The dispatcher reached this step of its recovery for the first time.",
+)
+LOOP_LAGGED = Event(
+    7015,
+    "loop_lagged",
+    Level.WARNING,
+    "event loop: timers up to {timer_lag_ms} ms late, wake-ups {wake_lag_ms} ms, in "
+    "{window_ms} ms with {cpu_ms} ms of CPU time",
+    "Calls, heartbeats and answers were late by as much; other processes may have "
+    "considered this one lost. With little CPU time the process was not scheduled.",
+    "Compare the CPU time with the VM's share and the load in `queue_load`.",
+)
 MANIFEST_IN_FORCE = Event(
     7020,
     "manifest_in_force",
@@ -567,6 +585,23 @@
     "{left} tasks wait",
     "Tasks were started on these endpoints, one name per task.",
 )
+ENDPOINT_CALL_LOAD = Event(
+    7057,
+    "endpoint_call_load",
+    Level.INFO,
+    "{starts} starts, {stops} stops, {holds} holds and {probes} probes sent, "
+    "{unanswered} calls unanswered, {running} attempts at work",
+    "The dispatcher's calls to endpoints in the last second.",
+)
+QUEUE_LOAD = Event(
+    7056,
+    "queue_load",
+    Level.INFO,
+    "queue {queue}: {waiting} jobs wait, the oldest for {oldest_ms} ms; {arrived} "
+    "arrived, {started} started at up to {max_start_age_ms} ms; ended: {in_time} in "
+    "time, {late} late, {failed} failed, {refused} refused, {withdrawn} withdrawn",
+    "The dispatcher's jobs of one queue in the last second.",
+)
 BODY_MALFORMED = Event(
     7060,
     "body_malformed",
