Let greenlets that were woken run before sockets are polled again

Cause: gevent runs the greenlets that other greenlets woke for at most 5 ms between two polls, then reads all sockets that are ready. In a busy dispatcher the reads of one poll take 40 to 130 ms, so the greenlets that send heartbeats, starts and answers got a few percent of the loop and waited up to 662 ms. Members are named silent after 450 ms. Class: scheduling that favours taking work in over sending work out (receive livelock).

Ruled out: late timers (on time all the while), and a stalled process (it logged).

The same setting goes to the product's own server.

Log lines are written in chunks of at most 4 KB, which pipes take as a whole: longer writes were cut in the middle of a line, and the events of this incident were among those lost.

--- a/packages/server/src/knapweedbeam_server/logs/buffered.py
+++ b/packages/server/src/knapweedbeam_server/logs/buffered.py
@@ -8,6 +8,8 @@
 
 # Enough for a reader that stalls for a few seconds at the usual volume.
 MAX_BUFFERED_LINES = 5_000
+# Pipes accept writes of up to this size as a whole; longer ones may be cut in a line.
+MAX_WRITE_BYTES = 4_096
 
 
 class BufferedStream:
@@ -41,11 +43,22 @@
         if self.dropped:
             self.lines.append(b'{"dropped_lines":%d}\n' % self.dropped)
             self.dropped = 0
-        data = b"".join(self.lines)
-        self.lines.clear()
-        written = 0
         # A descriptor that would block is tried again at the next call.
         with contextlib.suppress(BlockingIOError):
-            written = os.write(self.descriptor, data)
-        if written < len(data):
-            self.lines.append(data[written:])
+            while self.lines:
+                self.write_chunk()
+
+    def write_chunk(self) -> None:
+        """Write the next lines, as many as are written as a whole, or a part of one."""
+        chunk = self.lines[0]
+        count = 1
+        while count < len(self.lines) and (
+            len(chunk) + len(self.lines[count]) <= MAX_WRITE_BYTES
+        ):
+            chunk += self.lines[count]
+            count += 1
+        written = os.write(self.descriptor, chunk)
+        for _ in range(count):
+            self.lines.popleft()
+        if written < len(chunk):
+            self.lines.appendleft(chunk[written:])
--- a/packages/server/src/knapweedbeam_server/process.py
+++ b/packages/server/src/knapweedbeam_server/process.py
@@ -11,7 +11,7 @@
 
 from knapweedbeam_core.entry import parts
 from knapweedbeam_core.log import records as log_records
-from knapweedbeam_server import assembly, change_logger, shell
+from knapweedbeam_server import assembly, change_logger, event_loop, shell
 from knapweedbeam_server.config import settings as settings_
 from knapweedbeam_server.http import wsgi_server
 from knapweedbeam_server.logs import catalogue, emit
@@ -50,6 +50,7 @@
 
     def run(self) -> ExitStatus:
         """Serve until a stop is requested, and return the exit status."""
+        event_loop.set_up()
         gevent.signal_handler(signal.SIGTERM, self.on_signal)
         gevent.signal_handler(signal.SIGINT, self.on_signal)
         if not self.listen():
