--- a/bench/pool/simulation.py
+++ b/bench/pool/simulation.py
@@ -8,6 +8,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 import typing
 
@@ -236,6 +237,9 @@
         self.starts: list[tuple[int, str, calls.Start]] = []
         self.breaches: list[str] = []
         self.pending_placements: set[str] = set()
+        # Processor time that the dispatchers take for each call and each answer.
+        self.call_cost_ms = 0.0
+        self.busy_until_ms = 0.0
         self.drop_probability = 0.0
         self.allowed_endpoints: dict[str, set[str]] = {}
         self.advice_requests: list[calls.RequestAdvice] = []
@@ -253,6 +257,15 @@
         """Run a callback after a delay."""
         self.schedule(self.now_ms + delay_ms, call)
 
+    def occupy(self, action: typing.Callable[[], None]) -> None:
+        """Run a dispatcher's action after those that it was asked for before."""
+        if not self.call_cost_ms:
+            action()
+            return
+        begin_ms = max(float(self.now_ms), self.busy_until_ms)
+        self.busy_until_ms = begin_ms + self.call_cost_ms
+        self.schedule(math.ceil(self.busy_until_ms), action)
+
     def get_work_ms(self, task: str) -> int:
         """Return how long a task runs on an endpoint of speed 1."""
         return self.work_ms[task.partition(".")[0]]
@@ -400,6 +413,8 @@
         endpoint = self.endpoints[call.target.endpoint]
         sent_ms = self.now_ms
         is_start = isinstance(call, calls.Start)
+        done: list[bool] = []
+        dropped_ms = self.draw_delay_ms()
 
         def answer(verdict: calls.Verdict, clock_ms: int | None) -> None:
             reading = None
@@ -418,20 +433,25 @@
             if is_lost or dropped_ms:
                 return
             clock_ms = self.now_ms
-            self.schedule_after(LATENCY_MS, lambda: settle(verdict, clock_ms))
+            self.schedule_after(
+                LATENCY_MS, lambda: self.occupy(lambda: settle(verdict, clock_ms))
+            )
 
         def settle(verdict: calls.Verdict, clock_ms: int | None) -> None:
             if not done:
                 done.append(True)
                 answer(verdict, clock_ms)
 
-        done: list[bool] = []
-        dropped_ms = self.draw_delay_ms()
-        delay_ms = dropped_ms or (endpoint.start_delay_ms if is_start else 0)
-        self.schedule_after(LATENCY_MS + delay_ms, arrive)
-        self.schedule_after(
-            CALL_TIMEOUT_MS, lambda: settle(calls.Verdict.UNKNOWN, None)
-        )
+        def send() -> None:
+            nonlocal sent_ms
+            sent_ms = self.now_ms
+            delay_ms = dropped_ms or (endpoint.start_delay_ms if is_start else 0)
+            self.schedule_after(LATENCY_MS + delay_ms, arrive)
+            self.schedule_after(
+                CALL_TIMEOUT_MS, lambda: settle(calls.Verdict.UNKNOWN, None)
+            )
+
+        self.occupy(send)
 
     def poll(self, by: dispatcher.Dispatcher, name: str) -> None:
         """Keep a hold open at an endpoint, until the dispatcher builds no more."""
@@ -474,7 +494,7 @@
         def on_result(result: calls.HoldResult) -> None:
             if self.is_unreachable(by.name, endpoint) or dropped_ms:
                 return
-            self.schedule_after(LATENCY_MS, lambda: settle(result))
+            self.schedule_after(LATENCY_MS, lambda: self.occupy(lambda: settle(result)))
 
         def settle(answer: calls.HoldResult | calls.HoldFailed) -> None:
             if done:
@@ -494,10 +514,15 @@
                     LATENCY_MS, lambda: settle(calls.HoldFailed(verdict))
                 )
 
-        self.schedule_after(LATENCY_MS + dropped_ms, arrive)
-        timeout_ms = call.wait_ms + CALL_TIMEOUT_MS
-        failed = calls.HoldFailed(calls.Verdict.UNKNOWN)
-        self.schedule_after(timeout_ms, lambda: settle(failed))
+        def send() -> None:
+            nonlocal sent_ms
+            sent_ms = self.now_ms
+            self.schedule_after(LATENCY_MS + dropped_ms, arrive)
+            timeout_ms = call.wait_ms + CALL_TIMEOUT_MS
+            failed = calls.HoldFailed(calls.Verdict.UNKNOWN)
+            self.schedule_after(timeout_ms, lambda: settle(failed))
+
+        self.occupy(send)
 
     def is_unreachable(self, name: str, endpoint: FakeEndpoint) -> bool:
         """Say whether a dispatcher cannot reach an endpoint."""
@@ -530,7 +555,7 @@
         for endpoint in self.endpoints.values():
             endpoint.expire()
         for each in self.dispatchers:
-            self.run(each, each.tick())
+            self.occupy(lambda each=each: self.run(each, each.tick()))  # type: ignore[misc]
 
     def get_outcome(self, job_id: str) -> str:
         """Return the class name of a job's outcome message, empty while it is open."""
