Time calls by a clock that slows down while the dispatcher is late

Cause: an answer that waited unread in a busy dispatcher counted as lost. After 60 ms a start became uncertain, the endpoint was probed every 40 ms, and a list from before the start was sent made the dispatcher stop it and start the task elsewhere. These calls kept the dispatcher busy, so that the next answers were late too: overload sustained itself (a metastable failure). Class: a failure detector that counts one's own delay against others.

Why it works: the clock advances by at most 30 ms from one tick to the next, so waiting that is the dispatcher's own does not count. A start is timed from when it is sent. While late the dispatcher does not probe and polls less often. Leases and all that endpoints measure still go by plain time.

--- a/bench/pool/simulation.py
+++ b/bench/pool/simulation.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import heapq
 import itertools
 import math
@@ -240,6 +241,7 @@
         # Processor time that the dispatchers take for each call and each answer.
         self.call_cost_ms = 0.0
         self.busy_until_ms = 0.0
+        self.pending_ticks: set[str] = set()
         self.drop_probability = 0.0
         self.allowed_endpoints: dict[str, set[str]] = {}
         self.advice_requests: list[calls.RequestAdvice] = []
@@ -445,6 +447,8 @@
         def send() -> None:
             nonlocal sent_ms
             sent_ms = self.now_ms
+            if isinstance(call, calls.Start):
+                by.on_start_sent(call)
             delay_ms = dropped_ms or (endpoint.start_delay_ms if is_start else 0)
             self.schedule_after(LATENCY_MS + delay_ms, arrive)
             self.schedule_after(
@@ -555,7 +559,14 @@
         for endpoint in self.endpoints.values():
             endpoint.expire()
         for each in self.dispatchers:
-            self.occupy(lambda each=each: self.run(each, each.tick()))  # type: ignore[misc]
+            if each.name not in self.pending_ticks:
+                self.pending_ticks.add(each.name)
+                self.occupy(functools.partial(self.tick_dispatcher, each))
+
+    def tick_dispatcher(self, each: dispatcher.Dispatcher) -> None:
+        """Run a dispatcher's timers; the next tick comes only after this one."""
+        self.pending_ticks.discard(each.name)
+        self.run(each, each.tick())
 
     def get_outcome(self, job_id: str) -> str:
         """Return the class name of a job's outcome message, empty while it is open."""
--- a/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
+++ b/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
@@ -30,7 +30,8 @@
 # A poll is answered at the next end or after this long, which bounds the lists' age.
 POLL_MS = 250
 # Shorter while attempts run, so that a lost poll is detected before their ends are
-# late: objectives allow about 100 ms in addition to the work.
+# late: objectives allow about 100 ms in addition to the work. A process that is late
+# itself makes fewer calls instead.
 BUSY_POLL_MS = 100
 # Polling interval while the state of an attempt is uncertain.
 UNCERTAIN_POLL_MS = 30
@@ -71,6 +72,11 @@
         """Return the dispatcher's time."""
         return self.owner.clock.now_ms()
 
+    @property
+    def call_ms(self) -> int:
+        """Return the time by which calls and their answers are timed."""
+        return self.owner.call_clock.now_ms()
+
     # Calls to endpoints.
 
     def build_hold(self, endpoint: endpoints.Endpoint) -> calls.Hold:
@@ -92,7 +98,7 @@
             wait_ms = 0
         elif self.has_uncertain_attempts(endpoint):
             wait_ms = UNCERTAIN_POLL_MS
-        endpoint.answer_due_ms = self.now_ms + wait_ms
+        endpoint.answer_due_ms = self.call_ms + wait_ms
         return self.build_call(endpoint, until_ms, wait_ms)
 
     def build_probe(self, endpoint: endpoints.Endpoint) -> calls.Hold:
@@ -113,7 +119,9 @@
 
     def get_wait_ms(self, endpoint: endpoints.Endpoint) -> int:
         """Return how long a hold may wait: at most until a task becomes overdue."""
-        wait_ms = BUSY_POLL_MS if endpoint.attempts else POLL_MS
+        wait_ms = POLL_MS
+        if endpoint.attempts and not self.owner.call_clock.late_ms:
+            wait_ms = BUSY_POLL_MS
         if endpoint.reading is None:
             return wait_ms
         clock_ms = endpoint.reading.get_earliest_ms(self.now_ms)
@@ -156,7 +164,7 @@
     ) -> calls.Stop:
         """Return a call that stops an attempt."""
         attempt.is_unwanted = True
-        attempt.stop_sent_ms = self.now_ms
+        attempt.stop_sent_ms = self.call_ms
         return calls.Stop(
             endpoint.target, attempt.task, attempt.number, self.owner.fence
         )
@@ -271,6 +279,12 @@
 
     # Answers to starts and stops.
 
+    def on_start_sent(self, endpoint: endpoints.Endpoint, start: calls.Start) -> None:
+        """Time the answer to a start from when it is sent."""
+        attempt = endpoint.attempts.get(start.task)
+        if attempt is not None and attempt.number == start.number:
+            attempt.called_ms = self.call_ms
+
     def on_start_answer(
         self, endpoint: endpoints.Endpoint, start: calls.Start, answer: calls.Answer
     ) -> dispatcher.Effects:
@@ -355,7 +369,7 @@
             if end.place > endpoint.last_seen_end:
                 endpoint.last_seen_end = end.place
                 produced += self.on_end(endpoint, end)
-        endpoint.listed_ms = self.now_ms
+        endpoint.listed_ms = self.call_ms
         if answer.reading.clock_ms > endpoint.list_clock_ms:
             # Answers on different connections may arrive out of order.
             endpoint.list_clock_ms = answer.reading.clock_ms
@@ -503,7 +517,7 @@
         """
         if failed.verdict == calls.Verdict.FENCED:
             return self.on_fenced(endpoint)
-        has_recent_lists = self.now_ms - endpoint.listed_ms < FRESH_LIST_MS
+        has_recent_lists = self.call_ms - endpoint.listed_ms < FRESH_LIST_MS
         if failed.verdict == calls.Verdict.UNKNOWN and has_recent_lists:
             return []
         endpoint.failed_polls += 1
@@ -518,13 +532,14 @@
         produced: dispatcher.Effects = []
         for endpoint in list(self.owner.endpoints.values()):
             if endpoint.is_held:
-                probing.mark_late_starts(endpoint, now_ms)
-                stop_ms = self.owner.bounds.stop_ms
-                produced += probing.probe(endpoint, now_ms, stop_ms)
+                probing.mark_late_starts(endpoint, self.call_ms)
+                if not self.owner.call_clock.late_ms:
+                    stop_ms = self.owner.bounds.stop_ms
+                    produced += probing.probe(endpoint, self.call_ms, stop_ms)
             if endpoint.failed_polls:
                 produced += self.tick_unresponsive(endpoint, now_ms)
             else:
-                produced += self.stop_unclaimed(endpoint, now_ms)
+                produced += self.stop_unclaimed(endpoint)
         return produced
 
     def tick_unresponsive(
@@ -540,14 +555,12 @@
             return self.owner.remove_endpoint(endpoint, "silent")
         return []
 
-    def stop_unclaimed(
-        self, endpoint: endpoints.Endpoint, now_ms: int
-    ) -> dispatcher.Effects:
+    def stop_unclaimed(self, endpoint: endpoints.Endpoint) -> dispatcher.Effects:
         """Stop attempts whose jobs were not submitted within `CLAIM_TIMEOUT_MS`."""
         return [
             self.stop_attempt(endpoint, attempt)
             for attempt in endpoint.attempts.values()
             if attempt.state == endpoints.AttemptState.UNCLAIMED
             and not attempt.is_unwanted
-            and now_ms - attempt.sent_ms > CLAIM_TIMEOUT_MS
+            and self.call_ms - attempt.called_ms > CLAIM_TIMEOUT_MS
         ]
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -13,6 +13,7 @@
 from knapweedbeam_core.pool import (
     advising,
     attempt_tracker,
+    call_clock,
     calls,
     endpoints,
     jobs,
@@ -53,6 +54,7 @@
         self.name = name
         self.bounds = bounds
         self.clock = timer
+        self.call_clock = call_clock.CallClock(timer)
         self.started_ms = timer.now_ms()
         self.fence = 0
         self.endpoints: dict[str, endpoints.Endpoint] = {}
@@ -358,6 +360,7 @@
 
     def tick(self) -> Effects:
         """Run periodic work: attempts, stored jobs, orphaned and ended jobs."""
+        self.call_clock.tick()
         if not self.fence:
             return []
         now_ms = self.clock.now_ms()
@@ -455,6 +458,12 @@
             return []
         return self.tracker.on_hold_failed(endpoint, failed)
 
+    def on_start_sent(self, start: calls.Start) -> None:
+        """Record that a start is being sent, some time after it was decided."""
+        endpoint = self.find_endpoint(start.target)
+        if endpoint is not None and start.fence == self.fence:
+            self.tracker.on_start_sent(endpoint, start)
+
     def on_start_answer(self, start: calls.Start, answer: calls.Answer) -> Effects:
         """Handle the answer to a start."""
         endpoint = self.find_endpoint(start.target)
--- a/packages/core/src/knapweedbeam_core/pool/probing.py
+++ b/packages/core/src/knapweedbeam_core/pool/probing.py
@@ -20,10 +20,14 @@
 
 
 def mark_late_starts(endpoint: endpoints.Endpoint, now_ms: int) -> None:
-    """Mark starts that were not answered in time as uncertain."""
+    """Mark starts that were not answered in time as uncertain.
+
+    Like all times here, `now_ms` is that of the dispatcher's `call_clock`.
+    """
     for attempt in endpoint.attempts.values():
-        is_late = now_ms - attempt.sent_ms > LATE_START_MS
-        if attempt.state == endpoints.AttemptState.STARTING and is_late:
+        if attempt.state != endpoints.AttemptState.STARTING or not attempt.called_ms:
+            continue
+        if now_ms - attempt.called_ms > LATE_START_MS:
             attempt.state = endpoints.AttemptState.UNCERTAIN
 
 
--- a/packages/server/src/knapweedbeam_server/fleet/endpoint_calls.py
+++ b/packages/server/src/knapweedbeam_server/fleet/endpoint_calls.py
@@ -80,6 +80,7 @@
     def start(self, call: calls.Start) -> None:
         """Start an attempt."""
         self.counts.starts += 1
+        self.dispatcher.on_start_sent(call)
         answer = self.client.start(call)
         self.count_verdict("start", answer.verdict)
         self.run(self.dispatcher.on_start_answer(call, answer))
