Find the endpoints of a job and of a task without a search through all

Cause: each start went through all endpoints, each placement through all open jobs, and each submission and each end of a job through all attempts on all endpoints; a refusal went through the whole queue. The cost of a decision grew with the deployment, so the dispatcher's processor was full at the size of the grown ones, for longest when jobs waited. Class: work that depends on what there is and not on what changes. The same cause was found and removed in the heartbeats' effect on jobs and the ends that wait for the log.

Why it works: endpoints stand in the order in which tasks prefer them and move when their speed or room changes; the search ends at the first that fits in time. Jobs with waiting tasks have a queue of their own, and attempts are found by job. With 50 waiting jobs or more, placements are 5 ms apart.

The simulation ticks its dispatchers every 20 ms now, as a process does, and no longer at each arrival.

--- a/bench/pool/simulation.py
+++ b/bench/pool/simulation.py
@@ -242,6 +242,7 @@
         self.call_cost_ms = 0.0
         self.busy_until_ms = 0.0
         self.pending_ticks: set[str] = set()
+        self.tick_due_ms = self.now_ms
         self.drop_probability = 0.0
         self.allowed_endpoints: dict[str, set[str]] = {}
         self.advice_requests: list[calls.RequestAdvice] = []
@@ -297,6 +298,7 @@
             announcement = self.endpoints[known].build_announcement()
             self.run(made, made.on_announcement(announcement))
         self.run(made, made.set_fence(fence))
+        self.tick_due_ms = self.now_ms
         return made
 
     def submit(
@@ -355,7 +357,8 @@
                     self.outcomes.setdefault(job_id, (message, self.now_ms))
         if by.name not in self.pending_placements:
             self.pending_placements.add(by.name)
-            self.schedule_after(0, lambda: self.place(by))
+            pause_ms = by.get_placement_pause_ms()
+            self.schedule_after(pause_ms, lambda: self.place(by))
 
     def handle_advice_request(
         self, by: dispatcher.Dispatcher, request: calls.RequestAdvice
@@ -546,8 +549,9 @@
     def advance(self, by_ms: int, tick_ms: int = 20) -> None:
         """Advance virtual time and run all events that fall due."""
         until_ms = self.now_ms + by_ms
-        for when_ms in range(self.now_ms, until_ms, tick_ms):
-            self.schedule(when_ms, self.tick)
+        while self.tick_due_ms < until_ms:
+            self.schedule(max(self.tick_due_ms, self.now_ms), self.tick)
+            self.tick_due_ms = max(self.tick_due_ms, self.now_ms) + tick_ms
         while self.events and self.events[0][0] <= until_ms:
             when_ms, _, call = heapq.heappop(self.events)
             self.clock.advance(max(0, when_ms - self.now_ms))
--- a/packages/core/src/knapweedbeam_core/pool/advising.py
+++ b/packages/core/src/knapweedbeam_core/pool/advising.py
@@ -103,7 +103,7 @@
         step_advice = self.steps.setdefault(name, StepAdvice())
         candidates = [
             endpoint
-            for endpoint in available.endpoints
+            for endpoint in available.list_endpoints()
             if placing.fits(task, endpoint)
             and self.needs_advice(step_advice, endpoint, now_ms)
         ]
--- a/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
+++ b/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
@@ -172,7 +172,8 @@
     def stop_job(self, job: jobs.Job) -> dispatcher.Effects:
         """Stop all attempts of a job; those still starting, once they have answered."""
         produced: dispatcher.Effects = []
-        for endpoint in self.owner.endpoints.values():
+        for name in self.owner.endpoint_index.find_endpoints(job.job_id):
+            endpoint = self.owner.endpoints[name]
             for attempt in endpoint.attempts.values():
                 if attempt.owner is None or attempt.owner.job is not job:
                     continue
@@ -186,7 +187,8 @@
     def adopt_attempts(self, job: jobs.Job) -> dispatcher.Effects:
         """Assign the unclaimed attempts and ends of a job that was just submitted."""
         prefix = f"{job.job_id}.{job.occurrence}."
-        for endpoint in self.owner.endpoints.values():
+        for name in self.owner.endpoint_index.find_endpoints(job.job_id):
+            endpoint = self.owner.endpoints[name]
             for attempt in list(endpoint.attempts.values()):
                 if attempt.task.startswith(prefix):
                     self.claim_attempt(job, endpoint, attempt)
@@ -195,7 +197,7 @@
     def process_unacked_ends(self, job: jobs.Job) -> dispatcher.Effects:
         """Handle the ends that were listed before their job was submitted."""
         produced: dispatcher.Effects = []
-        for endpoint in self.owner.endpoints.values():
+        for endpoint in self.owner.list_endpoints_with_unacked_ends():
             for end in list(endpoint.unacked_ends.values()):
                 if jobs.get_key(end.task) != job.key:
                     continue
@@ -231,7 +233,7 @@
             return []
         if task.state != jobs.TaskState.PLACED:
             return []
-        task.job.requeue(task)
+        self.owner.requeue(task)
         return [
             log_events.AttemptLost(
                 attempt.task, attempt.number, endpoint.announcement.endpoint, why
@@ -245,7 +247,8 @@
             return []
         names = {member.name for member in task.job.get_gang(task)}
         produced: dispatcher.Effects = []
-        for endpoint in self.owner.endpoints.values():
+        for name in self.owner.endpoint_index.find_endpoints(task.job.job_id):
+            endpoint = self.owner.endpoints[name]
             for attempt in endpoint.attempts.values():
                 if attempt.task not in names or attempt.number != number:
                     continue
@@ -390,7 +393,7 @@
                 endpoint, end, attempt.owner
             )
         elif self.owner.stored_scheduler.may_be_stored(end):
-            endpoint.unacked_ends[end.place] = end
+            endpoint.keep_end(end)
         return produced + self.handle_end(endpoint, attempt, end.kind)
 
     def on_unmatched_end(
@@ -404,7 +407,7 @@
         task = job.find_task(end.task) if job is not None else None
         if task is None:
             if self.owner.stored_scheduler.may_be_stored(end):
-                endpoint.unacked_ends[end.place] = end
+                endpoint.keep_end(end)
             return []
         if task.state != jobs.TaskState.WAITING:
             return []
@@ -460,11 +463,14 @@
                 task.job.work_factor, min(speeds.ESTIMATE_ERROR, factor)
             )
         endpoint.speed.add(estimate_ms, duration_ms)
+        endpoint.mark_changed()
 
     def finish_task(self, task: jobs.Task) -> dispatcher.Effects:
         """Mark a task, or its whole gang, as done; the last one completes the job."""
         for member in task.job.get_gang(task):
             task.job.mark_done(member)
+        if task.job.waiting:
+            self.owner.queue[task.job.key] = task.job
         if task.job.tasks_left:
             return []
         return self.owner.end_job(task.job, messages.JobComplete(task.job.job_id))
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import collections
+import collections.abc
 import dataclasses
 
 from knapweedbeam_core import clock, effects, reasons
@@ -15,6 +16,7 @@
     attempt_tracker,
     call_clock,
     calls,
+    endpoint_index,
     endpoints,
     jobs,
     load_report,
@@ -58,11 +60,15 @@
         self.started_ms = timer.now_ms()
         self.fence = 0
         self.endpoints: dict[str, endpoints.Endpoint] = {}
+        self.endpoint_index = endpoint_index.EndpointIndex()
         self.jobs: dict[str, jobs.Job] = {}
+        # The open jobs with waiting tasks; those without are removed by the placement.
+        self.queue: dict[str, jobs.Job] = {}
         self.ended: collections.OrderedDict[str, EndedJob] = collections.OrderedDict()
         self.tracker = attempt_tracker.AttemptTracker(self)
         self.stored_scheduler = stored_scheduler.StoredJobScheduler(self)
         self.advice_cache = advising.AdviceCache(self)
+        self.lost_entries: set[str] = set()
         self.task_starter = task_starter.TaskStarter(self)
         self.load_report = load_report.LoadReport()
         self.recovery_steps = recovery_steps.RecoverySteps(self.started_ms)
@@ -78,14 +84,17 @@
             return []
         self.fence = fence
         self.jobs.clear()
+        self.queue.clear()
         self.stored_scheduler.reset()
         self.advice_cache.reset()
         self.ended.clear()
+        self.lost_entries.clear()
         self.load_report.reset()
         self.recovery_steps.reset(self.clock.now_ms())
+        self.endpoint_index.attempts_by_job.clear()
         for name, endpoint in list(self.endpoints.items()):
             replacement = endpoints.Endpoint(
-                endpoint.announcement, endpoint.announced_ms
+                endpoint.announcement, endpoint.announced_ms, self.endpoint_index
             )
             replacement.is_polled = endpoint.is_polled
             replacement.speed = endpoint.speed
@@ -133,7 +142,9 @@
         produced: Effects = []
         if current is not None:
             produced += self.lose_endpoint(current, "reborn")
-        replacement = endpoints.Endpoint(announcement, now_ms - announcement.age_ms)
+        replacement = endpoints.Endpoint(
+            announcement, now_ms - announcement.age_ms, self.endpoint_index
+        )
         if current is not None:
             replacement.is_polled = current.is_polled
         self.endpoints[announcement.endpoint] = replacement
@@ -150,6 +161,7 @@
     def remove_endpoint(self, endpoint: endpoints.Endpoint, why: str) -> Effects:
         """Remove an endpoint and requeue the tasks that ran on it."""
         self.endpoints.pop(endpoint.announcement.endpoint, None)
+        endpoint.mark_changed()
         return self.lose_endpoint(endpoint, why)
 
     def lose_endpoint(self, endpoint: endpoints.Endpoint, why: str) -> Effects:
@@ -199,6 +211,7 @@
             endpoint = self.endpoints.get(sample.endpoint)
             if endpoint is not None and endpoint.announcement.born_ms == sample.born_ms:
                 endpoint.speed.restore(sample.speed, sample.samples)
+                endpoint.mark_changed()
 
     def holds_all_endpoints(self, service: str) -> bool:
         """Return whether every endpoint of a service is held.
@@ -237,6 +250,7 @@
         """
         if not self.fence:
             return [effects.Send(sender, messages.NotDispatching(submit.job_id, ""))]
+        self.lost_entries.discard(sender)
         ended = self.ended.get(submit.job_id)
         if ended is not None and ended.outcome is not None:
             return [effects.Send(sender, ended.outcome)]
@@ -251,24 +265,45 @@
             open_job.entry = sender
             return [log_events.JobRejoined(submit.job_id, sender)]
         job = self.build_job(sender, submit, ended)
-        self.jobs[job.key] = job
+        self.add_job(job)
         self.load_report.record_arrival(job)
         if self.can_never_fit(job):
             return self.task_starter.refuse(job, reasons.Reason.NEVER_FITS, 0)
         return self.tracker.adopt_attempts(job)
 
+    def add_job(self, job: jobs.Job) -> None:
+        """Add an open job, whose tasks wait."""
+        self.jobs[job.key] = job
+        self.queue[job.key] = job
+
+    def requeue(self, task: jobs.Task) -> None:
+        """Let a task wait again."""
+        task.job.requeue(task)
+        self.queue[task.job.key] = task.job
+
     def can_never_fit(self, job: jobs.Job) -> bool:
         """Return whether a new job has a task that fits on no endpoint of its service.
 
         Always false while some endpoint of the service is not held.
         """
         service = job.terms.service
-        candidates = [
-            e for e in self.endpoints.values() if e.announcement.service == service
-        ]
-        if job.was_started or not candidates or not self.holds_all_endpoints(service):
+        if job.was_started or all(
+            placing.could_ever_fit(step, self.iterate_service(service))
+            for step in job.steps
+        ):
             return False
-        return not all(placing.could_ever_fit(step, candidates) for step in job.steps)
+        has_endpoints = any(True for _ in self.iterate_service(service))
+        return has_endpoints and self.holds_all_endpoints(service)
+
+    def iterate_service(
+        self, service: str
+    ) -> collections.abc.Iterator[endpoints.Endpoint]:
+        """Return the endpoints of a service one after the other."""
+        return (
+            endpoint
+            for endpoint in self.endpoints.values()
+            if endpoint.announcement.service == service
+        )
 
     def build_job(
         self, sender: str, submit: messages.Submit, ended: EndedJob | None
@@ -343,6 +378,9 @@
 
         Running tasks continue for `ORPHAN_GRACE_MS` in case it recovers.
         """
+        if entry in self.lost_entries:
+            return []
+        self.lost_entries.add(entry)
         now_ms = self.clock.now_ms()
         for job in self.jobs.values():
             if job.entry == entry and not job.orphaned_ms:
@@ -351,6 +389,9 @@
 
     def on_entry_recovered(self, entry: str) -> Effects:
         """Resume the jobs of an entry VM that uses this dispatcher."""
+        if entry not in self.lost_entries:
+            return []
+        self.lost_entries.discard(entry)
         for job in self.jobs.values():
             if job.entry == entry:
                 job.orphaned_ms = 0
@@ -369,7 +410,7 @@
             if job.orphaned_ms and now_ms - job.orphaned_ms > ORPHAN_GRACE_MS:
                 produced += self.end_job(job, None)
         self.forget_ended(now_ms)
-        produced += self.load_report.build(self.jobs.values(), now_ms)
+        produced += self.load_report.build(self.queue.values(), now_ms)
         return produced + self.record_recovery(now_ms)
 
     def record_recovery(self, now_ms: int) -> Effects:
@@ -384,7 +425,7 @@
         if held and all(held):
             produced += steps.record(recovery_steps.Step.ALL_ENDPOINTS_HELD, now_ms)
         has_started = recovery_steps.Step.FIRST_TASK_STARTED in steps.reached
-        if has_started and not any(job.waiting for job in self.jobs.values()):
+        if has_started and not any(job.waiting for job in self.queue.values()):
             produced += steps.record(recovery_steps.Step.BACKLOG_DONE, now_ms)
         return produced
 
@@ -404,6 +445,10 @@
         """
         return self.task_starter.place() if self.fence else []
 
+    def get_placement_pause_ms(self) -> int:
+        """Return how long the next placement should wait, 0 for not at all."""
+        return self.task_starter.get_pause_ms()
+
     # Calls to endpoints and their answers.
 
     def build_hold(self, name: str) -> calls.Hold | None:
@@ -420,6 +465,14 @@
         endpoint = self.endpoints.get(name)
         return endpoint is not None and bool(endpoint.unacked_ends)
 
+    def list_endpoints_with_unacked_ends(self) -> list[endpoints.Endpoint]:
+        """Return the endpoints that list ends which must not be acknowledged yet."""
+        names = self.endpoint_index.with_unacked_ends
+        for name in list(names):
+            if not self.has_unacked_ends(name):
+                names.discard(name)
+        return [self.endpoints[name] for name in sorted(names)]
+
     def build_probe(self, name: str) -> calls.Hold | None:
         """Return a probe of an endpoint, or None if it is no longer held."""
         endpoint = self.endpoints.get(name)
--- a/packages/core/src/knapweedbeam_core/pool/endpoints.py
+++ b/packages/core/src/knapweedbeam_core/pool/endpoints.py
@@ -8,6 +8,7 @@
 from knapweedbeam_core.pool import (
     calls,
     clocks,
+    endpoint_index,
     health,
     jobs,
     messages,
@@ -64,8 +65,14 @@
     and the answer to the open hold is due at `answer_due_ms`.
     """
 
-    def __init__(self, announcement: messages.EndpointNews, announced_ms: int) -> None:
+    def __init__(
+        self,
+        announcement: messages.EndpointNews,
+        announced_ms: int,
+        index: endpoint_index.EndpointIndex,
+    ) -> None:
         self.announcement = announcement
+        self.index = index
         self.announced_ms = announced_ms
         self.capacity = resources.Resources(
             announcement.cpu_millis, announcement.memory_mib, announcement.gpus
@@ -88,6 +95,11 @@
         self.reading: clocks.Reading | None = None
         self.speed = speeds.Speed()
         self.health = health.Health()
+        self.mark_changed()
+
+    def mark_changed(self) -> None:
+        """Record that the speed or the free resources changed."""
+        self.index.mark_changed(self.announcement.endpoint)
 
     @property
     def target(self) -> calls.Target:
@@ -120,10 +132,19 @@
             announcement.cpu_millis, announcement.memory_mib, announcement.gpus
         )
         self.free = self.capacity.minus(self.used)
+        self.mark_changed()
         return True
 
+    def keep_end(self, end: calls.End) -> None:
+        """Keep an end that must not be acknowledged yet."""
+        self.unacked_ends[end.place] = end
+        self.index.with_unacked_ends.add(self.announcement.endpoint)
+
     def add(self, attempt: Attempt) -> None:
         """Add an attempt and assign its resources."""
+        if attempt.task not in self.attempts:
+            job_id = jobs.get_job_id(attempt.task)
+            self.index.add_attempt(self.announcement.endpoint, job_id)
         self.attempts[attempt.task] = attempt
         self.unclaimed_count += attempt.state == AttemptState.UNCLAIMED
         self.used = self.used.plus(attempt.need)
@@ -132,6 +153,8 @@
     def remove(self, attempt: Attempt) -> None:
         """Remove an attempt and release its resources."""
         if self.attempts.pop(attempt.task, None) is not None:
+            job_id = jobs.get_job_id(attempt.task)
+            self.index.remove_attempt(self.announcement.endpoint, job_id)
             self.unclaimed_count -= attempt.state == AttemptState.UNCLAIMED
             self.used = self.used.minus(attempt.need)
             self.free = self.capacity.minus(self.used)
--- a/packages/core/src/knapweedbeam_core/pool/load_report.py
+++ b/packages/core/src/knapweedbeam_core/pool/load_report.py
@@ -73,15 +73,18 @@
                 counts.refused += 1
 
     def build(
-        self, open_jobs: collections.abc.Collection[jobs.Job], now_ms: int
+        self, queue: collections.abc.Iterable[jobs.Job], now_ms: int
     ) -> list[log_events.QueueLoad]:
-        """Return the report of each busy queue if one is due, and start a new one."""
+        """Return the report of each busy queue if one is due, and start a new one.
+
+        `queue` holds all jobs with waiting tasks.
+        """
         if now_ms < self.due_ms:
             return []
         self.due_ms = now_ms + REPORT_INTERVAL_MS
         waiting: dict[str, list[int]] = {}
-        for job in open_jobs:
-            if job.waiting:
+        for job in queue:
+            if job.waiting and not job.is_cancelled:
                 waiting.setdefault(job.terms.queue, []).append(now_ms - job.born_ms)
                 self.get_counts(job)
         busiest = sorted(
--- a/packages/core/src/knapweedbeam_core/pool/placing.py
+++ b/packages/core/src/knapweedbeam_core/pool/placing.py
@@ -12,41 +12,66 @@
 
 import collections.abc
 import dataclasses
+import math
 
-from knapweedbeam_core.pool import endpoints, jobs, messages, queueing, resources
+from knapweedbeam_core.pool import (
+    endpoint_index,
+    endpoints,
+    jobs,
+    messages,
+    queueing,
+    resources,
+)
 
 # Safety factor for callers' estimates, which are off by a factor of up to two.
 ESTIMATE_MARGIN = 1.25
-# Endpoints whose speeds differ by less than this count as equally fast.
-SPEED_STEP = 0.2
 
 
 class AvailableEndpoints:
-    """The endpoints of one service that may take tasks now.
+    """The endpoints of one service that may take tasks now, in order of preference.
 
     With a backlog most waiting tasks fit nowhere; `may_fit` is a fast check for that.
     """
 
     def __init__(
         self,
-        candidates: collections.abc.Iterable[endpoints.Endpoint],
+        order: endpoint_index.PlacementOrder,
+        known: collections.abc.Mapping[str, endpoints.Endpoint],
+        now_ms: int,
         remote_factor: float = 1.0,
+        names: collections.abc.Set[str] | None = None,
     ) -> None:
-        self.endpoints = list(candidates)
+        self.order = order
+        self.known = known
+        self.now_ms = now_ms
         self.remote_factor = remote_factor
-        self.largest_cpu_millis = 0
-        self.update_largest()
-
-    def update_largest(self) -> None:
-        """Update the largest free processor capacity among the endpoints."""
-        self.largest_cpu_millis = max(
-            (endpoint.free.cpu_millis for endpoint in self.endpoints), default=-1
-        )
+        self.names = names
+        # No endpoint has more free processor capacity.
+        self.largest_cpu_millis: float = math.inf
+
+    def list_endpoints(self) -> list[endpoints.Endpoint]:
+        """Return all endpoints that may take tasks."""
+        return list(self.iterate(-math.inf))
+
+    def iterate(
+        self, cpu_millis: float
+    ) -> collections.abc.Iterator[endpoints.Endpoint]:
+        """Return the endpoints with at least this much free processor capacity."""
+        for name in self.order.iterate(cpu_millis):
+            if self.names is not None and name not in self.names:
+                continue
+            endpoint = self.known[name]
+            if endpoint.is_available(self.now_ms):
+                yield endpoint
 
     def may_fit(self, task: jobs.Task) -> bool:
-        """Return whether some endpoint has enough free processor capacity."""
+        """Return whether some endpoint may have enough free processor capacity."""
         return task.need.cpu_millis <= self.largest_cpu_millis
 
+    def record_no_room(self, task: jobs.Task) -> None:
+        """Record that no endpoint has enough free processor capacity for a task."""
+        self.largest_cpu_millis = min(self.largest_cpu_millis, task.need.cpu_millis - 1)
+
     def restrict(self, task: jobs.Task) -> AvailableEndpoints:
         """Return the endpoints that tasks of the same step may use.
 
@@ -56,7 +81,7 @@
         """
         if task.spec.is_filling:
             names = sorted(
-                endpoint.announcement.endpoint for endpoint in self.endpoints
+                endpoint.announcement.endpoint for endpoint in self.list_endpoints()
             )
             half = set(names[: (len(names) + 1) // 2])
             return self.filter_endpoints(
@@ -64,7 +89,7 @@
             )
         if not task.spec.is_rack_local:
             return self
-        rack = find_used_rack(task, self.endpoints)
+        rack = find_used_rack(task, self.list_endpoints())
         if not rack:
             rack = self.find_free_rack(task)
         return (
@@ -77,9 +102,13 @@
         self, is_wanted: collections.abc.Callable[[endpoints.Endpoint], bool]
     ) -> AvailableEndpoints:
         """Return the endpoints for which a predicate holds."""
+        names = {
+            endpoint.announcement.endpoint
+            for endpoint in self.list_endpoints()
+            if is_wanted(endpoint)
+        }
         return AvailableEndpoints(
-            (endpoint for endpoint in self.endpoints if is_wanted(endpoint)),
-            self.remote_factor,
+            self.order, self.known, self.now_ms, self.remote_factor, names
         )
 
     def find_free_rack(self, task: jobs.Task) -> str:
@@ -89,7 +118,7 @@
         processor capacity.
         """
         free: dict[str, int] = {}
-        for endpoint in self.endpoints:
+        for endpoint in self.list_endpoints():
             rack = endpoint.announcement.rack
             free[rack] = free.get(rack, 0) + max(0, endpoint.free.cpu_millis)
         if not free:
@@ -200,30 +229,21 @@
     planned_ms = task.spec.estimate_ms * ESTIMATE_MARGIN
     factor = available.remote_factor
     due_ms = task.job.due_ms - queueing.TRANSIT_MS
-    in_time: list[Candidate] = []
-    late: list[Candidate] = []
-    for endpoint in available.endpoints:
+    best: Candidate | None = None
+    has_room = False
+    for endpoint in available.iterate(task.need.cpu_millis):
+        has_room = True
         if not fits(task, endpoint):
             continue
         run_ms = ESTIMATE_MARGIN * endpoint.get_estimate_ms(task.spec, factor)
         ends_ms = now_ms + endpoint.speed.get_run_ms(run_ms)
-        (in_time if ends_ms <= due_ms else late).append(Candidate(endpoint, ends_ms))
-    if task.spec.is_lasting:
         # Lasting tasks run until their job is cancelled, so waiting gains nothing.
-        candidates = in_time + late
-        return min(candidates, key=get_preference).endpoint if candidates else None
-    if in_time:
-        return min(in_time, key=get_preference).endpoint
-    if not late:
-        return None
-    best = min(late, key=lambda candidate: candidate.ends_ms)
-    if best.ends_ms > due_ms >= now_ms + planned_ms / best_speed:
+        if ends_ms <= due_ms or task.spec.is_lasting:
+            return endpoint
+        if best is None or ends_ms < best.ends_ms:
+            best = Candidate(endpoint, ends_ms)
+    if not has_room:
+        available.record_no_room(task)
+    if best is None or best.ends_ms > due_ms >= now_ms + planned_ms / best_speed:
         return None
     return best.endpoint
-
-
-def get_preference(candidate: Candidate) -> tuple[int, int]:
-    """Return a sort key that puts the fastest first, then those with least free."""
-    endpoint = candidate.endpoint
-    speed = round(endpoint.speed.value / SPEED_STEP)
-    return -speed, endpoint.free.cpu_millis
--- a/packages/core/src/knapweedbeam_core/pool/speeds.py
+++ b/packages/core/src/knapweedbeam_core/pool/speeds.py
@@ -29,15 +29,14 @@
 
 @dataclasses.dataclass(slots=True)
 class Speed:
-    """The speed of one endpoint relative to a normal one, as a mean of logarithms."""
+    """The speed of one endpoint relative to a normal one, as a mean of logarithms.
+
+    At a `value` of 2.0 a task takes half of its estimated time.
+    """
 
     log_mean: float = 0.0
     samples: int = 0
-
-    @property
-    def value(self) -> float:
-        """Return the speed; at 2.0 a task takes half of its estimated time."""
-        return math.exp(self.log_mean)
+    value: float = 1.0
 
     def add(self, estimate_ms: float, duration_ms: float) -> None:
         """Add the duration of a task that succeeded, as one sample."""
@@ -46,11 +45,13 @@
         self.samples += 1
         weight = max(MIN_SAMPLE_WEIGHT, FIRST_SAMPLE_WEIGHT / self.samples)
         self.log_mean += weight * (math.log(ratio) - self.log_mean)
+        self.value = math.exp(self.log_mean)
 
     def restore(self, speed: float, samples: int) -> None:
         """Continue with the speed that another dispatcher has measured."""
         bounded = min(MAX_SPEED, max(MIN_SPEED, speed))
         self.log_mean = math.log(bounded)
+        self.value = bounded
         self.samples = samples
 
     def get_run_ms(self, estimate_ms: float) -> float:
--- a/packages/core/src/knapweedbeam_core/pool/stored_scheduler.py
+++ b/packages/core/src/knapweedbeam_core/pool/stored_scheduler.py
@@ -224,7 +224,7 @@
         job = self.build_job(entry, stored_job, occurrence)
         if not job.tasks_left:
             return []
-        self.owner.jobs[job.key] = job
+        self.owner.add_job(job)
         return self.owner.tracker.adopt_attempts(job)
 
     def build_job(
@@ -314,7 +314,7 @@
             return []
         if end.kind not in (calls.EndKind.DONE, calls.EndKind.FAILED):
             return []
-        endpoint.unacked_ends[end.place] = end
+        endpoint.keep_end(end)
         announcement = endpoint.announcement
         record = calls.RecordEnd(announcement.endpoint, announcement.born_ms, end)
         self.unconfirmed_ends[
--- a/packages/core/src/knapweedbeam_core/pool/task_starter.py
+++ b/packages/core/src/knapweedbeam_core/pool/task_starter.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import dataclasses
 import typing
 
 from knapweedbeam_core import reasons
 from knapweedbeam_core.pool import (
     calls,
+    endpoint_index,
     endpoints,
     jobs,
     log_events,
@@ -19,24 +21,90 @@
     from knapweedbeam_core.pool import dispatcher
 
 
+# With this many waiting jobs, placements that follow each other more closely would take
+# much of the processor's time.
+LONG_QUEUE = 50
+LONG_QUEUE_PAUSE_MS = 5
+# The speed of the fastest endpoint changes slowly.
+BEST_SPEED_INTERVAL_MS = 20
+
+
+@dataclasses.dataclass(slots=True)
+class BestSpeed:
+    """The speed of the fastest held endpoint of a service, and when it was found."""
+
+    value: float
+    found_ms: int
+
+
 class TaskStarter:
     """Starts the waiting tasks of one dispatcher."""
 
     def __init__(self, owner: dispatcher.Dispatcher) -> None:
         self.owner = owner
+        self.orders: dict[str, endpoint_index.PlacementOrder] = {}
+        self.services: dict[str, str] = {}
+        self.best_speeds: dict[str, BestSpeed] = {}
+        self.placed_ms = 0
+        self.queue_length = 0
+
+    def get_pause_ms(self) -> int:
+        """Return how long the next placement should wait."""
+        if self.queue_length < LONG_QUEUE:
+            return 0
+        passed_ms = self.owner.clock.now_ms() - self.placed_ms
+        return max(0, LONG_QUEUE_PAUSE_MS - passed_ms)
 
     def place(self) -> dispatcher.Effects:
         """Start the tasks that fit, service by service and in order of urgency."""
         now_ms = self.owner.clock.now_ms()
         by_service: dict[str, list[jobs.Job]] = {}
-        for job in self.owner.jobs.values():
-            if job.waiting and not job.orphaned_ms:
+        for key, job in list(self.owner.queue.items()):
+            if not job.waiting or self.owner.jobs.get(key) is not job:
+                del self.owner.queue[key]
+            elif not job.orphaned_ms:
                 by_service.setdefault(job.terms.service, []).append(job)
+        self.placed_ms = now_ms
+        self.queue_length = sum(len(queued) for queued in by_service.values())
+        self.update_orders()
         produced: dispatcher.Effects = []
         for service, queued in by_service.items():
             produced += self.place_service(service, queued, now_ms)
         return produced
 
+    def update_orders(self) -> None:
+        """Move the endpoints that changed to their new places."""
+        changed = self.owner.endpoint_index.changed
+        for name in changed:
+            endpoint = self.owner.endpoints.get(name)
+            service = endpoint.announcement.service if endpoint is not None else ""
+            previous = self.services.get(name, service)
+            if previous != service:
+                self.orders[previous].remove(name)
+            if endpoint is None:
+                self.services.pop(name, None)
+                continue
+            self.services[name] = service
+            order = self.orders.setdefault(service, endpoint_index.PlacementOrder())
+            order.update(name, endpoint.speed.value, endpoint.free.cpu_millis)
+        changed.clear()
+
+    def get_best_speed(self, service: str, now_ms: int) -> float:
+        """Return the speed of the fastest held endpoint of a service."""
+        best = self.best_speeds.get(service)
+        if best is not None and now_ms - best.found_ms < BEST_SPEED_INTERVAL_MS:
+            return best.value
+        value = max(
+            (
+                endpoint.speed.value
+                for endpoint in self.owner.iterate_service(service)
+                if endpoint.is_held
+            ),
+            default=1.0,
+        )
+        self.best_speeds[service] = BestSpeed(value, now_ms)
+        return value
+
     def place_service(
         self, service: str, queued: list[jobs.Job], now_ms: int
     ) -> dispatcher.Effects:
@@ -44,32 +112,41 @@
 
         Jobs that are too late and were never started are refused.
         """
-        service_endpoints = [
-            endpoint
-            for endpoint in self.owner.endpoints.values()
-            if endpoint.announcement.service == service
-        ]
-        held_endpoints = [
-            endpoint for endpoint in service_endpoints if endpoint.is_held
-        ]
-        best_speed = max(
-            (endpoint.speed.value for endpoint in held_endpoints), default=1.0
-        )
-        holds_all = self.owner.holds_all_endpoints(service)
+        best_speed = self.get_best_speed(service, now_ms)
         available = placing.AvailableEndpoints(
-            (endpoint for endpoint in held_endpoints if endpoint.is_available(now_ms)),
+            self.orders.setdefault(service, endpoint_index.PlacementOrder()),
+            self.owner.endpoints,
+            now_ms,
             self.owner.bounds.remote_factor,
         )
+        too_late: list[jobs.Job] = []
         produced: dispatcher.Effects = []
         for job in queueing.sort_jobs(queued, now_ms, best_speed):
-            if now_ms < job.not_before_ms and not holds_all:
+            is_early = now_ms < job.not_before_ms
+            if is_early and not self.owner.holds_all_endpoints(service):
                 continue
             is_refusable = not job.was_started and not job.is_stored
             if is_refusable and queueing.is_too_late(job, now_ms, best_speed):
-                backlog_ms = queueing.get_backlog_ms(queued, held_endpoints)
-                produced += self.refuse(job, reasons.Reason.DEADLINE, backlog_ms)
+                too_late.append(job)
                 continue
             produced += self.place_job(job, available, now_ms, best_speed)
+        return produced + self.refuse_late_jobs(too_late, queued, service)
+
+    def refuse_late_jobs(
+        self, too_late: list[jobs.Job], queued: list[jobs.Job], service: str
+    ) -> dispatcher.Effects:
+        """Refuse jobs that cannot end in time to be of use."""
+        if not too_late:
+            return []
+        held_endpoints = [
+            endpoint
+            for endpoint in self.owner.iterate_service(service)
+            if endpoint.is_held
+        ]
+        backlog_ms = queueing.get_backlog_ms(queued, held_endpoints)
+        produced: dispatcher.Effects = []
+        for job in too_late:
+            produced += self.refuse(job, reasons.Reason.DEADLINE, backlog_ms)
         return produced
 
     def place_job(
@@ -97,13 +174,11 @@
                 if not started:
                     produced += self.owner.advice_cache.request(task, suitable, now_ms)
                 used_endpoints += [start.target.endpoint for start in started]
-                available.update_largest()
                 continue
             endpoint = placing.choose_endpoint(task, allowed, now_ms, best_speed)
             if endpoint is not None:
                 produced.append(self.start(task, endpoint, now_ms))
                 used_endpoints.append(endpoint.announcement.endpoint)
-                available.update_largest()
                 continue
             produced += self.owner.advice_cache.request(task, suitable, now_ms)
             if not task.failures:
@@ -151,6 +226,7 @@
     ) -> None:
         """Revert a start that was not sent."""
         endpoint.remove(endpoint.attempts[task.name])
+        self.update_orders()
         task.last_attempt = last_attempt
         task.job.requeue(task)
 
@@ -203,6 +279,7 @@
                 until_ms,
             )
         )
+        self.update_orders()
         return calls.Start(
             endpoint.target,
             task.name,
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -212,6 +212,9 @@
 
     def place(self) -> None:
         """Place tasks, once for all events of one turn of the loop."""
+        pause_ms = self.dispatcher.get_placement_pause_ms()
+        if pause_ms:
+            gevent.sleep(pause_ms / clock.SECOND_MS)
         produced = self.dispatcher.place()
         self.run(produced)
         self.is_placement_due = False
