Let entry VMs that just started wait for the core before they dispatch

Cause: 0.6 s after its start an entry VM that had not heard a core VM yet became dispatcher. Links to the core take longer to open when all processes start at once. Jobs sent to such a dispatcher count as begun elsewhere and wait up to 1.8 s at the next one, and its token makes endpoints refuse the core's, which then pauses for 1 s.

Why it works: entry VMs listen for 3 s after their own start; core VMs still for 0.6 s. One that runs already still takes over within a second when the core is lost. Price: if no core VM comes back with them, 2.4 s more without service.

The new test fails before: e0 is active before the core is up. Two tests that take the core down now let the entry VMs listen first; what they demand is unchanged.

--- a/packages/core/src/knapweedbeam_core/fleet/dispatcher_role.py
+++ b/packages/core/src/knapweedbeam_core/fleet/dispatcher_role.py
@@ -29,6 +29,9 @@
 # A process that just started only listens at first, so that it does not replace a
 # dispatcher that is already active.
 LISTEN_MS = 600
+# An entry VM that just started hears the core VMs within this time if they started with
+# it; processes start and connect within some hundred milliseconds of each other.
+ENTRY_LISTEN_MS = 3_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,13 +96,15 @@
     def update(self, own: messages.Presence) -> Choice:
         """Select the dispatcher again, and claim or give up the role accordingly."""
         now_ms = self.clock.now_ms()
-        if now_ms - self.started_ms < LISTEN_MS:
+        uptime_ms = now_ms - self.started_ms
+        if uptime_ms < LISTEN_MS:
             return self.following
         self.following = self.select_dispatcher(own)
         if self.following.name != own.name:
             self.step_down_for(self.following)
         elif self.generation == 0:
-            self.claim(now_ms)
+            if self.members.is_core or uptime_ms >= ENTRY_LISTEN_MS:
+                self.claim(now_ms)
         elif self.is_followed():
             self.followed_ms = now_ms
         elif now_ms - self.followed_ms > UNFOLLOWED_MS:
--- a/packages/core/tests/fleet/test_dispatcher_role.py
+++ b/packages/core/tests/fleet/test_dispatcher_role.py
@@ -149,6 +149,7 @@
         self.assertEqual(self.deployment.get_active_names(), ["c0"])
 
     def test_entry_processes_dispatch_when_the_core_is_down(self) -> None:
+        self.deployment.advance(dispatcher_role.ENTRY_LISTEN_MS)
         for name in ("c0", "c1", "c2"):
             self.deployment.processes[name].is_up = False
         self.deployment.advance(1_200)
@@ -158,6 +159,17 @@
         self.deployment.advance(1_200)
         self.assertEqual(self.deployment.get_active_names(), ["c2"])
 
+    def test_entry_processes_wait_for_a_core_that_starts_a_second_later(self) -> None:
+        deployment = Deployment(3, 4)
+        for name in ("c0", "c1", "c2"):
+            deployment.processes[name].is_up = False
+        deployment.advance(1_000)
+        self.assertEqual(deployment.get_active_names(), [])
+        for name in ("c0", "c1", "c2"):
+            deployment.processes[name].is_up = True
+        deployment.advance(700)
+        self.assertEqual(deployment.get_active_names(), ["c0"])
+
     def test_a_stopping_dispatcher_hands_over_before_it_exits(self) -> None:
         self.deployment.processes["c0"].is_stopping = True
         self.deployment.advance(200)
@@ -171,6 +183,7 @@
         self.assertEqual(self.deployment.get_active_names(), ["c1"])
 
     def test_a_core_process_without_endpoints_does_not_become_active(self) -> None:
+        self.deployment.advance(dispatcher_role.ENTRY_LISTEN_MS)
         for name in ("c0", "c1", "c2"):
             self.deployment.processes[name].is_up = False
         self.deployment.advance(1_200)
