Write log records without a copy and place only when jobs wait

Cause: each event of the dispatcher was turned into a dict before the log's limit of 200 lines a second was asked, and each answer of an endpoint started a placement, also with no job in the queue.

--- a/packages/core/src/knapweedbeam_core/pool/endpoints.py
+++ b/packages/core/src/knapweedbeam_core/pool/endpoints.py
@@ -55,6 +55,13 @@
     is_overdue: bool = False
 
 
+def build_target(announcement: messages.EndpointNews) -> calls.Target:
+    """Return the target of calls to an endpoint's incarnation."""
+    return calls.Target(
+        announcement.endpoint, announcement.born_ms, announcement.address
+    )
+
+
 class Endpoint:
     """One incarnation of an endpoint.
 
@@ -72,6 +79,7 @@
         index: endpoint_index.EndpointIndex,
     ) -> None:
         self.announcement = announcement
+        self.target = build_target(announcement)
         self.index = index
         self.announced_ms = announced_ms
         self.capacity = resources.Resources(
@@ -101,15 +109,6 @@
         """Record that the speed or the free resources changed."""
         self.index.mark_changed(self.announcement.endpoint)
 
-    @property
-    def target(self) -> calls.Target:
-        """Return the target of calls to this incarnation."""
-        return calls.Target(
-            self.announcement.endpoint,
-            self.announcement.born_ms,
-            self.announcement.address,
-        )
-
     @property
     def acked_end(self) -> int:
         """Return the place up to which the endpoint may forget its ends."""
@@ -127,6 +126,7 @@
         if announcement.sequence <= self.announcement.sequence:
             return False
         self.announcement = announcement
+        self.target = build_target(announcement)
         self.announced_ms = announced_ms
         self.capacity = resources.Resources(
             announcement.cpu_millis, announcement.memory_mib, announcement.gpus
--- a/packages/core/src/knapweedbeam_core/pool/task_starter.py
+++ b/packages/core/src/knapweedbeam_core/pool/task_starter.py
@@ -130,6 +130,8 @@
                 too_late.append(job)
                 continue
             produced += self.place_job(job, available, now_ms, best_speed)
+            if not job.waiting:
+                self.owner.queue.pop(job.key, None)
         return produced + self.refuse_late_jobs(too_late, queued, service)
 
     def refuse_late_jobs(
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -206,7 +206,7 @@
                     self.set_outcome(effect)
                 case _:
                     self.handle_log_event(effect)
-        if self.dispatcher.fence and not self.is_placement_due:
+        if self.dispatcher.queue and not self.is_placement_due:
             self.is_placement_due = True
             gevent.spawn(self.place)
 
@@ -222,7 +222,7 @@
     def handle_log_event(self, log_event: log_events.LogEvent) -> None:
         """Log a decision; give up the dispatcher role if an endpoint refused it."""
         event = CATALOGUE_EVENTS[type(log_event)]
-        emit.emit(event, **dataclasses.asdict(log_event))
+        emit.emit_record(event, log_event)
         self.telemetry.count_event(event.name)
         is_refused = isinstance(log_event, log_events.EndpointFenced)
         if is_refused and self.dispatcher_role.generation == self.dispatcher.fence:
--- a/packages/server/src/knapweedbeam_server/logs/emit.py
+++ b/packages/server/src/knapweedbeam_server/logs/emit.py
@@ -51,6 +51,12 @@
         return None
 
 
+class DataClass(typing.Protocol):
+    """A data class."""
+
+    __dataclass_fields__: typing.ClassVar[dict[str, typing.Any]]
+
+
 class Stream(typing.Protocol):
     """The stream that lines are written to."""
 
@@ -106,11 +112,28 @@
 
     def emit(self, event: catalogue.Event, fields: dict[str, object]) -> None:
         """Write one event unless its kind has reached the rate limit."""
+        suppressed = self.admit(event)
+        if suppressed is not None:
+            self.write(event, fields, suppressed)
+
+    def emit_record(self, event: catalogue.Event, record: DataClass) -> None:
+        """Write one event whose fields are those of a data class."""
+        suppressed = self.admit(event)
+        if suppressed is not None:
+            names = (field.name for field in dataclasses.fields(record))
+            fields = {name: getattr(record, name) for name in names}
+            self.write(event, fields, suppressed)
+
+    def admit(self, event: catalogue.Event) -> int | None:
+        """Return how many were suppressed before this event, or none to suppress it."""
         if self.rate_limiter is None:
-            return
-        suppressed = self.rate_limiter.admit(event)
-        if suppressed is None:
-            return
+            return None
+        return self.rate_limiter.admit(event)
+
+    def write(
+        self, event: catalogue.Event, fields: dict[str, object], suppressed: int
+    ) -> None:
+        """Write one event."""
         truncated = {name: render.truncate(value) for name, value in fields.items()}
         logger = loguru.logger.bind(
             event=event, fields=truncated, suppressed=suppressed
@@ -137,6 +160,11 @@
     EMITTER.set_up(form, level, clock, stream, events_per_window)
 
 
+def emit_record(event: catalogue.Event, record: DataClass) -> None:
+    """Write an event whose fields are those of a data class."""
+    EMITTER.emit_record(event, record)
+
+
 def emit(event: catalogue.Event, **fields: object) -> None:
     """Write an event with the fields of its template; never payloads or tokens."""
     EMITTER.emit(event, fields)
