Do not take members for lost after a delay of one's own

Cause (found by looking for the same class elsewhere, suspected, not seen in a report): a process that was late or stood still for more than 450 ms measured the silence of others in plain time before it read the heartbeats that waited. It named all members silent, and as dispatcher it gave up their jobs 600 ms later.

Heartbeats are still sent by plain time.

--- a/packages/core/src/knapweedbeam_core/fleet/dispatcher_role.py
+++ b/packages/core/src/knapweedbeam_core/fleet/dispatcher_role.py
@@ -95,6 +95,7 @@
 
     def update(self, own: messages.Presence) -> Choice:
         """Select the dispatcher again, and claim or give up the role accordingly."""
+        self.members.tick()
         now_ms = self.clock.now_ms()
         uptime_ms = now_ms - self.started_ms
         if uptime_ms < LISTEN_MS:
--- a/packages/core/src/knapweedbeam_core/fleet/membership.py
+++ b/packages/core/src/knapweedbeam_core/fleet/membership.py
@@ -5,7 +5,7 @@
 import collections.abc
 import dataclasses
 
-from knapweedbeam_core import clock, effects
+from knapweedbeam_core import clock, effects, waiting_clock
 from knapweedbeam_core.fleet import messages
 from knapweedbeam_core.log import choosing
 
@@ -23,7 +23,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Member:
-    """Another process and the newest heartbeat received from it, if any."""
+    """Another process and the newest heartbeat received from it, if any.
+
+    `added_ms` and `last_contact_ms` are by the `waiting_clock` of the membership.
+    """
 
     name: str
     added_ms: int
@@ -32,7 +35,10 @@
 
 
 class Membership:
-    """The members of a deployment as one process knows them."""
+    """The members of a deployment as one process knows them.
+
+    `tick` must be called often, so that the silence of members is measured.
+    """
 
     def __init__(
         self,
@@ -44,6 +50,7 @@
         self.name = name
         self.is_core = is_core
         self.clock = timer
+        self.waiting_clock = waiting_clock.WaitingClock(timer)
         self.seeds = frozenset(seeds) - {name}
         self.members: dict[str, Member] = {}
         self.heartbeat_due_ms = 0
@@ -52,6 +59,14 @@
         for seed in self.seeds:
             self.add_member(seed)
 
+    def tick(self) -> None:
+        """Let the time pass in which members may be silent."""
+        self.waiting_clock.tick()
+
+    def get_silence_ms(self, member: Member) -> int:
+        """Return how long nothing has been heard of a member."""
+        return self.waiting_clock.now_ms() - member.last_contact_ms
+
     def set_seeds(self, seeds: collections.abc.Iterable[str]) -> None:
         """Replace the seeds by those of changed settings; known members are kept."""
         self.seeds = frozenset(seeds) - {self.name}
@@ -61,7 +76,7 @@
     def add_member(self, name: str) -> None:
         """Add a process that may exist, without a heartbeat so far."""
         if name != self.name and name not in self.members:
-            self.members[name] = Member(name, self.clock.now_ms())
+            self.members[name] = Member(name, self.waiting_clock.now_ms())
 
     def record_heartbeat(self, presence: messages.Presence) -> bool:
         """Record a heartbeat; return whether its sender was unresponsive before."""
@@ -69,10 +84,9 @@
             return False
         self.add_member(presence.name)
         member = self.members[presence.name]
-        now_ms = self.clock.now_ms()
-        was_unresponsive = now_ms - member.last_contact_ms > UNRESPONSIVE_MS
+        was_unresponsive = self.get_silence_ms(member) > UNRESPONSIVE_MS
         member.presence = presence
-        member.last_contact_ms = now_ms
+        member.last_contact_ms = self.waiting_clock.now_ms()
         self.highest_generation = max(
             self.highest_generation, presence.highest, presence.generation
         )
@@ -82,7 +96,7 @@
 
     def remove_stale(self) -> None:
         """Remove members without contact for `FORGET_AFTER_MS`, except the seeds."""
-        now_ms = self.clock.now_ms()
+        now_ms = self.waiting_clock.now_ms()
         for name, member in list(self.members.items()):
             last_ms = max(member.last_contact_ms, member.added_ms)
             if name not in self.seeds and now_ms - last_ms > FORGET_AFTER_MS:
@@ -90,7 +104,7 @@
 
     def get_live(self) -> list[messages.Presence]:
         """Return the newest heartbeat of each responsive member."""
-        oldest_ms = self.clock.now_ms() - UNRESPONSIVE_MS
+        oldest_ms = self.waiting_clock.now_ms() - UNRESPONSIVE_MS
         return [
             member.presence
             for member in self.members.values()
@@ -100,10 +114,7 @@
     def is_live(self, name: str) -> bool:
         """Return whether a member is responsive."""
         member = self.members.get(name)
-        return (
-            member is not None
-            and self.clock.now_ms() - member.last_contact_ms <= UNRESPONSIVE_MS
-        )
+        return member is not None and self.get_silence_ms(member) <= UNRESPONSIVE_MS
 
     def is_active_dispatcher(self, name: str) -> bool:
         """Return whether a member is responsive and dispatches."""
@@ -151,9 +162,8 @@
         Members that have sent no heartbeat since this process started are left out; the
         caller counts their time from its own start.
         """
-        now_ms = self.clock.now_ms()
         core_vms = [
-            choosing.ControlVm(member.name, now_ms - member.last_contact_ms)
+            choosing.ControlVm(member.name, self.get_silence_ms(member))
             for member in self.members.values()
             if member.presence is not None and member.presence.is_core
         ]
--- a/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
+++ b/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
@@ -73,9 +73,9 @@
         return self.owner.clock.now_ms()
 
     @property
-    def call_ms(self) -> int:
+    def waiting_ms(self) -> int:
         """Return the time by which calls and their answers are timed."""
-        return self.owner.call_clock.now_ms()
+        return self.owner.waiting_clock.now_ms()
 
     # Calls to endpoints.
 
@@ -98,7 +98,7 @@
             wait_ms = 0
         elif self.has_uncertain_attempts(endpoint):
             wait_ms = UNCERTAIN_POLL_MS
-        endpoint.answer_due_ms = self.call_ms + wait_ms
+        endpoint.answer_due_ms = self.waiting_ms + wait_ms
         return self.build_call(endpoint, until_ms, wait_ms)
 
     def build_probe(self, endpoint: endpoints.Endpoint) -> calls.Hold:
@@ -120,7 +120,7 @@
     def get_wait_ms(self, endpoint: endpoints.Endpoint) -> int:
         """Return how long a hold may wait: at most until a task becomes overdue."""
         wait_ms = POLL_MS
-        if endpoint.attempts and not self.owner.call_clock.late_ms:
+        if endpoint.attempts and not self.owner.waiting_clock.late_ms:
             wait_ms = BUSY_POLL_MS
         if endpoint.reading is None:
             return wait_ms
@@ -164,7 +164,7 @@
     ) -> calls.Stop:
         """Return a call that stops an attempt."""
         attempt.is_unwanted = True
-        attempt.stop_sent_ms = self.call_ms
+        attempt.stop_sent_ms = self.waiting_ms
         return calls.Stop(
             endpoint.target, attempt.task, attempt.number, self.owner.fence
         )
@@ -286,7 +286,7 @@
         """Time the answer to a start from when it is sent."""
         attempt = endpoint.attempts.get(start.task)
         if attempt is not None and attempt.number == start.number:
-            attempt.called_ms = self.call_ms
+            attempt.called_ms = self.waiting_ms
 
     def on_start_answer(
         self, endpoint: endpoints.Endpoint, start: calls.Start, answer: calls.Answer
@@ -372,7 +372,7 @@
             if end.place > endpoint.last_seen_end:
                 endpoint.last_seen_end = end.place
                 produced += self.on_end(endpoint, end)
-        endpoint.listed_ms = self.call_ms
+        endpoint.listed_ms = self.waiting_ms
         if answer.reading.clock_ms > endpoint.list_clock_ms:
             # Answers on different connections may arrive out of order.
             endpoint.list_clock_ms = answer.reading.clock_ms
@@ -523,7 +523,7 @@
         """
         if failed.verdict == calls.Verdict.FENCED:
             return self.on_fenced(endpoint)
-        has_recent_lists = self.call_ms - endpoint.listed_ms < FRESH_LIST_MS
+        has_recent_lists = self.waiting_ms - endpoint.listed_ms < FRESH_LIST_MS
         if failed.verdict == calls.Verdict.UNKNOWN and has_recent_lists:
             return []
         endpoint.failed_polls += 1
@@ -538,10 +538,10 @@
         produced: dispatcher.Effects = []
         for endpoint in list(self.owner.endpoints.values()):
             if endpoint.is_held:
-                probing.mark_late_starts(endpoint, self.call_ms)
-                if not self.owner.call_clock.late_ms:
+                probing.mark_late_starts(endpoint, self.waiting_ms)
+                if not self.owner.waiting_clock.late_ms:
                     stop_ms = self.owner.bounds.stop_ms
-                    produced += probing.probe(endpoint, self.call_ms, stop_ms)
+                    produced += probing.probe(endpoint, self.waiting_ms, stop_ms)
             if endpoint.failed_polls:
                 produced += self.tick_unresponsive(endpoint, now_ms)
             else:
@@ -568,5 +568,5 @@
             for attempt in endpoint.attempts.values()
             if attempt.state == endpoints.AttemptState.UNCLAIMED
             and not attempt.is_unwanted
-            and self.call_ms - attempt.called_ms > CLAIM_TIMEOUT_MS
+            and self.waiting_ms - attempt.called_ms > CLAIM_TIMEOUT_MS
         ]
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -10,11 +10,10 @@
 import collections.abc
 import dataclasses
 
-from knapweedbeam_core import clock, effects, reasons
+from knapweedbeam_core import clock, effects, reasons, waiting_clock
 from knapweedbeam_core.pool import (
     advising,
     attempt_tracker,
-    call_clock,
     calls,
     endpoint_index,
     endpoints,
@@ -56,7 +55,7 @@
         self.name = name
         self.bounds = bounds
         self.clock = timer
-        self.call_clock = call_clock.CallClock(timer)
+        self.waiting_clock = waiting_clock.WaitingClock(timer)
         self.started_ms = timer.now_ms()
         self.fence = 0
         self.endpoints: dict[str, endpoints.Endpoint] = {}
@@ -401,7 +400,7 @@
 
     def tick(self) -> Effects:
         """Run periodic work: attempts, stored jobs, orphaned and ended jobs."""
-        self.call_clock.tick()
+        self.waiting_clock.tick()
         if not self.fence:
             return []
         now_ms = self.clock.now_ms()
--- a/packages/core/src/knapweedbeam_core/pool/endpoints.py
+++ b/packages/core/src/knapweedbeam_core/pool/endpoints.py
@@ -32,9 +32,9 @@
 
     `task` is the task's full name and `owner` the task itself, None if its job is not
     known here. `until_ms` is the time on the endpoint's clock after which it refuses
-    the start. By the dispatcher's `call_clock`, `called_ms` is when the start was sent
-    or, if another dispatcher sent it, when the attempt was first listed, 0 while it is
-    not sent, and `stop_sent_ms` is when the last stop was decided, 0 for none;
+    the start. By the dispatcher's `waiting_clock`, `called_ms` is when the start was
+    sent or, if another dispatcher sent it, when the attempt was first listed, 0 while
+    it is not sent, and `stop_sent_ms` is when the last stop was decided, 0 for none;
     `stop_clock_ms` is the endpoint's clock when it accepted the stop, 0 until then.
     `began_clock_ms` is that clock when the endpoint accepted the start or first listed
     the attempt as running.
@@ -68,8 +68,8 @@
     `last_seen_end` is the place of the newest end that was handled. `unacked_ends` are
     ends that must not be acknowledged yet, by place: the log has to record them first,
     or it is not known whether it has to. `list_clock_ms` is the endpoint's clock in its
-    newest lists. By the dispatcher's `call_clock`, `listed_ms` is when these arrived,
-    and the answer to the open hold is due at `answer_due_ms`.
+    newest lists. By the dispatcher's `waiting_clock`, `listed_ms` is when these
+    arrived, and the answer to the open hold is due at `answer_due_ms`.
     """
 
     def __init__(
--- a/packages/core/src/knapweedbeam_core/pool/probing.py
+++ b/packages/core/src/knapweedbeam_core/pool/probing.py
@@ -22,7 +22,7 @@
 def mark_late_starts(endpoint: endpoints.Endpoint, now_ms: int) -> None:
     """Mark starts that were not answered in time as uncertain.
 
-    Like all times here, `now_ms` is that of the dispatcher's `call_clock`.
+    Like all times here, `now_ms` is that of the dispatcher's `waiting_clock`.
     """
     for attempt in endpoint.attempts.values():
         if attempt.state != endpoints.AttemptState.STARTING or not attempt.called_ms:
--- a/packages/core/src/knapweedbeam_core/pool/reconciler.py
+++ b/packages/core/src/knapweedbeam_core/pool/reconciler.py
@@ -60,7 +60,7 @@
             attempt.owner.job.save_progress(attempt.owner, running.progress)
         if not attempt.is_unwanted:
             return self.check_overdue(endpoint, attempt, answer)
-        if self.tracker.call_ms - attempt.stop_sent_ms < STOP_RETRY_MS:
+        if self.tracker.waiting_ms - attempt.stop_sent_ms < STOP_RETRY_MS:
             return []
         return [self.tracker.stop_attempt(endpoint, attempt)]
 
@@ -128,7 +128,7 @@
             resources.Resources(),
             endpoints.AttemptState.UNCLAIMED,
             self.tracker.now_ms,
-            called_ms=self.tracker.call_ms,
+            called_ms=self.tracker.waiting_ms,
         )
         endpoint.add(attempt)
         job = self.tracker.owner.jobs.get(jobs.get_key(running.task))
@@ -159,8 +159,8 @@
         if attempt.until_ms and clock_ms > attempt.until_ms + ROUNDING_MS:
             return self.tracker.drop_attempt(endpoint, attempt, "never started")
         is_uncertain = attempt.state == endpoints.AttemptState.UNCERTAIN
-        is_old = self.tracker.call_ms - attempt.called_ms > UNCERTAIN_START_MS
-        is_due = self.tracker.call_ms - attempt.stop_sent_ms > STOP_RETRY_MS
+        is_old = self.tracker.waiting_ms - attempt.called_ms > UNCERTAIN_START_MS
+        is_due = self.tracker.waiting_ms - attempt.stop_sent_ms > STOP_RETRY_MS
         if is_uncertain and is_old and is_due:
             return [self.tracker.stop_attempt(endpoint, attempt)]
         return []
--- a/packages/core/src/knapweedbeam_core/pool/call_clock.py
+++ b/packages/core/src/knapweedbeam_core/waiting_clock.py
@@ -1,7 +1,7 @@
-"""A clock for waiting on answers that slows down while this process is late.
+"""A clock for waiting on others that slows down while this process is late.
 
-An answer that has arrived waits unread while the process is busy. Measured in plain
-time it would count as lost, and the calls to find out would keep the process busy.
+What others sent waits unread while the process is busy or stands still. Measured in
+plain time they would count as lost, and finding out would keep the process busy.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 MAX_TICK_MS = 30
 
 
-class CallClock:
+class WaitingClock:
     """Time that advances by at most `MAX_TICK_MS` from one tick to the next.
 
     It must not be used for leases and other promises that others measure. `late_ms` is
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -390,7 +390,6 @@
 
     def handle_unresponsive(self) -> None:
         """Log members that became unresponsive and report them to the dispatcher."""
-        now_ms = self.clock.now_ms()
         for name, member in self.members.members.items():
             if member.presence is None or self.members.is_live(name):
                 continue
@@ -400,7 +399,7 @@
             emit.emit(
                 catalogue.MEMBER_SILENT,
                 peer=name,
-                silent_ms=now_ms - member.last_contact_ms,
+                silent_ms=self.members.get_silence_ms(member),
             )
             self.run(self.dispatcher.on_entry_lost(name))
 
