Send a call to an endpoint without asking for the socket's buffer size

gevent's sendall reads SO_SNDBUF before each send. Requests to endpoints are of one to two KB and fit.

--- a/packages/server/src/knapweedbeam_server/tasks/http_exchange.py
+++ b/packages/server/src/knapweedbeam_server/tasks/http_exchange.py
@@ -11,6 +11,7 @@
 import dataclasses
 import urllib.parse
 
+import gevent.socket
 import geventhttpclient.connectionpool
 import geventhttpclient.response
 
@@ -120,7 +121,7 @@
     except OSError as error:
         raise NotSentError(str(error)) from error
     try:
-        sock.sendall(request.encode("ascii") + b"\r\n\r\n" + body)
+        send(sock, request.encode("ascii") + b"\r\n\r\n" + body)
     except BaseException as error:
         target.pool.release_socket(sock)
         if isinstance(error, OSError):
@@ -136,6 +137,14 @@
         raise IncompleteAnswerError(str(error)) from error
 
 
+def send(sock: gevent.socket.socket, data: bytes) -> None:
+    """Send all of `data`; unlike `sendall`, most often in one system call."""
+    sent = sock.send(data)
+    while sent < len(data):
+        data = data[sent:]
+        sent = sock.send(data)
+
+
 def read_answer(
     response: geventhttpclient.response.HTTPSocketPoolResponse, max_bytes: int
 ) -> Answer:
