Keep the jobs of an entry VM that submits before its heartbeat is read

A submission marked its entry VM as heard again, so that the heartbeat after it no longer resumed the jobs that had been held back: they were stopped after 600 ms. A submission now resumes them itself.

An endpoint that signs off is removed before its attempts are. Stopping the rest of a gang then looked the endpoint up by the index and raised KeyError, which ends the process. Only endpoints that are still known are returned.

Both tests fail before: no outcome for the job, and KeyError: 'e0'.

--- a/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
+++ b/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
@@ -172,8 +172,7 @@
     def stop_job(self, job: jobs.Job) -> dispatcher.Effects:
         """Stop all attempts of a job; those still starting, once they have answered."""
         produced: dispatcher.Effects = []
-        for name in self.owner.endpoint_index.find_endpoints(job.job_id):
-            endpoint = self.owner.endpoints[name]
+        for endpoint in self.owner.list_endpoints_of_job(job.job_id):
             for attempt in endpoint.attempts.values():
                 if attempt.owner is None or attempt.owner.job is not job:
                     continue
@@ -187,8 +186,7 @@
     def adopt_attempts(self, job: jobs.Job) -> dispatcher.Effects:
         """Assign the unclaimed attempts and ends of a job that was just submitted."""
         prefix = f"{job.job_id}.{job.occurrence}."
-        for name in self.owner.endpoint_index.find_endpoints(job.job_id):
-            endpoint = self.owner.endpoints[name]
+        for endpoint in self.owner.list_endpoints_of_job(job.job_id):
             for attempt in list(endpoint.attempts.values()):
                 if attempt.task.startswith(prefix):
                     self.claim_attempt(job, endpoint, attempt)
@@ -247,8 +245,7 @@
             return []
         names = {member.name for member in task.job.get_gang(task)}
         produced: dispatcher.Effects = []
-        for name in self.owner.endpoint_index.find_endpoints(task.job.job_id):
-            endpoint = self.owner.endpoints[name]
+        for endpoint in self.owner.list_endpoints_of_job(task.job.job_id):
             for attempt in endpoint.attempts.values():
                 if attempt.task not in names or attempt.number != number:
                     continue
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -249,7 +249,7 @@
         """
         if not self.fence:
             return [effects.Send(sender, messages.NotDispatching(submit.job_id, ""))]
-        self.lost_entries.discard(sender)
+        self.on_entry_recovered(sender)
         ended = self.ended.get(submit.job_id)
         if ended is not None and ended.outcome is not None:
             return [effects.Send(sender, ended.outcome)]
@@ -294,6 +294,11 @@
         has_endpoints = any(True for _ in self.iterate_service(service))
         return has_endpoints and self.holds_all_endpoints(service)
 
+    def list_endpoints_of_job(self, job_id: str) -> list[endpoints.Endpoint]:
+        """Return the known endpoints that have attempts of a job."""
+        names = self.endpoint_index.find_endpoints(job_id)
+        return [self.endpoints[name] for name in names if name in self.endpoints]
+
     def iterate_service(
         self, service: str
     ) -> collections.abc.Iterator[endpoints.Endpoint]:
--- a/packages/core/tests/pool/test_dispatcher.py
+++ b/packages/core/tests/pool/test_dispatcher.py
@@ -339,6 +339,14 @@
             self.assertEqual(self.simulation.get_outcome(job_id), "JobComplete")
         self.assertEqual(len(self.simulation.starts), 3)
 
+    def test_entry_vm_that_submits_before_its_heartbeat_loses_no_jobs(self) -> None:
+        self.simulation.advance(300)
+        self.simulation.submit(self.dispatcher, "new")
+        self.dispatcher.on_entry_recovered(simulation.ENTRY)
+        self.simulation.advance(1_000)
+        for job_id in ("runs", "waits", "new"):
+            self.assertEqual(self.simulation.get_outcome(job_id), "JobComplete")
+
     def test_job_that_had_run_is_never_refused(self) -> None:
         self.simulation.advance(1_000)
         self.simulation.submit(self.dispatcher, "long", 1, 2_000)
--- a/packages/core/tests/stored/test_stored_scheduler.py
+++ b/packages/core/tests/stored/test_stored_scheduler.py
@@ -253,6 +253,20 @@
         self.assertEqual(sorted(start.number for start in starts), [1, 1, 1, 2, 2, 2])
         self.assertEqual(self.world.get_state("g"), "complete")
 
+    def test_a_gang_with_two_tasks_on_an_endpoint_that_signs_off_restarts(self) -> None:
+        self.keep("g", 3, work_ms=3_000, is_gang=True, estimate_ms=3_000)
+        self.world.advance(100)
+        used = self.get_endpoints("g")
+        name = max(used, key=used.count)
+        self.assertGreater(used.count(name), 1)
+        self.world.endpoints[name].crash()
+        by = self.world.dispatchers[0]
+        gone = messages.EndpointGone(name, self.world.endpoints[name].born_ms)
+        self.world.run(by, by.on_endpoint_gone(gone))
+        self.world.work_ms["g"] = 100
+        self.world.advance(3_000)
+        self.assertEqual(self.world.get_state("g"), "complete")
+
     def test_rack_local_tasks_share_a_rack(self) -> None:
         self.keep("j", 4, work_ms=300, is_rack_local=True)
         self.world.advance(200)
