--- a/packages/core/src/knapweedbeam_core/pool/placing.py
+++ b/packages/core/src/knapweedbeam_core/pool/placing.py
@@ -15,10 +15,10 @@
 import math
 
 from knapweedbeam_core.pool import (
-    endpoint_index,
     endpoints,
     jobs,
     messages,
+    placement_order,
     queueing,
     resources,
 )
@@ -35,7 +35,7 @@
 
     def __init__(
         self,
-        order: endpoint_index.PlacementOrder,
+        order: placement_order.PlacementOrder,
         known: collections.abc.Mapping[str, endpoints.Endpoint],
         now_ms: int,
         remote_factor: float = 1.0,
--- a/packages/core/src/knapweedbeam_core/pool/task_starter.py
+++ b/packages/core/src/knapweedbeam_core/pool/task_starter.py
@@ -8,10 +8,10 @@
 from knapweedbeam_core import reasons
 from knapweedbeam_core.pool import (
     calls,
-    endpoint_index,
     endpoints,
     jobs,
     log_events,
+    placement_order,
     placing,
     queueing,
     recovery_steps,
@@ -42,7 +42,7 @@
 
     def __init__(self, owner: dispatcher.Dispatcher) -> None:
         self.owner = owner
-        self.orders: dict[str, endpoint_index.PlacementOrder] = {}
+        self.orders: dict[str, placement_order.PlacementOrder] = {}
         self.services: dict[str, str] = {}
         self.best_speeds: dict[str, BestSpeed] = {}
         self.placed_ms = 0
@@ -85,7 +85,7 @@
                 self.services.pop(name, None)
                 continue
             self.services[name] = service
-            order = self.orders.setdefault(service, endpoint_index.PlacementOrder())
+            order = self.orders.setdefault(service, placement_order.PlacementOrder())
             order.update(name, endpoint.speed.value, endpoint.free.cpu_millis)
         changed.clear()
 
@@ -114,7 +114,7 @@
         """
         best_speed = self.get_best_speed(service, now_ms)
         available = placing.AvailableEndpoints(
-            self.orders.setdefault(service, endpoint_index.PlacementOrder()),
+            self.orders.setdefault(service, placement_order.PlacementOrder()),
             self.owner.endpoints,
             now_ms,
             self.owner.bounds.remote_factor,
