--- a/packages/server/tests/logs/test_buffered.py
+++ b/packages/server/tests/logs/test_buffered.py
@@ -2,6 +2,7 @@
 
 import os
 import unittest
+import unittest.mock
 
 from knapweedbeam_server.logs import buffered
 
@@ -32,6 +33,15 @@
             self.stream.drain()
         self.assertEqual(read, line.encode() * 300)
 
+    def test_no_write_is_longer_than_a_pipe_takes_as_a_whole(self) -> None:
+        for number in range(100):
+            self.stream.write(f"{number:099d}\n")
+        with unittest.mock.patch.object(os, "write", wraps=os.write) as write:
+            self.stream.drain()
+        sizes = [len(call.args[1]) for call in write.call_args_list]
+        self.assertEqual(sum(sizes), 10_000)
+        self.assertLessEqual(max(sizes), 4_096)
+
     def test_dropped_lines_are_counted(self) -> None:
         for _ in range(buffered.MAX_BUFFERED_LINES + 7):
             self.stream.write("a\n")
