Send heartbeats at two rates, and a member's state only when it changed

Cause: each core VM and standby sent its whole state to every process ten times a second, encoded anew for each link, and every member list named all processes, so that each entry VM opened a link to each other one and again every 30 s: the number of links grew with the square of the processes.

Ruled out: only an encoding for all links (the square stays); no heartbeats from a core VM's successor (a loss of both in one second took over 2 s in the simulation until silent members are asked).

Change: fast heartbeats only among core VMs, from a dispatcher to all and from an entry VM with open jobs to its dispatcher; a second elsewhere, and each one tells when the next follows. When the dispatcher is lost, slow members are asked. Lists name core VMs and standbys only. Liveness, choice and rates are computed when a member changes. A dispatcher that hears of a higher token gives up its own (two stayed active after a core was cut off; test fails before). Manifests are requested until they are in force, no longer once a heartbeat. One encoding goes to all links; frames are read several at a time.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -18,6 +18,7 @@
 from bench import run as runs
 from bench import soak as soaks
 from bench.check import report
+from bench.fleet import cost as fleet_cost
 from bench.scenarios import model, registry
 
 app = typer.Typer(help="Load tool, history checker and demo.", no_args_is_help=True)
@@ -117,6 +118,18 @@
     raise typer.Exit(soaks.soak(seconds, seed))
 
 
+@app.command()
+def fleet(
+    size: typing.Annotated[
+        list[int] | None, typer.Option(help="Number of processes.")
+    ] = None,
+) -> None:
+    """Count the heartbeats of an idle deployment in simulated time."""
+    rows = [fleet_cost.measure(each) for each in size or fleet_cost.SIZES]
+    print(fleet_cost.format_rows(rows))
+    print_json(rows)
+
+
 @app.command(hidden=True)
 def probe(spec: SpecFile) -> None:
     """Probe the health of entry VMs and save the slowest answer times."""
--- /dev/null
+++ b/bench/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The heartbeats of a deployment in simulated time."""
--- a/packages/core/src/knapweedbeam_core/fleet/dispatcher_role.py
+++ b/packages/core/src/knapweedbeam_core/fleet/dispatcher_role.py
@@ -78,6 +78,11 @@
         self.following = Choice("", 0)
         self.blocked_until_ms = 0
         self.last_unrequested_ms = timer.now_ms()
+        self.selected = Choice("", 0)
+        self.selected_for: tuple[int, messages.Presence] | None = None
+        self.has_followers = False
+        self.has_requests = False
+        self.is_overtaken = False
 
     def select_dispatcher(self, own: messages.Presence) -> Choice:
         """Return the best candidate for the dispatcher role, this process included."""
@@ -100,13 +105,22 @@
         uptime_ms = now_ms - self.started_ms
         if uptime_ms < LISTEN_MS:
             return self.following
-        self.following = self.select_dispatcher(own)
+        basis = (self.members.version, own)
+        if basis != self.selected_for:
+            self.selected_for = basis
+            self.selected = self.select_dispatcher(own)
+            self.has_followers = self.is_followed()
+            self.has_requests = self.is_requested()
+            self.is_overtaken = self.has_higher_token()
+        self.following = self.selected
         if self.following.name != own.name:
             self.step_down_for(self.following)
         elif self.generation == 0:
             if self.members.is_core or uptime_ms >= ENTRY_LISTEN_MS:
                 self.claim(now_ms)
-        elif self.is_followed():
+        elif self.is_overtaken:
+            self.generation = 0
+        elif self.has_followers:
             self.followed_ms = now_ms
         elif now_ms - self.followed_ms > UNFOLLOWED_MS:
             self.generation = 0
@@ -122,14 +136,14 @@
     def claim(self, now_ms: int) -> None:
         """Become active once all reachable entry VMs follow this process.
 
-        If only some of them do for longer than `CONTEST_DELAY_MS`, neither they nor
+        If only some of them do for longer than `CONTEST_MS`, neither they nor
         this process can reach the active dispatcher, and the other entry VMs can switch
         over.
         """
-        if not self.is_requested():
+        if not self.has_requests:
             self.last_unrequested_ms = now_ms
         is_contest = now_ms - self.last_unrequested_ms > CONTEST_MS
-        if now_ms < self.blocked_until_ms or not (self.is_followed() or is_contest):
+        if now_ms < self.blocked_until_ms or not (self.has_followers or is_contest):
             return
         highest = self.members.highest_generation
         self.generation = build_generation(
@@ -151,6 +165,17 @@
             presence.following == name for presence in live if not presence.is_core
         )
 
+    def has_higher_token(self) -> bool:
+        """Return whether another process dispatches with a higher token.
+
+        Both were active in a partition that has ended. Endpoints refuse the lower
+        token, so the process that stays needs a new one.
+        """
+        return any(
+            presence.generation > self.generation
+            for presence in self.members.get_live()
+        )
+
     def is_followed(self) -> bool:
         """Return whether the reachable entry VMs follow this process.
 
--- a/packages/core/src/knapweedbeam_core/fleet/messages.py
+++ b/packages/core/src/knapweedbeam_core/fleet/messages.py
@@ -15,8 +15,9 @@
     `following` names the process that it selects as dispatcher, `using` the one that it
     sends jobs to; they differ while the dispatcher role moves to another process.
     `leads_log` is set while its replica certainly leads the log and is up to date,
-    `has_stored` while it has stored jobs. `members` lists the link addresses that it
-    knows, and is left out of most heartbeats.
+    `has_stored` while it has stored jobs. `members` lists the link addresses of the
+    core VMs and of the standby entry VMs that it knows. The next heartbeat on this link
+    follows within `interval_ms`; `wants_reply` asks the receiver for one at once.
     """
 
     name: str
@@ -33,6 +34,15 @@
     leads_log: bool = False
     has_stored: bool = False
     members: tuple[str, ...] = ()
+    interval_ms: int = 100
+    wants_reply: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Alive:
+    """A heartbeat of a sender whose state is as in its last `Presence` on this link."""
+
+    interval_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,4 +60,4 @@
     body: bytes
 
 
-CLASSES: tuple[type, ...] = (Presence, ManifestWanted, ManifestNews)
+CLASSES: tuple[type, ...] = (Presence, Alive, ManifestWanted, ManifestNews)
--- a/packages/server/src/knapweedbeam_server/fleet/manifest_manager.py
+++ b/packages/server/src/knapweedbeam_server/fleet/manifest_manager.py
@@ -27,9 +27,6 @@
     def send(self, effect: effects.Send) -> None:
         """Send a message."""
 
-    def schedule_heartbeats(self) -> None:
-        """Make heartbeats due at once, as they carry a change of this process."""
-
     def get_control_address(self, name: str) -> str:
         """Return the address of a member's control API, empty if unknown."""
 
@@ -76,7 +73,6 @@
             queues=len(decoded.queues),
             services=len(decoded.services),
         )
-        self.host.schedule_heartbeats()
 
     def send_newer(self, to: str, held_version: int) -> None:
         """Send the manifest in force to a process whose version is older."""
--- a/packages/server/src/knapweedbeam_server/fleet/message_router.py
+++ b/packages/server/src/knapweedbeam_server/fleet/message_router.py
@@ -5,6 +5,7 @@
 import typing
 
 from knapweedbeam_core import effects
+from knapweedbeam_core.fleet import membership
 from knapweedbeam_core.fleet import messages as fleet_messages
 from knapweedbeam_core.log import messages as log_messages
 from knapweedbeam_core.pool import messages
@@ -28,8 +29,15 @@
     def route(self, sender: str, message: effects.Message) -> None:
         """Pass a message to the part that handles it."""
         match message:
-            case fleet_messages.Presence():
-                self.handle_heartbeat(message)
+            case fleet_messages.Presence() | fleet_messages.Alive():
+                self.handle_heartbeat(sender, message)
+                return
+            case messages.Submit():
+                # Until its jobs have ended, the entry VM sends at the fast rate.
+                self.record_contact(sender, membership.FAST_INTERVAL_MS)
+            case _:
+                self.record_contact(sender)
+        match message:
             case messages.Submit():
                 self.handle_submit(sender, message)
             case messages.Withdraw():
@@ -74,27 +82,53 @@
         else:
             self.node.run(self.node.dispatcher.on_submit(sender, submit))
 
-    def handle_heartbeat(self, presence: fleet_messages.Presence) -> None:
+    def record_contact(self, sender: str, interval_ms: int = 0) -> None:
+        """Record a message of a member, whose state is as it was."""
+        if self.node.members.record_contact(sender, interval_ms):
+            self.handle_return(sender)
+
+    def handle_heartbeat(
+        self, sender: str, message: fleet_messages.Presence | fleet_messages.Alive
+    ) -> None:
         """Handle a heartbeat."""
-        if self.node.members.record_heartbeat(presence):
-            self.node.unresponsive.discard(presence.name)
-            emit.emit(
-                catalogue.MEMBER_HEARD,
-                peer=presence.name,
-                core=presence.is_core,
-                generation=presence.generation,
-            )
-            self.send_announcements(presence)
+        if self.node.participant.receive(message, sender):
+            self.handle_return(sender)
+        elif isinstance(message, fleet_messages.Presence):
+            self.handle_state(message)
+
+    def handle_return(self, name: str) -> None:
+        """Handle the first contact with a member, or the first one after silence."""
+        presence = self.node.members.get_presence(name)
+        if presence is None:
+            return
+        emit.emit(
+            catalogue.MEMBER_HEARD,
+            peer=presence.name,
+            core=presence.is_core,
+            generation=presence.generation,
+        )
+        self.send_announcements(presence)
+        self.handle_state(presence)
+
+    def handle_state(self, presence: fleet_messages.Presence) -> None:
+        """Act on which dispatcher a member uses and which manifest it has."""
         if presence.using == self.node.settings.name:
             self.node.run(self.node.dispatcher.on_entry_recovered(presence.name))
         elif presence.using:
             self.node.run(self.node.dispatcher.on_entry_lost(presence.name))
+        self.request_manifest()
+
+    def request_manifest(self) -> None:
+        """Request a newer manifest that a member has, until it is in force here."""
         now_ms = self.node.clock.now_ms()
-        is_newer = presence.manifest_version > self.node.manifests.get_version()
-        if is_newer and now_ms >= self.manifest_request_due_ms:
+        if now_ms < self.manifest_request_due_ms:
+            return
+        held_version = self.node.manifests.get_version()
+        owner = self.node.members.find_newer_manifest(held_version)
+        if owner:
             self.manifest_request_due_ms = now_ms + MANIFEST_REQUEST_INTERVAL_MS
-            request = fleet_messages.ManifestWanted(self.node.manifests.get_version())
-            self.node.send(effects.Send(presence.name, request))
+            request = fleet_messages.ManifestWanted(held_version)
+            self.node.send(effects.Send(owner, request))
 
     def send_announcements(self, presence: fleet_messages.Presence) -> None:
         """Send the known endpoints to a process that may dispatch and is back."""
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -11,7 +11,7 @@
 import xxhash
 
 from knapweedbeam_core import clock, effects, ids, reasons
-from knapweedbeam_core.fleet import dispatcher_role, membership
+from knapweedbeam_core.fleet import dispatcher_role, membership, participant
 from knapweedbeam_core.fleet import messages as fleet_messages
 from knapweedbeam_core.log import messages as log_messages
 from knapweedbeam_core.manifests import manifest
@@ -107,6 +107,9 @@
         self.dispatcher_role = dispatcher_role.DispatcherRole(
             self.members, process_number, timer
         )
+        self.participant = participant.Participant(
+            self.members, self.dispatcher_role, timer
+        )
         self.dispatcher = dispatcher.Dispatcher(
             settings.name, settings.endpoint_bounds, timer
         )
@@ -133,11 +136,11 @@
             is_closed_group=False,
         )
         self.waiters: dict[str, list[gevent.event.AsyncResult[open_jobs.Outcome]]] = {}
-        self.unresponsive: set[str] = set()
         self.followed_dispatcher = ""
         self.is_stopping = False
         self.is_placement_due = False
         self.links_due_ms = 0
+        self.linked_version = -1
         self.speeds_due_ms = 0
 
     def build_log(self, rng: random.Random) -> replicated_log.ReplicatedLog | None:
@@ -261,16 +264,12 @@
     def tick(self) -> None:
         """Do what is due in all parts."""
         now_ms = self.clock.now_ms()
-        presence = self.build_presence()
-        choice = self.dispatcher_role.update(presence)
-        if self.dispatcher_role.generation != presence.generation:
-            self.schedule_heartbeats()
+        update = self.participant.update(self.build_presence())
         self.run(self.dispatcher.set_fence(self.dispatcher_role.generation))
-        self.follow_dispatcher(choice)
-        presence = self.build_presence()
-        for heartbeat in self.members.build_heartbeats(presence):
-            self.send(heartbeat)
-        self.handle_unresponsive()
+        for member in update.silent:
+            self.handle_silent(member)
+        self.follow(update)
+        self.send_heartbeats()
         self.run(self.dispatcher.tick())
         self.run(self.open_jobs.tick())
         if self.log is not None:
@@ -281,12 +280,20 @@
         if now_ms >= self.links_due_ms:
             self.links_due_ms = now_ms + LINK_UPDATE_INTERVAL_MS
             self.update_links()
+            self.message_router.request_manifest()
         if now_ms >= self.speeds_due_ms:
             self.speeds_due_ms = now_ms + SPEEDS_INTERVAL_MS
             self.announcement_forwarder.send_speeds()
 
+    def send_heartbeats(self) -> None:
+        """Send the heartbeats that are due."""
+        has_open_jobs = bool(self.open_jobs.jobs or self.relay.jobs)
+        presence = self.build_presence()
+        for heartbeat in self.participant.build_heartbeats(presence, has_open_jobs):
+            self.send(heartbeat)
+
     def build_presence(self) -> fleet_messages.Presence:
-        """Return this process's heartbeat."""
+        """Return this process's state."""
         return fleet_messages.Presence(
             self.settings.name,
             self.settings.is_core,
@@ -301,6 +308,7 @@
             self.manifests.get_version(),
             self.log is not None and self.log.is_caught_up_leader(),
             self.stored_jobs.has_jobs(),
+            self.members.candidates,
         )
 
     def has_stored_jobs(self) -> bool:
@@ -317,16 +325,10 @@
         """Return the dispatcher that this process follows, empty for none."""
         return self.followed_dispatcher
 
-    def schedule_heartbeats(self) -> None:
-        """Make heartbeats due at once, as they carry a change of this process."""
-        self.members.heartbeat_due_ms = 0
-
     def get_control_address(self, name: str) -> str:
         """Return the address of a live member's control API."""
-        for presence in self.members.get_live():
-            if presence.name == name:
-                return presence.control
-        return ""
+        presence = self.members.get_presence(name)
+        return presence.control if presence is not None else ""
 
     def get_dispatcher_control_address(self) -> str:
         """Return the control API that endpoints should use, empty if unknown."""
@@ -334,51 +336,45 @@
             return self.settings.control
         return self.get_control_address(self.followed_dispatcher)
 
-    def follow_dispatcher(self, choice: dispatcher_role.Choice) -> None:
-        """Send open jobs to the chosen dispatcher once it is active.
-
-        Until then the previous dispatcher may still be active. If that one does not
-        respond, jobs go to another entry VM that reaches a dispatcher and relays them.
-        """
-        name = choice.name if choice.generation else self.find_fallback()
+    def follow(self, update: participant.Update) -> None:
+        """Send open jobs to another process if the update says so."""
+        name = update.target
         if name == self.followed_dispatcher:
             return
         self.followed_dispatcher = name
         emit.emit(
             catalogue.FOLLOWING,
             dispatcher=name,
-            generation=choice.generation,
+            generation=update.choice.generation,
             jobs=len(self.open_jobs.jobs),
         )
         self.run(self.open_jobs.follow(name))
 
-    def find_fallback(self) -> str:
-        """Return where jobs go while the chosen dispatcher is not active."""
-        is_lost = self.followed_dispatcher and not self.members.is_live(
-            self.followed_dispatcher
-        )
-        if self.settings.is_core or not is_lost:
-            return self.followed_dispatcher
-        return self.members.find_relay() or self.followed_dispatcher
-
     def update_links(self) -> None:
         """Remove stale members and relayed jobs, then update the links."""
         self.members.remove_stale()
         self.relay.forget_old()
+        if self.linked_version != self.members.link_version:
+            self.linked_version = self.members.link_version
+            self.set_link_peers()
+        if self.log is not None:
+            self.log.update_targets(self.members.list_core_vms())
+
+    def set_link_peers(self) -> None:
+        """Keep links to the members that need one, and to no others."""
         peers = []
         for name in sorted(self.members.get_link_peers()):
             host, port = settings_.split_address(name)
             peers.append(links.PeerAddress(name, host, port))
         self.links.set_peers(peers)
-        if self.log is not None:
-            self.log.update_targets(self.members.list_core_vms())
 
     def on_message(self, sender: ids.ProcessId, message: effects.Message) -> None:
         """Handle a message from another process."""
         self.message_router.route(sender.name, message)
 
     def link_up(self, peer: ids.ProcessId) -> None:
-        """Do nothing: the peer's heartbeats follow."""
+        """Send this process's state on the new link."""
+        self.participant.heartbeats.on_link_up(peer.name)
 
     def link_down(self, name: str, detail: str) -> None:
         """Log that a link went down."""
@@ -388,20 +384,16 @@
         """Log that an incoming link was closed because of what it sent."""
         emit.emit(catalogue.LINK_REFUSED_FRAME, peer=address, detail=detail)
 
-    def handle_unresponsive(self) -> None:
-        """Log members that became unresponsive and report them to the dispatcher."""
-        for name, member in self.members.members.items():
-            if member.presence is None or self.members.is_live(name):
-                continue
-            if name in self.unresponsive:
-                continue
-            self.unresponsive.add(name)
-            emit.emit(
-                catalogue.MEMBER_SILENT,
-                peer=name,
-                silent_ms=self.members.get_silence_ms(member),
-            )
-            self.run(self.dispatcher.on_entry_lost(name))
+    def handle_silent(self, member: membership.Member) -> None:
+        """Log that a member became unresponsive and report it to the dispatcher."""
+        emit.emit(
+            catalogue.MEMBER_SILENT,
+            peer=member.name,
+            silent_ms=self.members.get_silence_ms(member),
+            interval_ms=member.interval_ms,
+            asked=member.asked_ms is not None,
+        )
+        self.run(self.dispatcher.on_entry_lost(member.name))
 
     # Jobs.
 
@@ -464,4 +456,3 @@
         if self.log is not None:
             self.log.step_down()
         emit.emit(catalogue.FLEET_STOPPING, jobs=len(self.open_jobs.jobs))
-        self.schedule_heartbeats()
--- a/packages/server/src/knapweedbeam_server/logs/catalogue.py
+++ b/packages/server/src/knapweedbeam_server/logs/catalogue.py
@@ -412,7 +412,7 @@
     7011,
     "member_silent",
     Level.WARNING,
-    "member {peer} is silent for {silent_ms} ms",
+    "member {peer} is silent for {silent_ms} ms, interval {interval_ms}, asked {asked}",
     "No message arrived from the process: it ended, is blocked or is partitioned off.",
     "Check its own log, then the network between the two processes.",
 )
--- a/packages/wire/src/knapweedbeam_wire/codec.py
+++ b/packages/wire/src/knapweedbeam_wire/codec.py
@@ -181,6 +181,8 @@
         self.frame = load_schema("frame.capnp").Frame
         self.by_class: dict[type, MessageType] = {}
         self.by_name: dict[str, MessageType] = {}
+        self.last_message: effects.Message | None = None
+        self.last_body = b""
 
     def register(self, schema_file: str, *classes: type) -> None:
         """Register message classes whose structs are defined in `schema_file`."""
@@ -193,7 +195,21 @@
             self.by_name[cls.__name__] = message_type
 
     def encode(self, messages: collections.abc.Sequence[effects.Message]) -> bytes:
-        """Return one frame body that holds all `messages`."""
+        """Return one frame body that holds all `messages`.
+
+        A single message that goes to many peers is encoded once.
+        """
+        if len(messages) != 1:
+            return self.encode_frame(messages)
+        if messages[0] is not self.last_message:
+            self.last_body = self.encode_frame(messages)
+            self.last_message = messages[0]
+        return self.last_body
+
+    def encode_frame(
+        self, messages: collections.abc.Sequence[effects.Message]
+    ) -> bytes:
+        """Return the frame body of `messages`."""
         frame = self.frame.new_message()
         packed = frame.init("messages", len(messages))
         for index, message in enumerate(messages):
--- a/packages/wire/src/knapweedbeam_wire/frames.py
+++ b/packages/wire/src/knapweedbeam_wire/frames.py
@@ -20,6 +20,7 @@
 NUMBER = struct.Struct(">Q")
 HEADER_BYTES = LENGTH.size + MAC_BYTES
 MAX_BODY_BYTES = 16 * 1024 * 1024
+READ_BYTES = 16 * 1024
 DIGEST = "sha256"
 
 
@@ -80,19 +81,33 @@
 
 @dataclasses.dataclass(slots=True)
 class FrameReader:
-    """Reads numbered frames from a stream."""
+    """Reads numbered frames from a stream, several with one call where they wait."""
 
     stream: Stream
     key: bytes
     number: int = 0
+    received: bytearray = dataclasses.field(default_factory=bytearray)
+
+    def take(self, size: int, is_in_frame: bool) -> bytes:
+        """Return the next `size` bytes; raises `LinkError` when the stream ends."""
+        while len(self.received) < size:
+            chunk = self.stream.recv(READ_BYTES)
+            if not chunk and (self.received or is_in_frame):
+                raise LinkError("closed within a frame")
+            if not chunk:
+                raise LinkClosedError("closed")
+            self.received += chunk
+        taken = bytes(self.received[:size])
+        del self.received[:size]
+        return taken
 
     def read(self) -> bytes:
         """Return the next body; raises `LinkError` at the end or a bad frame."""
-        header = recv_exactly(self.stream, HEADER_BYTES)
+        header = self.take(HEADER_BYTES, is_in_frame=False)
         (size,) = LENGTH.unpack_from(header)
         if size > MAX_BODY_BYTES:
             raise LinkError(f"frame of {size} bytes is too large")
-        body = recv_exactly(self.stream, size) if size else b""
+        body = self.take(size, is_in_frame=True)
         mac = hmac.digest(self.key, NUMBER.pack(self.number) + body, DIGEST)
         if not hmac.compare_digest(mac[:MAC_BYTES], header[LENGTH.size :]):
             raise LinkError("frame with a wrong MAC")
--- a/packages/wire/src/knapweedbeam_wire/links.py
+++ b/packages/wire/src/knapweedbeam_wire/links.py
@@ -22,7 +22,8 @@
 FIRST_RETRY_S = 0.05
 MAX_QUEUED_MESSAGES = 20_000
 MAX_BATCH = 512
-MAX_INCOMING_LINKS = 256
+# A core VM has a link from every process, and some that are not yet closed.
+MAX_INCOMING_LINKS = 4_096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/wire/src/knapweedbeam_wire/schema/fleet.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/fleet.capnp
@@ -16,6 +16,12 @@
   members @11 :List(Text);
   leadsLog @12 :Bool;
   hasStored @13 :Bool;
+  intervalMs @14 :Int64;
+  wantsReply @15 :Bool;
+}
+
+struct Alive {
+  intervalMs @0 :Int64;
 }
 
 struct ManifestWanted {
