Let a replica whose disk was full take part again once there is room

Cause: on the product's own interface the first failed write stopped a replica for good.

Change: the writer waits, opens the folder again every 500 ms and writes the same batch; nothing of it was acknowledged, so the replica stays as it is. A leader hands over when its disk is found full. Other faults end the use of the folder as before. An error in the thread pool is no longer printed by gevent; events 4022 and 4023 tell of it.

--- a/packages/core/src/knapweedbeam_core/control/control.py
+++ b/packages/core/src/knapweedbeam_core/control/control.py
@@ -313,6 +313,12 @@
             return []
         return self.process_pending(self.replica.persisted(batch))
 
+    def hand_over(self) -> parts.Effects:
+        """Stop leading, as this node cannot write for now; its replica goes on."""
+        if self.replica is not None and self.replica.leader_state is not None:
+            self.replica.step_down()
+        return self.process_pending([])
+
     def persist_failed(self) -> parts.Effects:
         """Stop this node's replica because writing its data folder failed."""
         if self.replica is not None:
--- a/packages/core/src/knapweedbeam_core/entry/parts.py
+++ b/packages/core/src/knapweedbeam_core/entry/parts.py
@@ -284,6 +284,9 @@
     def persisted(self, batch: int) -> Effects:
         """Continue after the records of a `Persist` effect are synced to disk."""
 
+    def hand_over(self) -> Effects:
+        """Stop leading, as the data folder cannot be written for now."""
+
     def persist_failed(self) -> Effects:
         """Stop this node's replica because writing its data folder failed."""
 
--- a/packages/core/tests/control/cluster.py
+++ b/packages/core/tests/control/cluster.py
@@ -14,6 +14,7 @@
 from knapweedbeam_core.log import records
 
 STEP_MS = 20
+FULL_RETRY_MS = 500
 MAX_START_LOSS = 0.1
 ENTRY_VMS = {"d0": ["a0", "a1"], "d1": ["b0", "b1"], "d2": ["c0", "c1"]}
 PRIVATE_KEY_BYTES = bytes(range(32))
@@ -40,6 +41,8 @@
         self.snapshot_index = 0
         self.records: list[bytes] = []
         self.unsynced: list[tuple[int, parts.Persist]] = []
+        self.is_full = False
+        self.retry_ms = 0
 
     def sync(self, persist: parts.Persist) -> None:
         if persist.snapshot:
@@ -217,11 +220,27 @@
 
     def finish_syncs(self, node: Node) -> None:
         while node.disk.unsynced and node.disk.unsynced[0][0] <= self.now_ms:
+            if self.is_write_refused(node):
+                return
             _, persist = node.disk.unsynced.pop(0)
             node.disk.sync(persist)
             assert node.control is not None
             self.apply_effects(node, node.control.persisted(persist.batch))
 
+    def is_write_refused(self, node: Node) -> bool:
+        """Let a write to a full disk fail; it is tried again after `FULL_RETRY_MS`."""
+        disk = node.disk
+        if disk.is_full and self.now_ms >= disk.retry_ms:
+            is_first = not disk.retry_ms
+            disk.retry_ms = self.now_ms + FULL_RETRY_MS
+            if is_first:
+                assert node.control is not None
+                self.apply_effects(node, node.control.hand_over())
+        if self.now_ms < disk.retry_ms:
+            return True
+        disk.retry_ms = 0
+        return False
+
     def apply_effects(self, node: Node, produced: parts.Effects) -> None:
         for effect in produced:
             match effect:
--- a/packages/core/tests/control/test_control.py
+++ b/packages/core/tests/control/test_control.py
@@ -38,6 +38,55 @@
         return answer
 
 
+class FullDiskTest(ControlTestCase):
+    # Stated target: changes are taken again within this time after room is back.
+    TAKEN_AGAIN_MS = 2_000
+
+    def run_full_in_turn(self, replicas: tuple[str, ...], seed: int) -> None:
+        """Fill the replicas' disks one after the other, then propose at once."""
+        simulation = cluster.Cluster(DOMAINS, replicas, seed)
+        self.propose_accepted(simulation, "a1", cluster.build_bundle(1))
+        version = 1
+        leader = simulation.nodes["a1"].control.get_status().leader
+        for name in sorted(replicas, key=lambda name: name != leader):
+            simulation.nodes[name].disk.is_full = True
+            for _ in range(3):
+                version += 1
+                simulation.propose("c1", cluster.build_bundle(version))
+                simulation.run(1_000)
+            simulation.nodes[name].disk.is_full = False
+        started_ms = simulation.now_ms
+        text = cluster.build_bundle(version + 1)
+        newest = max(simulation.get_versions().values())
+        if newest < version:
+            text = cluster.build_bundle(newest + 1, "after")
+        self.propose_accepted(simulation, "b1", text)
+        self.assertLessEqual(simulation.now_ms - started_ms, self.TAKEN_AGAIN_MS)
+        simulation.run(3_000)
+        self.assertEqual(len(set(simulation.get_versions().values())), 1)
+
+    def test_disks_full_one_after_another(self) -> None:
+        for replicas in (REPLICAS, ("a0", "a1", "b0", "c0"), tuple(DOMAINS)):
+            for seed in range(4):
+                with self.subTest(replicas=len(replicas), seed=seed):
+                    self.run_full_in_turn(replicas, seed)
+
+    def test_disks_full_one_after_another_with_restarts(self) -> None:
+        simulation = cluster.Cluster(DOMAINS, REPLICAS, 3)
+        self.propose_accepted(simulation, "a1", cluster.build_bundle(1))
+        for version, name in enumerate(REPLICAS, 2):
+            simulation.nodes[name].disk.is_full = True
+            simulation.propose("c1", cluster.build_bundle(version))
+            simulation.run(1_500)
+            simulation.crash(name)
+            simulation.start(name)
+            simulation.run(1_500)
+            simulation.nodes[name].disk.is_full = False
+        simulation.run(self.TAKEN_AGAIN_MS)
+        newest = max(simulation.get_versions().values())
+        self.propose_accepted(simulation, "a0", cluster.build_bundle(newest + 1))
+
+
 class SmallDeploymentTest(ControlTestCase):
     def test_single_process_needs_no_data_folder(self) -> None:
         simulation = cluster.Cluster({"a0": "d0"}, ())
--- a/packages/server/src/knapweedbeam_server/logs/catalogue.py
+++ b/packages/server/src/knapweedbeam_server/logs/catalogue.py
@@ -283,6 +283,21 @@
     "data folder: {bytes} bytes of an incomplete record truncated",
     "The process had failed during a write that was not yet acknowledged.",
 )
+STORE_FULL = Event(
+    4022,
+    "store_full",
+    Level.ERROR,
+    "data folder is full: {detail}",
+    "Nothing can be written; the replica waits and takes part again once it can.",
+    "Free space on the disk.",
+)
+STORE_HAS_ROOM = Event(
+    4023,
+    "store_has_room",
+    Level.INFO,
+    "data folder has room again after {waited_ms} ms",
+    "What waited is written, and the replica takes part again.",
+)
 LIMIT_LEASE_LOST = Event(
     4030,
     "limit_lease_lost",
--- a/packages/server/src/knapweedbeam_server/shell.py
+++ b/packages/server/src/knapweedbeam_server/shell.py
@@ -13,7 +13,7 @@
 from knapweedbeam_core.entry import node as nodes
 from knapweedbeam_core.entry import parts
 from knapweedbeam_core.limits import limiter
-from knapweedbeam_server import history, recorder, status, waiters
+from knapweedbeam_server import history, log_writer, recorder, status, waiters
 from knapweedbeam_server.http import auth, operators
 from knapweedbeam_server.logs import catalogue, emit
 from knapweedbeam_server.tasks import starter
@@ -297,14 +297,28 @@
 
     def run_persistence(self, data_store: store.Store) -> None:
         """Write what the replica persists, in order, until the store fails."""
+        writer = log_writer.LogWriter(
+            data_store, self.hand_over_log, self.report_disk_space
+        )
         while True:
             persist = self.persist_queue.get()
-            failure = data_store.apply(persist)
+            failure = writer.write(persist)
             if failure is not None:
                 self.handle_store_failure(failure)
                 return
             self.execute_effects(self.node.persisted(persist.batch))
 
+    def hand_over_log(self) -> None:
+        """Let another replica lead while this one cannot write."""
+        self.execute_effects(self.node.control.hand_over())
+
+    def report_disk_space(self, waited_ms: int, detail: str) -> None:
+        """Log that the disk is full, or that it has room again after `waited_ms`."""
+        if waited_ms:
+            emit.emit(catalogue.STORE_HAS_ROOM, waited_ms=waited_ms)
+        else:
+            emit.emit(catalogue.STORE_FULL, detail=detail)
+
     def handle_store_failure(self, failure: store.StoreFailure) -> None:
         """Log the failure and stop the replica; the process continues without it."""
         emit.emit(catalogue.STORE_FAILED, reason=failure.fault, detail=failure.detail)
--- a/packages/wire/src/knapweedbeam_wire/store/store.py
+++ b/packages/wire/src/knapweedbeam_wire/store/store.py
@@ -97,11 +97,29 @@
         with self.write_lock:
             if self.failure is not None:
                 return self.failure
-            try:
-                self.run(lambda: self.write(persist))
-            except (OSError, FolderError) as error:
-                return self.record_failure(error)
-            return None
+            errors: list[Exception] = []
+
+            def try_write() -> None:
+                # An error that leaves the thread pool is printed there.
+                try:
+                    self.write(persist)
+                except (OSError, FolderError) as error:
+                    errors.append(error)
+
+            self.run(try_write)
+            return self.record_failure(errors[0]) if errors else None
+
+    def reopen(self) -> StoreFailure | None:
+        """Open the folder again after a failure; a torn last frame is truncated.
+
+        The batch that failed may be on disk in full. Applying it again is harmless: the
+        records of a batch replace earlier ones of the same index.
+        """
+        with self.write_lock:
+            self.close()
+            self.failure = None
+            loaded = self.load()
+            return loaded if isinstance(loaded, StoreFailure) else None
 
     def close(self) -> None:
         """Close the files and release the lock."""
