Keep links, polls and placing alive after an unexpected error

Cause: one message that a process could not encode ended the greenlet of a link for good, and one that it could not handle closed the link. An error in a call to an endpoint ended the poll of that endpoint for good; one while tasks were placed ended all placing, while heartbeats went on.

Change: frames and the messages in them are checked against their segment table before the library sees them. An error concerns the one message or call: events 2007 and 7058 name it, a call counts as unanswered. Event 7005 tells the error and its line, which were usually cut off.

--- a/packages/server/src/knapweedbeam_server/fleet/endpoint_calls.py
+++ b/packages/server/src/knapweedbeam_server/fleet/endpoint_calls.py
@@ -10,7 +10,7 @@
 
 from knapweedbeam_core.pool import calls, dispatcher
 from knapweedbeam_server.fleet import ports, telemetry
-from knapweedbeam_server.logs import catalogue, emit
+from knapweedbeam_server.logs import catalogue, emit, faults
 
 # Pauses between polls of an endpoint that doesn't answer.
 FIRST_PAUSE_S = 0.02
@@ -63,17 +63,37 @@
 
     def spawn(self, call: calls.Call) -> None:
         """Make one call in a new greenlet."""
+        gevent.spawn(self.run_call, call)
+
+    def run_call(self, call: calls.Call) -> None:
+        """Make one call; an unexpected error is logged and concerns it alone."""
+        try:
+            self.make_call(call)
+        except Exception as error:
+            self.report_error(call, error)
+
+    def report_error(self, call: calls.Call | calls.Hold, error: Exception) -> None:
+        """Log an unexpected error of a call."""
+        emit.emit(
+            catalogue.DECISION_FAILED,
+            step=type(call).__name__,
+            subject=describe_subject(call),
+            error=faults.describe(error),
+        )
+
+    def make_call(self, call: calls.Call) -> None:
+        """Make one call and pass on its answer."""
         match call:
             case calls.Start():
-                gevent.spawn(self.start, call)
+                self.start(call)
             case calls.Stop():
-                gevent.spawn(self.stop, call)
-            case calls.StartPolling(endpoint):
-                gevent.spawn(self.poll, endpoint)
+                self.stop(call)
+            case calls.StartPolling():
+                self.poll(call)
             case calls.Probe(endpoint):
-                gevent.spawn(self.probe, endpoint)
+                self.probe(endpoint)
             case calls.RequestAdvice():
-                gevent.spawn(self.request_advice, call)
+                self.request_advice(call)
             case _:
                 typing.assert_never(call)
 
@@ -81,24 +101,40 @@
         """Start an attempt."""
         self.counts.starts += 1
         self.dispatcher.on_start_sent(call)
-        answer = self.client.start(call)
+        try:
+            answer = self.client.start(call)
+        except Exception as error:
+            self.report_error(call, error)
+            answer = calls.Answer(calls.Verdict.UNKNOWN)
         self.count_verdict("start", answer.verdict)
         self.run(self.dispatcher.on_start_answer(call, answer))
 
     def stop(self, call: calls.Stop) -> None:
         """Stop an attempt."""
         self.counts.stops += 1
-        answer = self.client.stop(call)
+        try:
+            answer = self.client.stop(call)
+        except Exception as error:
+            self.report_error(call, error)
+            answer = calls.Answer(calls.Verdict.UNKNOWN)
         self.count_verdict("stop", answer.verdict)
         self.run(self.dispatcher.on_stop_answer(call, answer))
 
+    def hold(self, call: calls.Hold) -> calls.HoldResult | calls.HoldFailed:
+        """Get the lists of an endpoint; an unexpected error counts as no answer."""
+        try:
+            return self.client.hold(call)
+        except Exception as error:
+            self.report_error(call, error)
+            return calls.HoldFailed(calls.Verdict.UNKNOWN)
+
     def probe(self, endpoint: str) -> None:
         """Get the lists of an endpoint once."""
         call = self.dispatcher.build_probe(endpoint)
         if call is None:
             return
         self.counts.probes += 1
-        answer = self.client.hold(call)
+        answer = self.hold(call)
         if isinstance(answer, calls.HoldFailed):
             self.count_verdict("look", answer.verdict)
         else:
@@ -117,22 +153,44 @@
         )
         self.run(self.dispatcher.on_advice(call, advice))
 
-    def poll(self, endpoint: str) -> None:
+    def poll(self, polling: calls.StartPolling) -> None:
         """Poll an endpoint for as long as the dispatcher wants it."""
         pause_s = FIRST_PAUSE_S
         while True:
-            call = self.dispatcher.build_hold(endpoint)
+            call = self.dispatcher.build_hold(polling.endpoint)
             if call is None:
                 return
-            self.counts.holds += 1
-            answer = self.client.hold(call)
-            if isinstance(answer, calls.HoldResult):
+            try:
+                is_answered = self.poll_once(call)
+            except Exception as error:
+                self.report_error(polling, error)
+                is_answered = False
+            if is_answered:
                 pause_s = FIRST_PAUSE_S
-                self.run(self.dispatcher.on_hold_result(call, answer))
-                if self.dispatcher.has_unacked_ends(endpoint):
-                    gevent.sleep(OPEN_ENDS_PAUSE_S)
                 continue
-            self.count_verdict("hold", answer.verdict)
-            self.run(self.dispatcher.on_hold_failed(call, answer))
             gevent.sleep(pause_s)
             pause_s = min(2 * pause_s, MAX_PAUSE_S)
+
+    def poll_once(self, call: calls.Hold) -> bool:
+        """Make one hold and pass on its result; return whether it was answered."""
+        self.counts.holds += 1
+        answer = self.hold(call)
+        if isinstance(answer, calls.HoldFailed):
+            self.count_verdict("hold", answer.verdict)
+            self.run(self.dispatcher.on_hold_failed(call, answer))
+            return False
+        self.run(self.dispatcher.on_hold_result(call, answer))
+        if self.dispatcher.has_unacked_ends(call.target.endpoint):
+            gevent.sleep(OPEN_ENDS_PAUSE_S)
+        return True
+
+
+def describe_subject(call: calls.Call | calls.Hold) -> str:
+    """Return what a call is about: an endpoint, or the step that needs advice."""
+    match call:
+        case calls.Start(target) | calls.Stop(target) | calls.Hold(target):
+            return target.endpoint
+        case calls.StartPolling(endpoint) | calls.Probe(endpoint):
+            return endpoint
+        case calls.RequestAdvice():
+            return call.step
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -37,7 +37,7 @@
     telemetry,
 )
 from knapweedbeam_server.fleet import settings as settings_
-from knapweedbeam_server.logs import catalogue, emit
+from knapweedbeam_server.logs import catalogue, emit, faults
 from knapweedbeam_wire import links, registry
 
 TICK_INTERVAL_S = 0.02
@@ -187,7 +187,15 @@
 
     def on_own_message(self, message: effects.Message) -> None:
         """Handle a message of this process to itself."""
-        gevent.spawn(self.message_router.route, self.settings.name, message)
+        gevent.spawn(self.handle_own_message, message)
+
+    def handle_own_message(self, message: effects.Message) -> None:
+        """Route a message of this process to itself; an error concerns it alone."""
+        try:
+            self.message_router.route(self.settings.name, message)
+        except Exception as error:
+            kind = type(message).__name__
+            self.message_failed(self.settings.name, kind, error)
 
     def run(self, produced: collections.abc.Sequence[Effect]) -> None:
         """Carry out the effects of decisions."""
@@ -215,12 +223,20 @@
 
     def place(self) -> None:
         """Place tasks, once for all events of one turn of the loop."""
-        pause_ms = self.dispatcher.get_placement_pause_ms()
-        if pause_ms:
-            gevent.sleep(pause_ms / clock.SECOND_MS)
-        produced = self.dispatcher.place()
-        self.run(produced)
-        self.is_placement_due = False
+        try:
+            pause_ms = self.dispatcher.get_placement_pause_ms()
+            if pause_ms:
+                gevent.sleep(pause_ms / clock.SECOND_MS)
+            self.run(self.dispatcher.place())
+        except Exception as error:
+            emit.emit(
+                catalogue.DECISION_FAILED,
+                step="placement",
+                subject=f"{len(self.dispatcher.queue)} jobs",
+                error=faults.describe(error),
+            )
+        finally:
+            self.is_placement_due = False
 
     def handle_log_event(self, log_event: log_events.LogEvent) -> None:
         """Log a decision; give up the dispatcher role if an endpoint refused it."""
@@ -384,6 +400,11 @@
         """Log that an incoming link was closed because of what it sent."""
         emit.emit(catalogue.LINK_REFUSED_FRAME, peer=address, detail=detail)
 
+    def message_failed(self, peer: str, kind: str, error: Exception) -> None:
+        """Log that a message was dropped because of an unexpected error."""
+        described = faults.describe(error)
+        emit.emit(catalogue.MESSAGE_FAILED, peer=peer, kind=kind, error=described)
+
     def handle_silent(self, member: membership.Member) -> None:
         """Log that a member became unresponsive and report it to the dispatcher."""
         emit.emit(
--- a/packages/server/src/knapweedbeam_server/fleet/supervising.py
+++ b/packages/server/src/knapweedbeam_server/fleet/supervising.py
@@ -3,15 +3,11 @@
 from __future__ import annotations
 
 import collections.abc
-import traceback
 
 import gevent
 import gevent.event
 
-from knapweedbeam_server.logs import catalogue, emit
-
-# Enough of a traceback to find the line.
-MAX_TRACE_CHARACTERS = 2_000
+from knapweedbeam_server.logs import catalogue, emit, faults
 
 
 class Supervisor:
@@ -28,7 +24,7 @@
         """Run a loop; log the error and set `failed` if it raises."""
         try:
             loop()
-        except Exception:
-            trace = traceback.format_exc()[-MAX_TRACE_CHARACTERS:]
-            emit.emit(catalogue.FLEET_FAILED, loop=name, error=trace)
+        except Exception as error:
+            described = faults.describe(error)
+            emit.emit(catalogue.FLEET_FAILED, loop=name, error=described)
             self.failed.set()
--- a/packages/server/src/knapweedbeam_server/logs/catalogue.py
+++ b/packages/server/src/knapweedbeam_server/logs/catalogue.py
@@ -151,6 +151,15 @@
     "The peer reads too slowly. Message loss is tolerated: messages are sent again.",
     "Check the peer's CPU time and its `loop_stalled` events.",
 )
+MESSAGE_FAILED = Event(
+    2007,
+    "message_failed",
+    Level.ERROR,
+    "{kind} from or to {peer} dropped: {error}",
+    "An unexpected error came up while one message was handled or encoded. The link "
+    "stays open; messages that matter are sent again.",
+    "Report it with the surrounding log lines.",
+)
 PEER_RESTARTED = Event(
     2006,
     "peer_restarted",
@@ -608,6 +617,15 @@
     "{unanswered} calls unanswered, {running} attempts at work",
     "The dispatcher's calls to endpoints in the last second.",
 )
+DECISION_FAILED = Event(
+    7058,
+    "decision_failed",
+    Level.ERROR,
+    "{step} of {subject} failed: {error}",
+    "An unexpected error came up in a call to an endpoint or while tasks were placed. "
+    "The process goes on: the call counts as unanswered, and the step is tried again.",
+    "Report it with the surrounding log lines.",
+)
 QUEUE_LOAD = Event(
     7056,
     "queue_load",
--- a/packages/server/src/knapweedbeam_server/shell.py
+++ b/packages/server/src/knapweedbeam_server/shell.py
@@ -15,7 +15,7 @@
 from knapweedbeam_core.limits import limiter
 from knapweedbeam_server import history, log_writer, recorder, status, waiters
 from knapweedbeam_server.http import auth, operators
-from knapweedbeam_server.logs import catalogue, emit
+from knapweedbeam_server.logs import catalogue, emit, faults
 from knapweedbeam_server.tasks import starter
 from knapweedbeam_wire import links as wire_links
 from knapweedbeam_wire import store
@@ -217,6 +217,11 @@
         """Log that an incoming link was closed because of what it sent."""
         emit.emit(catalogue.LINK_REFUSED_FRAME, peer=address, detail=detail)
 
+    def message_failed(self, peer: str, kind: str, error: Exception) -> None:
+        """Log that a message was dropped because of an unexpected error."""
+        described = faults.describe(error)
+        emit.emit(catalogue.MESSAGE_FAILED, peer=peer, kind=kind, error=described)
+
     def on_task_end(self, end: effects.TaskEnd) -> None:
         """Handle the end of a task."""
         self.recorder.record_task_end(end)
--- a/packages/wire/src/knapweedbeam_wire/codec.py
+++ b/packages/wire/src/knapweedbeam_wire/codec.py
@@ -13,6 +13,7 @@
 import dataclasses
 import enum
 import importlib.resources
+import struct as structs
 import types
 import typing
 
@@ -22,6 +23,10 @@
 
 TRAVERSAL_LIMIT_WORDS = 16 * 1024 * 1024
 NESTING_LIMIT = 16
+WORD_BYTES = 8
+SEGMENT_NUMBER_BYTES = 4
+# The library writes small messages as one segment and large ones as a few.
+MAX_SEGMENTS = 512
 
 Converter = collections.abc.Callable[[typing.Any], typing.Any]
 FieldWriter = collections.abc.Callable[[typing.Any, typing.Any], None]
@@ -39,6 +44,25 @@
     return value
 
 
+def check_segments(body: bytes) -> None:
+    """Check that a message has exactly the size that its segment table states.
+
+    Raises `ValueError` if not. The library reports it by a C++ exception, which can
+    crash the process if it is thrown in a greenlet.
+    """
+    if len(body) < WORD_BYTES:
+        raise ValueError("a message holds at least one word")
+    count = structs.unpack_from("<I", body)[0] + 1
+    table_bytes = (1 + count) * SEGMENT_NUMBER_BYTES
+    table_bytes += -table_bytes % WORD_BYTES
+    if count > MAX_SEGMENTS or len(body) < table_bytes:
+        raise ValueError(f"a segment table of {count} segments")
+    sizes = structs.unpack_from(f"<{count}I", body, SEGMENT_NUMBER_BYTES)
+    size = table_bytes + sum(sizes) * WORD_BYTES
+    if len(body) != size:
+        raise ValueError(f"{len(body)} bytes in place of {size}")
+
+
 def load_schema(file_name: str) -> typing.Any:
     """Load a schema file of this package."""
     folder = importlib.resources.files("knapweedbeam_wire") / "schema"
@@ -223,6 +247,7 @@
     def decode(self, body: bytes) -> tuple[effects.Message, ...] | Malformed:
         """Return the messages of a frame body, or why the body is malformed."""
         try:
+            check_segments(body)
             return self.decode_frame(body)
         except (capnp.KjException, KeyError, ValueError, TypeError) as error:
             return Malformed(reasons.Reason.INVALID, str(error))
@@ -243,7 +268,11 @@
         return tuple(messages)
 
     def open(self, struct: typing.Any, body: bytes) -> typing.Any:
-        """Open a struct reader over bytes, with limits on size and nesting."""
+        """Open a struct reader over bytes, with limits on size and nesting.
+
+        Raises `ValueError` if the bytes are not a whole message.
+        """
+        check_segments(body)
         return struct.from_bytes(
             body,
             traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS,
--- a/packages/wire/src/knapweedbeam_wire/links.py
+++ b/packages/wire/src/knapweedbeam_wire/links.py
@@ -59,6 +59,12 @@
     def link_refused(self, address: str, detail: str) -> None:
         """Handle that an incoming link was closed because of an error."""
 
+    def message_failed(self, peer: str, kind: str, error: Exception) -> None:
+        """Handle that a message was dropped because of an unexpected error.
+
+        `kind` is the class of the message, which came from `peer` or should go there.
+        """
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerAddress:
@@ -172,11 +178,30 @@
         """Send up to `MAX_BATCH` queued messages as one frame."""
         count = min(len(self.queue), MAX_BATCH)
         batch = [self.queue.popleft() for _ in range(count)]
-        size = writer.write(self.codec.encode(batch))
+        try:
+            body = self.codec.encode(batch)
+        except Exception:
+            batch = self.list_encodable(batch)
+            body = self.codec.encode(batch)
+        size = writer.write(body)
         self.sent.frames += 1
         self.sent.frame_bytes += size
         self.sent.messages.update(type(message).__name__ for message in batch)
 
+    def list_encodable(self, batch: list[effects.Message]) -> list[effects.Message]:
+        """Return the messages that can be encoded, and report the others."""
+        encodable = []
+        for message in batch:
+            try:
+                self.codec.encode_frame([message])
+            except Exception as error:
+                self.sent.dropped += 1
+                kind = type(message).__name__
+                self.observer.message_failed(self.peer.name, kind, error)
+            else:
+                encodable.append(message)
+        return encodable
+
 
 class Links:
     """All links of a process.
@@ -266,4 +291,12 @@
             self.received.frame_bytes += frames.HEADER_BYTES + len(body)
             self.received.messages.update(type(m).__name__ for m in messages)
             for message in messages:
-                self.observer.on_message(sender, message)
+                self.handle_message(sender, message)
+
+    def handle_message(self, sender: ids.ProcessId, message: effects.Message) -> None:
+        """Pass a message to the observer; an error concerns this message only."""
+        try:
+            self.observer.on_message(sender, message)
+        except Exception as error:
+            kind = type(message).__name__
+            self.observer.message_failed(sender.name, kind, error)
--- a/packages/wire/tests/test_links.py
+++ b/packages/wire/tests/test_links.py
@@ -2,10 +2,13 @@
 
 import dataclasses
 import unittest
+import unittest.mock
 
 import gevent
 import gevent.event
 import gevent.socket
+import hypothesis
+from hypothesis import strategies
 
 from knapweedbeam_core import effects, ids, outcomes
 from knapweedbeam_core.tickets import messages
@@ -23,11 +26,18 @@
     refused: list[str]
     up: gevent.event.Event
     arrived: gevent.event.Event
+    failed: list[str] = dataclasses.field(default_factory=list)
+    failing_tickets: set[str] = dataclasses.field(default_factory=set)
 
     def on_message(self, sender: ids.ProcessId, message: effects.Message) -> None:
+        if getattr(message, "ticket", "") in self.failing_tickets:
+            raise RuntimeError("unforeseen")
         self.messages.append((sender, message))
         self.arrived.set()
 
+    def message_failed(self, peer: str, kind: str, error: Exception) -> None:
+        self.failed.append(f"{kind} {type(error).__name__}")
+
     def link_up(self, peer: ids.ProcessId) -> None:
         self.up.set()
 
@@ -117,6 +127,41 @@
         self.assertEqual(self.observers[1].messages[0][0], ids.ProcessId("a1", 7))
         self.assertEqual(second.received.frames, 1)
 
+    def wait_for_message(self, count: int) -> None:
+        with gevent.Timeout(WAIT_S):
+            while len(self.observers[1].messages) < count:
+                gevent.sleep(0.01)
+
+    def test_message_that_cannot_be_handled_leaves_its_link_open(self) -> None:
+        first = self.open(0, "a1", "a2")
+        second = self.open(1, "a2", "a1")
+        self.observers[1].failing_tickets = {"bad"}
+        self.assertTrue(self.observers[0].up.wait(WAIT_S))
+        for ticket in ("bad", "good"):
+            first.send("a2", messages.BeginJob(ticket, "one"))
+        self.wait_for_message(1)
+        self.assertEqual(self.observers[1].failed, ["BeginJob RuntimeError"])
+        self.assertEqual(second.received.frames, 1)
+
+    def test_message_that_cannot_be_encoded_leaves_its_link_open(self) -> None:
+        first = self.open(0, "a1", "a2")
+        self.open(1, "a2", "a1")
+        self.assertTrue(self.observers[0].up.wait(WAIT_S))
+        for ticket in ("one", "\ud800", "three"):
+            first.send("a2", messages.BeginJob(ticket, "one"))
+        big = messages.SettleJob("t", "one", outcomes.Complete((b"1",)), 2**70, True)
+        first.send("a2", big)
+        self.wait_for_message(2)
+        first.send("a2", messages.BeginJob("four", "one"))
+        self.wait_for_message(3)
+        tickets = [
+            message.ticket
+            for _, message in self.observers[1].messages
+            if isinstance(message, messages.BeginJob)
+        ]
+        self.assertEqual(tickets, ["one", "three", "four"])
+        self.assertEqual(len(self.observers[0].failed), 2)
+
     def test_wrong_key_is_refused(self) -> None:
         first = self.open(0, "a1", "a2", b"other" * 8)
         self.open(1, "a2", "a1")
@@ -200,6 +245,53 @@
 
         gevent.spawn(encode).get(timeout=60)
 
+    def check_decoded_in_greenlets(self, bodies: list[bytes]) -> None:
+        """Decode in greenlets that switch in between, as the links do."""
+        built = build_codec()
+
+        def decode(part: list[bytes]) -> int:
+            count = 0
+            for body in part:
+                count += isinstance(built.decode(body), codec.Malformed)
+                gevent.sleep(0)
+            return count
+
+        started = [gevent.spawn(decode, bodies[start::3]) for start in range(3)]
+        with gevent.Timeout(WAIT_S):
+            gevent.joinall(started, raise_error=True)
+
+    def test_truncated_body_never_reaches_the_library(self) -> None:
+        built = build_codec()
+        body = built.encode([messages.BeginJob("t", "one")] * 3)
+        with unittest.mock.patch.object(built, "decode_frame") as decode_frame:
+            for size in range(len(body)):
+                self.assertIsInstance(built.decode(body[:size]), codec.Malformed)
+            self.assertIsInstance(built.decode(body + b"12345678"), codec.Malformed)
+        decode_frame.assert_not_called()
+
+    @hypothesis.settings(
+        max_examples=60, deadline=None, derandomize=True, database=None
+    )
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(strategies.integers(0, 10**6), strategies.binary()),
+            min_size=3,
+            max_size=30,
+        )
+    )
+    def test_mutated_bodies_are_decoded_or_malformed(
+        self, changes: list[tuple[int, bytes]]
+    ) -> None:
+        outcome = outcomes.Complete((b"1", b"22"))
+        sent = [messages.SettleJob("t", "one", outcome, 1, True)]
+        body = build_codec().encode([*sent, messages.BeginJob("t", "one")])
+        bodies = []
+        for offset, inserted in changes:
+            start = offset % len(body)
+            mutated = body[:start] + inserted + body[start + len(inserted) :]
+            bodies += [mutated, mutated[: len(body)], body[:start]]
+        self.check_decoded_in_greenlets(bodies)
+
     def test_unknown_kind_is_skipped(self) -> None:
         registered = messages.BeginJob("t", "one")
         unregistered = messages.CancelTicket("t", "one")
