Poll many endpoints less often while nothing ends there

Ruled out: a longer wait for all deployments (with 24 endpoints the cost is small and a lost poll is noticed sooner); a poll of the length of the lease (one lost poll would let it run out).

Test: test_polling, and the tests of the pool.

--- a/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
+++ b/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
@@ -19,6 +19,7 @@
     jobs,
     log_events,
     messages,
+    polling,
     probing,
     reconciler,
     speeds,
@@ -27,12 +28,6 @@
 if typing.TYPE_CHECKING:
     from knapweedbeam_core.pool import dispatcher
 
-# A poll is answered at the next end or after this long, which bounds the lists' age.
-POLL_MS = 250
-# Shorter while attempts run, so that a lost poll is detected before their ends are
-# late: objectives allow about 100 ms in addition to the work. A process that is late
-# itself makes fewer calls instead.
-BUSY_POLL_MS = 100
 # Polling interval while the state of an attempt is uncertain.
 UNCERTAIN_POLL_MS = 30
 # Time for entry VMs to submit the jobs of attempts that run on endpoints just taken
@@ -119,9 +114,11 @@
 
     def get_wait_ms(self, endpoint: endpoints.Endpoint) -> int:
         """Return how long a hold may wait: at most until a task becomes overdue."""
-        wait_ms = POLL_MS
-        if endpoint.attempts and not self.owner.waiting_clock.late_ms:
-            wait_ms = BUSY_POLL_MS
+        # A process that is late itself makes fewer calls.
+        is_busy = bool(endpoint.attempts) and not self.owner.waiting_clock.late_ms
+        wait_ms = polling.get_interval_ms(
+            len(self.owner.endpoints), is_busy, self.owner.bounds.lease_ms
+        )
         if endpoint.reading is None:
             return wait_ms
         clock_ms = endpoint.reading.get_earliest_ms(self.now_ms)
