Limit the starts that wait for an answer

Cause: a dispatcher whose processor is full sent starts faster than it read their answers.

Ruled out: endpoints that do not answer (none was faulty then), roles that change (none did), late heartbeats (none before the first kill).

Tasks beyond wait in the queue, where their jobs can still be refused as not run.

--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -89,6 +89,7 @@
         self.ended.clear()
         self.lost_entries.clear()
         self.load_report.reset()
+        self.task_starter.start_window.clear()
         self.recovery_steps.reset(self.clock.now_ms())
         self.endpoint_index.attempts_by_job.clear()
         for name, endpoint in list(self.endpoints.items()):
@@ -523,6 +524,8 @@
 
     def on_start_answer(self, start: calls.Start, answer: calls.Answer) -> Effects:
         """Handle the answer to a start."""
+        if start.fence == self.fence:
+            self.task_starter.start_window.remove(start.task, start.number)
         endpoint = self.find_endpoint(start.target)
         if endpoint is None or start.fence != self.fence:
             return []
--- a/packages/core/src/knapweedbeam_core/pool/task_starter.py
+++ b/packages/core/src/knapweedbeam_core/pool/task_starter.py
@@ -15,6 +15,7 @@
     placing,
     queueing,
     recovery_steps,
+    start_window,
 )
 
 if typing.TYPE_CHECKING:
@@ -45,6 +46,7 @@
         self.orders: dict[str, placement_order.PlacementOrder] = {}
         self.services: dict[str, str] = {}
         self.best_speeds: dict[str, BestSpeed] = {}
+        self.start_window = start_window.StartWindow()
         self.placed_ms = 0
         self.queue_length = 0
 
@@ -129,6 +131,8 @@
             if is_refusable and queueing.is_too_late(job, now_ms, best_speed):
                 too_late.append(job)
                 continue
+            if not self.start_window.count_free(now_ms):
+                continue
             produced += self.place_job(job, available, now_ms, best_speed)
             if not job.waiting:
                 self.owner.queue.pop(job.key, None)
@@ -163,6 +167,8 @@
         used_endpoints: list[str] = []
         blocked_steps: set[int] = set()
         for task in list(job.waiting):
+            if not self.start_window.count_free(now_ms):
+                break
             if task.step in blocked_steps or not available.may_fit(task):
                 continue
             if job.is_stored and not self.owner.stored_scheduler.may_start(task):
@@ -227,7 +233,9 @@
         self, task: jobs.Task, endpoint: endpoints.Endpoint, last_attempt: int
     ) -> None:
         """Revert a start that was not sent."""
-        endpoint.remove(endpoint.attempts[task.name])
+        attempt = endpoint.attempts[task.name]
+        self.start_window.remove(attempt.task, attempt.number)
+        endpoint.remove(attempt)
         self.update_orders()
         task.last_attempt = last_attempt
         task.job.requeue(task)
@@ -281,6 +289,7 @@
                 until_ms,
             )
         )
+        self.start_window.add(task.name, task.last_attempt, now_ms)
         self.update_orders()
         return calls.Start(
             endpoint.target,
--- a/packages/core/tests/pool/test_overload.py
+++ b/packages/core/tests/pool/test_overload.py
@@ -4,9 +4,10 @@
 
 import statistics
 import unittest
+import unittest.mock
 
 from bench.pool import load
-from knapweedbeam_core.pool import messages
+from knapweedbeam_core.pool import messages, start_window
 
 # At the usual load some 700 calls a second are sent and as many answers are read, so
 # that this takes most of a processor.
@@ -40,6 +41,15 @@
     return run
 
 
+def play_full_processor(seed: int) -> load.LoadRun:
+    """Return a run at 270 endpoints with work for 1.25 processors of a dispatcher."""
+    run = load.LoadRun(10.0, seed, endpoints=270)
+    run.simulation.call_cost_ms = 0.12
+    run.run_for(4)
+    run.simulation.advance(3_000)
+    return run
+
+
 class OverloadTest(unittest.TestCase):
     def test_dispatcher_recovers_from_a_burst_that_fills_its_processor(self) -> None:
         shares = []
@@ -52,6 +62,20 @@
         self.assertGreater(min(shares), 0.5, shares)
         self.assertGreater(statistics.fmean(shares), 0.85, shares)
 
+    def test_window_of_starts_bears_more_work_than_the_processor_can_start(
+        self,
+    ) -> None:
+        shares = []
+        for seed in (1, 2):
+            run = play_full_processor(seed)
+            self.assertEqual(run.simulation.breaches, [])
+            shares.append(get_share_in_time(run, run.submitted))
+        with unittest.mock.patch.object(start_window, "MAX_OPEN_STARTS", 10**9):
+            plain = play_full_processor(1)
+        plain_share = get_share_in_time(plain, plain.submitted)
+        self.assertGreater(min(shares), 0.4, shares)
+        self.assertGreater(min(shares), 2 * plain_share)
+
 
 if __name__ == "__main__":
     unittest.main()
