--- a/packages/core/src/knapweedbeam_core/pool/start_window.py
+++ b/packages/core/src/knapweedbeam_core/pool/start_window.py
@@ -22,10 +22,19 @@
 
 
 class StartWindow:
-    """The starts that wait for an answer, the oldest one first."""
+    """The starts that wait for an answer, the oldest one first.
+
+    `jobs_held_back` counts the jobs that were passed over while the window was full.
+    """
 
     def __init__(self) -> None:
         self.open: collections.OrderedDict[Key, int] = collections.OrderedDict()
+        self.jobs_held_back = 0
+
+    def take_held_back(self) -> int:
+        """Return the count of jobs that were held back since the last call."""
+        count, self.jobs_held_back = self.jobs_held_back, 0
+        return count
 
     def add(self, task: str, number: int, now_ms: int) -> None:
         """Record a start."""
--- a/packages/core/src/knapweedbeam_core/pool/task_starter.py
+++ b/packages/core/src/knapweedbeam_core/pool/task_starter.py
@@ -132,6 +132,7 @@
                 too_late.append(job)
                 continue
             if not self.start_window.count_free(now_ms):
+                self.start_window.jobs_held_back += 1
                 continue
             produced += self.place_job(job, available, now_ms, best_speed)
             if not job.waiting:
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -275,6 +275,7 @@
                 catalogue.ENDPOINT_CALL_LOAD,
                 **dataclasses.asdict(calls_made),
                 running=self.dispatcher.count_attempts(),
+                held_back=self.dispatcher.task_starter.start_window.take_held_back(),
             )
 
     def tick(self) -> None:
--- a/packages/server/src/knapweedbeam_server/logs/catalogue.py
+++ b/packages/server/src/knapweedbeam_server/logs/catalogue.py
@@ -614,8 +614,11 @@
     "endpoint_call_load",
     Level.INFO,
     "{starts} starts, {stops} stops, {holds} holds and {probes} probes sent, "
-    "{unanswered} calls unanswered, {running} attempts at work",
-    "The dispatcher's calls to endpoints in the last second.",
+    "{unanswered} calls unanswered, {running} attempts at work, jobs held back "
+    "{held_back} times",
+    "The dispatcher's calls to endpoints in the last second. Jobs are held back while "
+    "too many starts wait for an answer: the processor is full.",
+    "If jobs are held back for long, give the core VMs faster processors.",
 )
 DECISION_FAILED = Event(
     7058,
