--- a/bench/pool/simulation.py
+++ b/bench/pool/simulation.py
@@ -26,6 +26,60 @@
 ENTRY = "entry"
 
 
+class Dispatching(typing.Protocol):
+    """A dispatcher, or several that share the endpoints."""
+
+    name: str
+
+    def on_submit(self, sender: str, submit: messages.Submit) -> dispatcher.Effects:
+        """Handle a job."""
+
+    def on_start_sent(self, start: calls.Start) -> None:
+        """Record that a start is being sent."""
+
+    def on_start_answer(
+        self, start: calls.Start, answer: calls.Answer
+    ) -> dispatcher.Effects:
+        """Handle the answer to a start."""
+
+    def on_stop_answer(
+        self, stop: calls.Stop, answer: calls.Answer
+    ) -> dispatcher.Effects:
+        """Handle the answer to a stop."""
+
+    def build_hold(self, name: str) -> calls.Hold | None:
+        """Return the next hold for an endpoint."""
+
+    def on_hold_result(
+        self, hold: calls.Hold, answer: calls.HoldResult
+    ) -> dispatcher.Effects:
+        """Handle an endpoint's lists."""
+
+    def on_hold_failed(
+        self, hold: calls.Hold, failed: calls.HoldFailed
+    ) -> dispatcher.Effects:
+        """Handle a hold without lists."""
+
+    def build_probe(self, name: str) -> calls.Hold | None:
+        """Return a probe of an endpoint."""
+
+    def on_probe_result(
+        self, hold: calls.Hold, answer: calls.HoldResult | calls.HoldFailed
+    ) -> dispatcher.Effects:
+        """Handle the result of a probe."""
+
+    def on_advice(
+        self, asked: calls.RequestAdvice, advice: calls.Advice | None
+    ) -> dispatcher.Effects:
+        """Handle the answer to a request for advice."""
+
+    def get_placement_pause_ms(self) -> int:
+        """Return how long the next placement should wait."""
+
+    def place(self) -> dispatcher.Effects:
+        """Start the waiting tasks that fit."""
+
+
 @dataclasses.dataclass(slots=True)
 class RunningAttempt:
     """An attempt that runs on a fake endpoint, and how it will end."""
@@ -303,7 +357,7 @@
 
     def submit(
         self,
-        to: dispatcher.Dispatcher,
+        to: Dispatching,
         job_id: str,
         count: int = 1,
         work_ms: int = 60,
@@ -336,7 +390,7 @@
         )
         self.run(to, to.on_submit(ENTRY, submit))
 
-    def run(self, by: dispatcher.Dispatcher, produced: dispatcher.Effects) -> None:
+    def run(self, by: Dispatching, produced: dispatcher.Effects) -> None:
         """Carry out a dispatcher's effects, then schedule one placement for it."""
         for effect in produced:
             match effect:
@@ -361,7 +415,7 @@
             self.schedule_after(pause_ms, lambda: self.place(by))
 
     def handle_advice_request(
-        self, by: dispatcher.Dispatcher, request: calls.RequestAdvice
+        self, by: Dispatching, request: calls.RequestAdvice
     ) -> None:
         """Answer which endpoints may run a step.
 
@@ -387,12 +441,10 @@
         is_valid = self.now_ms <= int(until_ms)
         return call.task.startswith(step + ".") and name == endpoint.name and is_valid
 
-    def handle_record_end(
-        self, by: dispatcher.Dispatcher, request: calls.RecordEnd
-    ) -> None:
+    def handle_record_end(self, by: Dispatching, request: calls.RecordEnd) -> None:
         """Ignore an end for the log, as this simulation has no log."""
 
-    def place(self, by: dispatcher.Dispatcher) -> None:
+    def place(self, by: Dispatching) -> None:
         """Let a dispatcher place tasks once all events of this moment are handled."""
         self.pending_placements.discard(by.name)
         produced = by.place()
@@ -410,7 +462,7 @@
 
     def send_call(
         self,
-        by: dispatcher.Dispatcher,
+        by: Dispatching,
         call: calls.Start | calls.Stop,
         on_answer: typing.Callable[..., dispatcher.Effects],
     ) -> None:
@@ -460,7 +512,7 @@
 
         self.occupy(send)
 
-    def poll(self, by: dispatcher.Dispatcher, name: str) -> None:
+    def poll(self, by: Dispatching, name: str) -> None:
         """Keep a hold open at an endpoint, until the dispatcher builds no more."""
         call = by.build_hold(name)
         if call is None:
@@ -476,7 +528,7 @@
 
         self.hold(by, call, settle)
 
-    def probe(self, by: dispatcher.Dispatcher, name: str) -> None:
+    def probe(self, by: Dispatching, name: str) -> None:
         """Read an endpoint's lists once."""
         call = by.build_probe(name)
         if call is not None:
@@ -488,7 +540,7 @@
 
     def hold(
         self,
-        by: dispatcher.Dispatcher,
+        by: Dispatching,
         call: calls.Hold,
         on_answer: typing.Callable[[calls.HoldResult | calls.HoldFailed], None],
     ) -> None:
--- a/bench/pool/stored_simulation.py
+++ b/bench/pool/stored_simulation.py
@@ -88,7 +88,7 @@
         return str(entry.verdict) if entry is not None else ""
 
     def handle_record_end(
-        self, by: dispatcher.Dispatcher, request: calls.RecordEnd
+        self, by: simulation.Dispatching, request: calls.RecordEnd
     ) -> None:
         """Commit the end of an attempt to the log."""
         if by.name in self.cut_from_log:
@@ -102,7 +102,8 @@
             end.number,
             end.kind == calls.EndKind.DONE,
         )
-        self.commit(commands.RecordEnds(by.fence, (recorded,)))
+        (fence,) = [each.fence for each in self.dispatchers if each.name == by.name]
+        self.commit(commands.RecordEnds(fence, (recorded,)))
 
     def record_start(
         self, endpoint: simulation.FakeEndpoint, call: calls.Start
--- a/packages/core/src/knapweedbeam_core/fleet/dispatcher_role.py
+++ b/packages/core/src/knapweedbeam_core/fleet/dispatcher_role.py
@@ -145,13 +145,16 @@
         is_contest = now_ms - self.last_unrequested_ms > CONTEST_MS
         if now_ms < self.blocked_until_ms or not (self.has_followers or is_contest):
             return
-        highest = self.members.highest_generation
-        self.generation = build_generation(
-            highest, self.clock.wall_ms(), self.process_number
-        )
-        self.members.highest_generation = self.generation
+        self.generation = self.create_token()
         self.followed_ms = now_ms
 
+    def create_token(self) -> int:
+        """Return a new fencing token, above all that this process has heard of."""
+        highest = self.members.highest_generation
+        token = build_generation(highest, self.clock.wall_ms(), self.process_number)
+        self.members.highest_generation = token
+        return token
+
     def is_requested(self) -> bool:
         """Return whether an entry VM follows this process and none is active.
 
--- a/packages/core/src/knapweedbeam_core/fleet/membership.py
+++ b/packages/core/src/knapweedbeam_core/fleet/membership.py
@@ -144,8 +144,9 @@
             self.version += 1
         if is_new:
             self.update_roles()
+        tokens = [owner.token for owner in presence.shards]
         self.highest_generation = max(
-            self.highest_generation, presence.highest, presence.generation
+            self.highest_generation, presence.highest, presence.generation, *tokens
         )
         for name in presence.members:
             self.add_member(name)
--- a/packages/core/src/knapweedbeam_core/fleet/messages.py
+++ b/packages/core/src/knapweedbeam_core/fleet/messages.py
@@ -5,6 +5,18 @@
 import dataclasses
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShardOwner:
+    """The process that dispatches on one shard of the endpoints.
+
+    `incarnation` is that process's own, `token` the fencing token for the shard.
+    """
+
+    name: str
+    incarnation: int
+    token: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Presence:
     """A heartbeat with the sender's identity and state.
@@ -18,6 +30,11 @@
     `has_stored` while it has stored jobs. `members` lists the link addresses of the
     core VMs and of the standby entry VMs that it knows. The next heartbeat on this link
     follows within `interval_ms`; `wants_reply` asks the receiver for one at once.
+
+    `incarnation` differs after each restart of the sender. `shards` names the owner of
+    each shard while the sender is the active dispatcher and shares its work; it is
+    empty while it dispatches alone. `refused` are the sender's tokens for shards whose
+    endpoints have seen higher ones.
     """
 
     name: str
@@ -36,6 +53,9 @@
     members: tuple[str, ...] = ()
     interval_ms: int = 100
     wants_reply: bool = False
+    incarnation: int = 0
+    shards: tuple[ShardOwner, ...] = ()
+    refused: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -57,6 +57,8 @@
         self.clock = timer
         self.waiting_clock = waiting_clock.WaitingClock(timer)
         self.started_ms = timer.now_ms()
+        # Until then tasks of its jobs may run on endpoints of other shards.
+        self.uncertain_until_ms = 0
         self.fence = 0
         self.endpoints: dict[str, endpoints.Endpoint] = {}
         self.endpoint_index = endpoint_index.EndpointIndex()
@@ -92,14 +94,8 @@
         self.task_starter.start_window.clear()
         self.recovery_steps.reset(self.clock.now_ms())
         self.endpoint_index.attempts_by_job.clear()
-        for name, endpoint in list(self.endpoints.items()):
-            replacement = endpoints.Endpoint(
-                endpoint.announcement, endpoint.announced_ms, self.endpoint_index
-            )
-            replacement.is_polled = endpoint.is_polled
-            replacement.speed = endpoint.speed
-            replacement.health = endpoint.health
-            self.endpoints[name] = replacement
+        for endpoint in list(self.endpoints.values()):
+            self.add_known_endpoint(endpoint)
         produced: Effects = [
             log_events.DispatcherRoleChanged(fence, len(self.endpoints))
         ]
@@ -107,6 +103,16 @@
             produced += self.poll(endpoint)
         return produced
 
+    def add_known_endpoint(self, known: endpoints.Endpoint) -> None:
+        """Add an endpoint without its attempts, with its speed and health."""
+        endpoint = endpoints.Endpoint(
+            known.announcement, known.announced_ms, self.endpoint_index
+        )
+        endpoint.is_polled = known.is_polled
+        endpoint.speed = known.speed
+        endpoint.health = known.health
+        self.endpoints[known.announcement.endpoint] = endpoint
+
     def poll(self, endpoint: endpoints.Endpoint) -> Effects:
         """Start polling an endpoint unless it is polled already."""
         if not self.fence or endpoint.is_polled:
@@ -219,9 +225,12 @@
         An endpoint that cannot be reached may be held by another dispatcher, and so
         may one whose announcement has not arrived since this process started.
         """
-        uptime_ms = self.clock.now_ms() - self.started_ms
+        now_ms = self.clock.now_ms()
+        uptime_ms = now_ms - self.started_ms
         if uptime_ms < MIN_ANNOUNCEMENTS * self.bounds.announce_ms:
             return False
+        if now_ms < self.uncertain_until_ms:
+            return False
         return all(
             endpoint.is_held and not endpoint.failed_polls
             for endpoint in self.endpoints.values()
@@ -246,9 +255,11 @@
         """Handle a job that an entry VM holds open.
 
         A copy of an ended job gets its outcome again, a copy of an open job only
-        updates the entry VM that waits for it.
+        updates the entry VM that waits for it. A job that was sent to this process
+        under another token is not taken: it may have been open under that one, which
+        is forgotten.
         """
-        if not self.fence:
+        if not self.fence or submit.token not in (0, self.fence):
             return [effects.Send(sender, messages.NotDispatching(submit.job_id, ""))]
         self.on_entry_recovered(sender)
         ended = self.ended.get(submit.job_id)
--- a/packages/core/src/knapweedbeam_core/pool/messages.py
+++ b/packages/core/src/knapweedbeam_core/pool/messages.py
@@ -99,7 +99,8 @@
     `age_ms` is how long ago the caller sent it, `patience_ms` how much longer the
     caller waits. `attempt_base` increases each time the job is sent to another
     dispatcher. `hand_in` is the same in all copies of one submission, and differs when
-    the job is submitted again.
+    the job is submitted again. `token` is the fencing token under which the receiver
+    dispatches, as its sender knows it, 0 if it does not know.
     """
 
     job_id: str
@@ -110,6 +111,7 @@
     patience_ms: int
     attempt_base: int
     hand_in: int = 0
+    token: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/knapweedbeam_core/pool/open_jobs.py
+++ b/packages/core/src/knapweedbeam_core/pool/open_jobs.py
@@ -1,7 +1,8 @@
 """The jobs that an entry VM holds open for callers until they end.
 
-A job is sent to the dispatcher that this process follows. When that changes, all open
-jobs are sent to the new one, which finds their running attempts by task name.
+A job is sent to the dispatcher that this process follows, or to the owner of the job's
+shard where several share the work. When that changes, the open jobs are sent to the new
+one, which finds their running attempts by task name.
 """
 
 from __future__ import annotations
@@ -9,6 +10,7 @@
 import dataclasses
 
 from knapweedbeam_core import clock, effects, reasons
+from knapweedbeam_core.fleet import sharding
 from knapweedbeam_core.manifests import manifest
 from knapweedbeam_core.pool import messages
 
@@ -59,11 +61,24 @@
     outcome: Outcome
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """Where the jobs of a shard go.
+
+    `token` is the fencing token under which the process dispatches, 0 if that is not
+    known or it only passes jobs on.
+    """
+
+    name: str
+    token: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class OpenJob:
     """A job that at least one caller waits for.
 
-    `sent_to` is the dispatcher that it was last sent to, empty for none.
+    `sent_to` is the dispatcher that it was last sent to, empty for none, `sent_token`
+    its token then.
     `dispatcher_count` counts the dispatchers that may have accepted the job,
     `send_count` the messages to the present one. `hand_in` distinguishes it from the
     same job submitted again later.
@@ -76,6 +91,7 @@
     opened_ms: int
     give_up_ms: int
     sent_to: str = ""
+    sent_token: int = 0
     sent_ms: int = -RESEND_MS
     dispatcher_count: int = 0
     send_count: int = 0
@@ -92,6 +108,8 @@
         self.clock = timer
         self.jobs: dict[str, OpenJob] = {}
         self.dispatcher = ""
+        self.token = 0
+        self.targets: tuple[Target, ...] = ()
         # Based on the wall clock, so that it also increases over restarts.
         self.last_hand_in = timer.wall_ms() * MAX_SUBMISSIONS_PER_MS
 
@@ -119,11 +137,13 @@
         Attempt numbers start higher with each dispatcher that may have accepted it.
         """
         now_ms = self.clock.now_ms()
-        if job.sent_to != self.dispatcher:
+        target = self.find_target(job.job_id)
+        if (job.sent_to, job.sent_token) != (target.name, target.token):
             job.dispatcher_count += 1
             job.send_count = 0
         job.send_count += 1
-        job.sent_to = self.dispatcher
+        job.sent_to = target.name
+        job.sent_token = target.token
         job.sent_ms = now_ms
         submit = messages.Submit(
             job.job_id,
@@ -134,17 +154,42 @@
             max(0, job.give_up_ms - now_ms),
             (job.dispatcher_count - 1) * ATTEMPTS_PER_DISPATCHER,
             job.hand_in,
+            target.token,
         )
-        return [effects.Send(self.dispatcher, submit)]
+        return [effects.Send(target.name, submit)]
 
-    def follow(self, dispatcher: str) -> Effects:
-        """Follow another dispatcher and send all open jobs to it."""
-        if dispatcher == self.dispatcher:
+    def find_target(self, job_id: str) -> Target:
+        """Return where a job goes."""
+        if not self.targets:
+            return Target(self.dispatcher, self.token)
+        return self.targets[sharding.get_shard(job_id, len(self.targets))]
+
+    def follow(
+        self, dispatcher: str, token: int = 0, targets: tuple[Target, ...] = ()
+    ) -> Effects:
+        """Follow another dispatcher, or other owners of the shards.
+
+        With another dispatcher all open jobs are sent again, otherwise those whose
+        owner changed, or whose owner has another token and forgot them.
+        """
+        followed = (dispatcher, token, targets)
+        if followed == (self.dispatcher, self.token, self.targets):
             return []
-        self.dispatcher = dispatcher
+        is_other = dispatcher != self.dispatcher
+        self.dispatcher, self.token, self.targets = followed
         if not dispatcher:
             return []
-        return [sent for job in self.jobs.values() for sent in self.send(job)]
+        return [
+            sent
+            for job in self.jobs.values()
+            if is_other or self.has_other_target(job)
+            for sent in self.send(job)
+        ]
+
+    def has_other_target(self, job: OpenJob) -> bool:
+        """Return whether a job goes elsewhere than where it was sent."""
+        target = self.find_target(job.job_id)
+        return (job.sent_to, job.sent_token) != (target.name, target.token)
 
     def withdraw(self, job_id: str) -> Effects:
         """Withdraw a job that its callers no longer wait for."""
@@ -183,7 +228,9 @@
         it may have been active before.
         """
         job = self.jobs.get(job_id)
-        if job is not None and job.sent_to == sender == self.dispatcher:
+        if job is None or job.sent_to != sender:
+            return []
+        if sender == self.find_target(job_id).name:
             job.sent_to = ""
             job.sent_ms = self.clock.now_ms()
             if job.send_count == 1:
--- a/packages/core/src/knapweedbeam_core/pool/relay.py
+++ b/packages/core/src/knapweedbeam_core/pool/relay.py
@@ -22,9 +22,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RelayedJob:
-    """The entry VM that holds a relayed job open, and when the job was forwarded."""
+    """The entry VM that holds a relayed job open, and where and when the job went."""
 
     origin: str
+    dispatcher: str
     forwarded_ms: int
 
 
@@ -36,28 +37,25 @@
         self.jobs: collections.OrderedDict[str, RelayedJob] = collections.OrderedDict()
 
     def forward(
-        self, origin: str, dispatcher: str, submit: messages.Submit
+        self, origin: str, dispatcher: str, submit: messages.Submit, token: int = 0
     ) -> list[effects.Send]:
-        """Forward a job to a dispatcher.
+        """Forward a job to a dispatcher that has a fencing token.
 
         Its origin cannot tell which dispatcher had it before, so `attempt_base` is at
         least 1: another dispatcher may still run it.
         """
         self.jobs.pop(submit.job_id, None)
-        self.jobs[submit.job_id] = RelayedJob(origin, self.clock.now_ms())
+        self.jobs[submit.job_id] = RelayedJob(origin, dispatcher, self.clock.now_ms())
         if len(self.jobs) > MAX_JOBS:
             self.jobs.popitem(last=False)
         base = max(1, submit.attempt_base)
-        forwarded = dataclasses.replace(submit, attempt_base=base)
+        forwarded = dataclasses.replace(submit, attempt_base=base, token=token)
         return [effects.Send(dispatcher, forwarded)]
 
-    def withdraw(
-        self, dispatcher: str, withdraw: messages.Withdraw
-    ) -> list[effects.Send]:
+    def withdraw(self, withdraw: messages.Withdraw) -> list[effects.Send]:
         """Forward the withdrawal of a job that was relayed here."""
-        if self.jobs.pop(withdraw.job_id, None) is None:
-            return []
-        return [effects.Send(dispatcher, withdraw)]
+        relayed = self.jobs.pop(withdraw.job_id, None)
+        return [effects.Send(relayed.dispatcher, withdraw)] if relayed else []
 
     def return_outcome(self, outcome: Outcome) -> list[effects.Send]:
         """Send a job's outcome back to the entry VM that it came from."""
--- /dev/null
+++ b/packages/core/tests/fleet/test_sharding.py
@@ -0,0 +1,269 @@
+from __future__ import annotations
+
+import dataclasses
+import unittest
+
+from knapweedbeam_core import clock
+from knapweedbeam_core.fleet import dispatcher_role, membership, messages, sharding
+
+TICK_MS = 20
+WORK = sharding.Work(270, has_open_jobs=False, has_stored_jobs=False)
+
+
+class Process:
+    """A process with its view of the members, the lead and the shards."""
+
+    def __init__(
+        self, name: str, is_core: bool, timer: clock.Clock, number: int
+    ) -> None:
+        self.name = name
+        self.is_core = is_core
+        self.incarnation = number
+        self.members = membership.Membership(name, is_core, (), timer)
+        self.role = dispatcher_role.DispatcherRole(self.members, number, timer)
+        self.sharding = sharding.Sharding(self.members, self.role, number, timer)
+        self.is_up = True
+        self.is_stopping = False
+
+    def build_presence(self) -> messages.Presence:
+        return messages.Presence(
+            self.name,
+            self.is_core,
+            "domain",
+            "",
+            True,
+            self.is_stopping,
+            self.role.generation,
+            self.members.highest_generation,
+            self.role.following.name,
+            "",
+            1,
+            incarnation=self.incarnation,
+            shards=self.sharding.table if self.role.generation else (),
+            refused=tuple(self.sharding.refused),
+        )
+
+
+class Deployment:
+    """Processes that receive heartbeats at once, except across partitions."""
+
+    def __init__(self, cores: int, entries: int, work: sharding.Work = WORK) -> None:
+        self.clock = clock.ManualClock(0, 1_700_000_000_000)
+        self.work = work
+        self.numbers = 0
+        self.processes: dict[str, Process] = {}
+        for number in range(cores):
+            self.start(f"c{number}", True)
+        for number in range(entries):
+            self.start(f"e{number}", False)
+        self.partitioned: set[frozenset[str]] = set()
+
+    def start(self, name: str, is_core: bool) -> None:
+        self.numbers += 1
+        self.processes[name] = Process(name, is_core, self.clock, self.numbers)
+
+    def partition(self, some: list[str], others: list[str]) -> None:
+        self.partitioned |= {frozenset((a, b)) for a in some for b in others}
+
+    def advance(self, by_ms: int) -> None:
+        for _ in range(0, by_ms, TICK_MS):
+            self.clock.advance(TICK_MS)
+            running = [process for process in self.processes.values() if process.is_up]
+            for process in running:
+                process.role.update(process.build_presence())
+                process.sharding.update(process.build_presence(), self.work)
+            for sender in running:
+                presence = sender.build_presence()
+                for receiver in running:
+                    pair = frozenset((sender.name, receiver.name))
+                    if len(pair) == 2 and pair not in self.partitioned:
+                        receiver.members.record_heartbeat(presence)
+
+    def get_lead(self) -> Process:
+        (lead,) = [p for p in self.processes.values() if p.is_up and p.role.generation]
+        return lead
+
+    def get_owned(self) -> dict[int, list[str]]:
+        """Return the processes that believe to own each shard."""
+        owned: dict[int, list[str]] = {}
+        for process in self.processes.values():
+            if process.is_up:
+                for shard in process.sharding.list_own_tokens():
+                    owned.setdefault(shard, []).append(process.name)
+        return owned
+
+
+class CountTest(unittest.TestCase):
+    def test_number_of_shards_follows_endpoints_and_core_vms(self) -> None:
+        for endpoints, owners, expected in (
+            (0, 4, 1),
+            (24, 4, 1),
+            (79, 4, 1),
+            (176, 8, 4),
+            (270, 6, 6),
+            (1_200, 7, 7),
+        ):
+            work = sharding.Work(endpoints, False, False)
+            count = sharding.count_shards(work, owners, 40)
+            self.assertEqual(count, expected, endpoints)
+
+    def test_stored_jobs_are_placed_by_one_dispatcher(self) -> None:
+        work = sharding.Work(270, has_open_jobs=False, has_stored_jobs=True)
+        self.assertEqual(sharding.count_shards(work, 6, 40), 1)
+
+    def test_shards_are_of_similar_size(self) -> None:
+        counts = [0] * 6
+        for number in range(1_200):
+            counts[sharding.get_shard(f"i-{number * 7919:08x}", 6)] += 1
+        self.assertGreater(min(counts), 150)
+
+
+class ShardingTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.deployment = Deployment(6, 3)
+        self.deployment.advance(4_000)
+
+    def assert_each_shard_has_one_owner(self) -> None:
+        owned = self.deployment.get_owned()
+        self.assertEqual(sorted(owned), list(range(6)))
+        self.assertEqual([len(names) for names in owned.values()], [1] * 6)
+
+    def test_each_core_vm_owns_a_shard(self) -> None:
+        self.assert_each_shard_has_one_owner()
+        owners = {names[0] for names in self.deployment.get_owned().values()}
+        self.assertEqual(owners, {f"c{number}" for number in range(6)})
+
+    def test_a_small_deployment_is_not_divided(self) -> None:
+        deployment = Deployment(4, 3, dataclasses.replace(WORK, endpoint_count=24))
+        deployment.advance(4_000)
+        self.assertEqual(deployment.get_owned(), {0: ["c0"]})
+        self.assertEqual(deployment.get_lead().sharding.table, ())
+
+    def test_division_waits_for_a_pause_in_the_work(self) -> None:
+        busy = dataclasses.replace(WORK, has_open_jobs=True)
+        deployment = Deployment(6, 3, busy)
+        deployment.advance(6_000)
+        self.assertEqual(deployment.get_lead().sharding.table, ())
+        deployment.work = WORK
+        deployment.advance(200)
+        self.assertEqual(len(deployment.get_lead().sharding.table), 6)
+
+    def test_loss_of_an_owner_concerns_only_its_shard(self) -> None:
+        before = self.deployment.get_lead().sharding.table
+        self.deployment.processes["c3"].is_up = False
+        self.deployment.advance(600)
+        after = self.deployment.get_lead().sharding.table
+        changed = [n for n in range(6) if before[n] != after[n]]
+        self.assertEqual([before[n].name for n in changed], ["c3"])
+        self.assertGreater(after[changed[0]].token, before[changed[0]].token)
+        self.assert_each_shard_has_one_owner()
+
+    def test_loss_of_the_lead_keeps_the_other_owners(self) -> None:
+        before = self.deployment.get_lead().sharding.table
+        lead = self.deployment.get_lead().name
+        self.deployment.processes[lead].is_up = False
+        self.deployment.advance(900)
+        after = self.deployment.get_lead().sharding.table
+        kept = [n for n in range(6) if before[n] == after[n]]
+        self.assertEqual([before[n].name for n in range(6) if n not in kept], [lead])
+        self.assert_each_shard_has_one_owner()
+
+    def test_loss_of_the_lead_and_an_owner_in_the_same_second(self) -> None:
+        lead = self.deployment.get_lead().name
+        self.deployment.processes[lead].is_up = False
+        self.deployment.processes["c5"].is_up = False
+        self.deployment.advance(900)
+        self.assert_each_shard_has_one_owner()
+
+    def test_a_restarted_owner_gets_a_new_token(self) -> None:
+        before = self.deployment.get_lead().sharding.table
+        self.deployment.start("c3", True)
+        self.assertEqual(self.deployment.processes["c3"].sharding.list_own_tokens(), {})
+        self.deployment.advance(3_000)
+        after = self.deployment.get_lead().sharding.table
+        shard = [owner.name for owner in before].index("c3")
+        self.assertGreater(after[shard].token, before[shard].token)
+        self.assert_each_shard_has_one_owner()
+
+    def test_a_frozen_owner_that_wakes_gives_up_its_shard(self) -> None:
+        self.deployment.processes["c3"].is_up = False
+        self.deployment.advance(3_000)
+        self.deployment.processes["c3"].is_up = True
+        self.deployment.advance(100)
+        self.assert_each_shard_has_one_owner()
+
+    def test_a_process_that_returned_gets_a_shard_again(self) -> None:
+        self.deployment.processes["c3"].is_up = False
+        self.deployment.advance(3_000)
+        self.deployment.start("c3", True)
+        self.deployment.advance(sharding.BALANCE_MS + 1_000)
+        owners = {names[0] for names in self.deployment.get_owned().values()}
+        self.assertIn("c3", owners)
+        self.assert_each_shard_has_one_owner()
+
+    def test_a_stopping_owner_hands_its_shard_over(self) -> None:
+        self.deployment.processes["c3"].is_stopping = True
+        self.deployment.advance(100)
+        self.assertEqual(self.deployment.processes["c3"].sharding.list_own_tokens(), {})
+        self.assert_each_shard_has_one_owner()
+
+    def test_an_owner_without_a_lead_gives_up_its_shard(self) -> None:
+        others = [name for name in self.deployment.processes if name != "c3"]
+        self.deployment.partition(["c3"], others)
+        self.deployment.advance(sharding.LEAD_TIMEOUT_MS + 700)
+        self.assertEqual(self.deployment.processes["c3"].sharding.list_own_tokens(), {})
+
+    def test_a_partitioned_domain_dispatches_on_all_shards_itself(self) -> None:
+        inside = ["c3", "e1"]
+        outside = [name for name in self.deployment.processes if name not in inside]
+        self.deployment.partition(inside, outside)
+        self.deployment.advance(2_000)
+        own = self.deployment.processes["c3"].sharding.list_own_tokens()
+        self.assertEqual(sorted(own), list(range(6)))
+        self.deployment.partitioned.clear()
+        self.deployment.advance(4_000)
+        self.assert_each_shard_has_one_owner()
+
+    def test_tokens_of_a_shard_only_increase(self) -> None:
+        newest = [0] * 6
+        for name in ("c1", "c0", "c2", "c4"):
+            self.deployment.processes[name].is_up = False
+            self.deployment.advance(1_500)
+            table = self.deployment.get_lead().sharding.table
+            tokens = [owner.token for owner in table]
+            for shard in range(6):
+                self.assertGreaterEqual(tokens[shard], newest[shard])
+            newest = tokens
+            self.deployment.start(name, True)
+            self.deployment.advance(3_000)
+
+    def test_a_refused_token_is_replaced_by_a_higher_one(self) -> None:
+        owner = self.deployment.get_lead().sharding.table[2]
+        process = self.deployment.processes[owner.name]
+        self.assertTrue(process.sharding.handle_refused_token(owner.token))
+        self.assertNotIn(2, process.sharding.list_own_tokens())
+        self.deployment.advance(600)
+        self.assertGreater(process.sharding.list_own_tokens()[2], owner.token)
+        self.assertEqual(process.sharding.refused, set())
+
+    def test_the_first_stored_job_ends_the_division(self) -> None:
+        table = self.deployment.get_lead().sharding.table
+        tokens = [owner.token for owner in table]
+        self.deployment.work = dataclasses.replace(WORK, has_stored_jobs=True)
+        self.deployment.advance(100)
+        lead = self.deployment.get_lead()
+        self.assertEqual(self.deployment.get_owned(), {0: [lead.name]})
+        self.assertGreater(lead.role.generation, max(tokens))
+        self.deployment.work = WORK
+        self.deployment.advance(15_000)
+        self.assertEqual(self.deployment.get_owned(), {0: [lead.name]})
+
+    def test_all_processes_start_again_at_once(self) -> None:
+        for name, process in list(self.deployment.processes.items()):
+            self.deployment.start(name, process.is_core)
+        self.deployment.advance(6_000)
+        self.assert_each_shard_has_one_owner()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/core/tests/pool/test_dispatcher.py
+++ b/packages/core/tests/pool/test_dispatcher.py
@@ -3,6 +3,8 @@
 import unittest
 
 from bench.pool import simulation
+from knapweedbeam_core import effects
+from knapweedbeam_core.manifests import manifest
 from knapweedbeam_core.pool import dispatcher, endpoints, messages
 
 
@@ -366,6 +368,24 @@
         self.assertEqual(self.dispatcher.jobs, {})
 
 
+class TokenTest(unittest.TestCase):
+    def test_job_for_a_former_token_is_not_taken(self) -> None:
+        world = simulation.Simulation()
+        world.add_endpoint("e0")
+        made = world.add_dispatcher("a", 10)
+        step = messages.SubmittedStep(1, 1_000, 64, 0, 60, (), "", "", 0)
+        terms = manifest.Terms("queue", "service", 0, 3, 1.6, 60)
+        for token, is_taken in ((9, False), (10, True), (0, True)):
+            job_id = f"j{token}"
+            submit = messages.Submit(
+                job_id, terms, "", (step,), 0, 1_000, 0, token=token
+            )
+            produced = made.on_submit("entry", submit)
+            refusal = effects.Send("entry", messages.NotDispatching(job_id, ""))
+            self.assertEqual(refusal in produced, not is_taken)
+            self.assertEqual(job_id in made.jobs, is_taken)
+
+
 class TakeoverTest(unittest.TestCase):
     def setUp(self) -> None:
         self.simulation = simulation.Simulation()
--- a/packages/core/tests/pool/test_open_jobs.py
+++ b/packages/core/tests/pool/test_open_jobs.py
@@ -3,6 +3,7 @@
 import unittest
 
 from knapweedbeam_core import clock, effects, reasons
+from knapweedbeam_core.fleet import sharding
 from knapweedbeam_core.manifests import manifest
 from knapweedbeam_core.pool import messages, open_jobs
 
@@ -32,6 +33,37 @@
         self.assertEqual(self.get_submits(self.take()), [("a", 0)])
         self.assertEqual(self.get_submits(self.open_jobs.follow("b")), [("b", 100)])
 
+    def test_a_job_goes_to_the_owner_of_its_shard(self) -> None:
+        targets = (open_jobs.Target("a", 21), open_jobs.Target("b", 22))
+        self.open_jobs.follow("a", 20, targets)
+        for number in range(8):
+            expected = targets[sharding.get_shard(f"j{number}", 2)]
+            (sent,) = self.take(f"j{number}")
+            assert isinstance(sent, effects.Send)
+            assert isinstance(sent.message, messages.Submit)
+            self.assertEqual(
+                (sent.to, sent.message.token), (expected.name, expected.token)
+            )
+
+    def test_only_jobs_whose_owner_changed_are_sent_again(self) -> None:
+        targets = (open_jobs.Target("a", 21), open_jobs.Target("b", 22))
+        self.open_jobs.follow("a", 20, targets)
+        for number in range(8):
+            self.take(f"j{number}")
+        moved = (targets[0], open_jobs.Target("c", 23))
+        sent = self.get_submits(self.open_jobs.follow("a", 20, moved))
+        count = sum(sharding.get_shard(f"j{number}", 2) for number in range(8))
+        self.assertEqual(sent, [("c", 100)] * count)
+
+    def test_owner_with_another_token_may_have_had_the_job_before(self) -> None:
+        self.open_jobs.follow("a", 20)
+        self.take()
+        self.assertEqual(self.get_submits(self.open_jobs.follow("a", 21)), [("a", 100)])
+        refused = messages.JobRefused("j", reasons.Reason.DEADLINE, 500)
+        (settled,) = self.open_jobs.on_refused("a", refused)
+        assert isinstance(settled, open_jobs.Settled)
+        self.assertIsInstance(settled.outcome, open_jobs.Unknown)
+
     def test_resend_rate_to_inactive_dispatcher_is_limited(self) -> None:
         self.open_jobs.follow("a")
         for number in range(30):
--- a/packages/core/tests/pool/test_relay.py
+++ b/packages/core/tests/pool/test_relay.py
@@ -31,10 +31,11 @@
 
     def test_withdrawal_is_forwarded_once(self) -> None:
         self.relay.forward("e1", "c1", SUBMIT)
+        self.relay.forward("e1", "c2", SUBMIT)
         withdraw = messages.Withdraw("j")
-        sent = self.relay.withdraw("c2", withdraw)
+        sent = self.relay.withdraw(withdraw)
         self.assertEqual(sent, [effects.Send("c2", withdraw)])
-        self.assertEqual(self.relay.withdraw("c2", withdraw), [])
+        self.assertEqual(self.relay.withdraw(withdraw), [])
 
     def test_job_without_outcome_is_removed_after_retention(self) -> None:
         self.relay.forward("e1", "c1", SUBMIT)
--- a/packages/server/src/knapweedbeam_server/fleet/announcing.py
+++ b/packages/server/src/knapweedbeam_server/fleet/announcing.py
@@ -8,8 +8,8 @@
 import gevent.event
 
 from knapweedbeam_core import effects
-from knapweedbeam_core.fleet import dispatcher_role, membership
-from knapweedbeam_core.pool import dispatcher, messages
+from knapweedbeam_core.fleet import membership
+from knapweedbeam_core.pool import messages, shards
 
 # Shorter than the 1 s for which a leaving endpoint waits for its acknowledgement.
 ACKNOWLEDGEMENT_TIMEOUT_S = 0.8
@@ -19,8 +19,7 @@
     """The parts and methods of the process that are used here."""
 
     members: membership.Membership
-    dispatcher_role: dispatcher_role.DispatcherRole
-    dispatcher: dispatcher.Dispatcher
+    shards: shards.ShardedDispatcher
 
     def send(self, effect: effects.Send) -> None:
         """Send a message."""
@@ -43,11 +42,11 @@
 
         A leaving endpoint is acknowledged only once the active dispatcher knows of it.
         """
-        self.host.run(self.host.dispatcher.on_announcement(announcement))
+        self.host.run(self.host.shards.on_announcement(announcement))
         self.send_to_candidates(announcement)
         if (
             announcement.state != messages.EndpointState.LEAVING
-            or self.host.dispatcher_role.generation
+            or self.host.shards.is_active_for(announcement.endpoint)
         ):
             return True
         key = (announcement.endpoint, announcement.born_ms, announcement.sequence)
@@ -61,8 +60,8 @@
         self, sender: str, announcement: messages.EndpointNews
     ) -> None:
         """Handle an announcement that another process forwarded."""
-        self.host.run(self.host.dispatcher.on_announcement(announcement))
-        if self.host.dispatcher_role.generation:
+        self.host.run(self.host.shards.on_announcement(announcement))
+        if self.host.shards.is_active_for(announcement.endpoint):
             acknowledgement = messages.EndpointNewsHeld(
                 announcement.endpoint, announcement.born_ms, announcement.sequence
             )
@@ -84,7 +83,7 @@
 
     def handle_departure(self, gone: messages.EndpointGone) -> None:
         """Handle an endpoint's deregistration and forward it."""
-        self.host.run(self.host.dispatcher.on_endpoint_gone(gone))
+        self.host.run(self.host.shards.on_endpoint_gone(gone))
         self.send_to_candidates(gone)
 
     def send_to_candidates(self, message: effects.Message) -> None:
@@ -96,5 +95,5 @@
 
     def send_speeds(self) -> None:
         """Send endpoint speeds to possible successors if this process dispatches."""
-        if self.host.dispatcher_role.generation:
-            self.send_to_candidates(self.host.dispatcher.list_speeds())
+        if self.host.shards.is_active():
+            self.send_to_candidates(self.host.shards.list_speeds())
--- a/packages/server/src/knapweedbeam_server/fleet/endpoint_calls.py
+++ b/packages/server/src/knapweedbeam_server/fleet/endpoint_calls.py
@@ -8,7 +8,7 @@
 
 import gevent
 
-from knapweedbeam_core.pool import calls, dispatcher
+from knapweedbeam_core.pool import calls, dispatcher, shards
 from knapweedbeam_server.fleet import ports, telemetry
 from knapweedbeam_server.logs import catalogue, emit, faults
 
@@ -39,12 +39,12 @@
 
     def __init__(
         self,
-        owner: dispatcher.Dispatcher,
+        owner: shards.ShardedDispatcher,
         client: ports.EndpointClient,
         run: Run,
         metrics: telemetry.Telemetry,
     ) -> None:
-        self.dispatcher = owner
+        self.shards = owner
         self.client = client
         self.run = run
         self.telemetry = metrics
@@ -100,14 +100,14 @@
     def start(self, call: calls.Start) -> None:
         """Start an attempt."""
         self.counts.starts += 1
-        self.dispatcher.on_start_sent(call)
+        self.shards.on_start_sent(call)
         try:
             answer = self.client.start(call)
         except Exception as error:
             self.report_error(call, error)
             answer = calls.Answer(calls.Verdict.UNKNOWN)
         self.count_verdict("start", answer.verdict)
-        self.run(self.dispatcher.on_start_answer(call, answer))
+        self.run(self.shards.on_start_answer(call, answer))
 
     def stop(self, call: calls.Stop) -> None:
         """Stop an attempt."""
@@ -118,7 +118,7 @@
             self.report_error(call, error)
             answer = calls.Answer(calls.Verdict.UNKNOWN)
         self.count_verdict("stop", answer.verdict)
-        self.run(self.dispatcher.on_stop_answer(call, answer))
+        self.run(self.shards.on_stop_answer(call, answer))
 
     def hold(self, call: calls.Hold) -> calls.HoldResult | calls.HoldFailed:
         """Get the lists of an endpoint; an unexpected error counts as no answer."""
@@ -130,7 +130,7 @@
 
     def probe(self, endpoint: str) -> None:
         """Get the lists of an endpoint once."""
-        call = self.dispatcher.build_probe(endpoint)
+        call = self.shards.build_probe(endpoint)
         if call is None:
             return
         self.counts.probes += 1
@@ -139,7 +139,7 @@
             self.count_verdict("look", answer.verdict)
         else:
             self.telemetry.count_call("look", "listed")
-        self.run(self.dispatcher.on_probe_result(call, answer))
+        self.run(self.shards.on_probe_result(call, answer))
 
     def request_advice(self, call: calls.RequestAdvice) -> None:
         """Ask which endpoints may run a step."""
@@ -151,13 +151,13 @@
             asked=len(call.endpoints),
             allowed=-1 if advice is None else len(advice.allowed),
         )
-        self.run(self.dispatcher.on_advice(call, advice))
+        self.run(self.shards.on_advice(call, advice))
 
     def poll(self, polling: calls.StartPolling) -> None:
         """Poll an endpoint for as long as the dispatcher wants it."""
         pause_s = FIRST_PAUSE_S
         while True:
-            call = self.dispatcher.build_hold(polling.endpoint)
+            call = self.shards.build_hold(polling.endpoint)
             if call is None:
                 return
             try:
@@ -177,10 +177,10 @@
         answer = self.hold(call)
         if isinstance(answer, calls.HoldFailed):
             self.count_verdict("hold", answer.verdict)
-            self.run(self.dispatcher.on_hold_failed(call, answer))
+            self.run(self.shards.on_hold_failed(call, answer))
             return False
-        self.run(self.dispatcher.on_hold_result(call, answer))
-        if self.dispatcher.has_unacked_ends(call.target.endpoint):
+        self.run(self.shards.on_hold_result(call, answer))
+        if self.shards.has_unacked_ends(call.target.endpoint):
             gevent.sleep(OPEN_ENDS_PAUSE_S)
         return True
 
--- a/packages/server/src/knapweedbeam_server/fleet/message_router.py
+++ b/packages/server/src/knapweedbeam_server/fleet/message_router.py
@@ -8,7 +8,7 @@
 from knapweedbeam_core.fleet import membership
 from knapweedbeam_core.fleet import messages as fleet_messages
 from knapweedbeam_core.log import messages as log_messages
-from knapweedbeam_core.pool import messages
+from knapweedbeam_core.pool import messages, open_jobs
 from knapweedbeam_core.stored import messages as stored_messages
 from knapweedbeam_server.logs import catalogue, emit
 
@@ -33,18 +33,15 @@
                 self.handle_heartbeat(sender, message)
                 return
             case messages.Submit():
-                # Until its jobs have ended, the entry VM sends at the fast rate.
-                self.record_contact(sender, membership.FAST_INTERVAL_MS)
+                self.record_contact(sender, self.get_interval_ms(sender))
             case _:
                 self.record_contact(sender)
         match message:
             case messages.Submit():
                 self.handle_submit(sender, message)
             case messages.Withdraw():
-                self.node.run(self.node.dispatcher.on_withdraw(message))
-                self.node.run(
-                    self.node.relay.withdraw(self.node.open_jobs.dispatcher, message)
-                )
+                self.node.run(self.node.shards.on_withdraw(message))
+                self.node.run(self.node.relay.withdraw(message))
             case messages.JobComplete() | messages.JobFailed():
                 self.node.run(self.node.open_jobs.on_ended(sender, message))
                 self.node.run(self.node.relay.return_outcome(message))
@@ -60,9 +57,9 @@
             case messages.EndpointNewsHeld():
                 self.node.announcement_forwarder.handle_acknowledgement(message)
             case messages.SpeedsLearned():
-                self.node.dispatcher.on_speeds(message)
+                self.node.shards.on_speeds(message)
             case messages.EndpointGone():
-                self.node.run(self.node.dispatcher.on_endpoint_gone(message))
+                self.node.run(self.node.shards.on_endpoint_gone(message))
             case fleet_messages.ManifestWanted(held_version):
                 self.node.manifests.send_newer(sender, held_version)
             case fleet_messages.ManifestNews(version, body):
@@ -74,13 +71,45 @@
                     self.node.log.on_message(typing.cast(log_messages.Message, message))
 
     def handle_submit(self, sender: str, submit: messages.Submit) -> None:
-        """Dispatch a job, or relay it for an entry VM that reaches no dispatcher."""
-        dispatcher_name = self.node.open_jobs.dispatcher
-        is_relay = not self.node.dispatcher.fence and not self.node.settings.is_core
-        if is_relay and self.node.members.is_active_dispatcher(dispatcher_name):
-            self.node.run(self.node.relay.forward(sender, dispatcher_name, submit))
+        """Dispatch a job, or relay it for an entry VM that does not reach its owner."""
+        target = self.find_relay_target(submit)
+        if target is not None:
+            self.node.run(
+                self.node.relay.forward(sender, target.name, submit, target.token)
+            )
         else:
-            self.node.run(self.node.dispatcher.on_submit(sender, submit))
+            self.node.run(self.node.shards.on_submit(sender, submit))
+
+    def find_relay_target(self, submit: messages.Submit) -> open_jobs.Target | None:
+        """Return the process that a job is relayed to, None to handle it here.
+
+        The lead passes jobs on to the owner of their shard, an entry VM to the
+        dispatcher that it uses.
+        """
+        shard = self.node.shards.find_shard(submit)
+        if self.node.shards.dispatchers[shard].fence:
+            return None
+        table = self.node.sharding.table
+        if self.node.dispatcher_role.generation and len(table) > shard:
+            owner = table[shard]
+            is_own = owner.name == self.node.settings.name
+            return None if is_own else open_jobs.Target(owner.name, owner.token)
+        if self.node.settings.is_core or self.node.shards.is_active():
+            return None
+        target = self.node.open_jobs.find_target(submit.job_id)
+        is_dispatching = self.node.members.is_active_dispatcher(target.name)
+        is_owner = self.node.is_shard_owner(target.name)
+        return target if is_dispatching or is_owner else None
+
+    def get_interval_ms(self, sender: str) -> int:
+        """Return when an entry VM that has jobs here sends its next heartbeat.
+
+        To the process that it follows it sends at the fast rate until its jobs have
+        ended, to other owners of shards as before.
+        """
+        presence = self.node.members.get_presence(sender)
+        is_follower = presence is not None and presence.using == self.node.settings.name
+        return membership.FAST_INTERVAL_MS if is_follower else 0
 
     def record_contact(self, sender: str, interval_ms: int = 0) -> None:
         """Record a message of a member, whose state is as it was."""
@@ -112,12 +141,22 @@
 
     def handle_state(self, presence: fleet_messages.Presence) -> None:
         """Act on which dispatcher a member uses and which manifest it has."""
-        if presence.using == self.node.settings.name:
-            self.node.run(self.node.dispatcher.on_entry_recovered(presence.name))
+        if self.is_served_here(presence):
+            self.node.run(self.node.shards.on_entry_recovered(presence.name))
         elif presence.using:
-            self.node.run(self.node.dispatcher.on_entry_lost(presence.name))
+            self.node.run(self.node.shards.on_entry_lost(presence.name))
         self.request_manifest()
 
+    def is_served_here(self, presence: fleet_messages.Presence) -> bool:
+        """Return whether a member sends jobs to this process, as lead or as owner."""
+        name = self.node.settings.name
+        if presence.using == name:
+            return True
+        lead = self.node.members.members.get(presence.using)
+        if lead is None or lead.presence is None:
+            return False
+        return any(owner.name == name for owner in lead.presence.shards)
+
     def request_manifest(self) -> None:
         """Request a newer manifest that a member has, until it is in force here."""
         now_ms = self.node.clock.now_ms()
@@ -137,5 +176,5 @@
             presence.is_core or is_standby
         ):
             return
-        for announcement in self.node.dispatcher.list_announcements():
+        for announcement in self.node.shards.list_announcements():
             self.node.send(effects.Send(presence.name, announcement))
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -11,7 +11,12 @@
 import xxhash
 
 from knapweedbeam_core import clock, effects, ids, reasons
-from knapweedbeam_core.fleet import dispatcher_role, membership, participant
+from knapweedbeam_core.fleet import (
+    dispatcher_role,
+    membership,
+    participant,
+    sharding,
+)
 from knapweedbeam_core.fleet import messages as fleet_messages
 from knapweedbeam_core.log import messages as log_messages
 from knapweedbeam_core.manifests import manifest
@@ -22,6 +27,7 @@
     messages,
     open_jobs,
     relay,
+    shards,
 )
 from knapweedbeam_core.stored import messages as stored_messages
 from knapweedbeam_server.fleet import (
@@ -110,13 +116,21 @@
         self.participant = participant.Participant(
             self.members, self.dispatcher_role, timer
         )
-        self.dispatcher = dispatcher.Dispatcher(
+        self.incarnation = rng.getrandbits(62)
+        self.sharding = sharding.Sharding(
+            self.members,
+            self.dispatcher_role,
+            self.incarnation,
+            timer,
+            settings.endpoints_per_shard,
+        )
+        self.shards = shards.ShardedDispatcher(
             settings.name, settings.endpoint_bounds, timer
         )
         self.telemetry = telemetry.Telemetry()
         self.loop_monitor = loop_monitor.LoopMonitor(timer)
         self.endpoint_calls = endpoint_calls.EndpointCalls(
-            self.dispatcher, client, self.run, self.telemetry
+            self.shards, client, self.run, self.telemetry
         )
         self.open_jobs = open_jobs.OpenJobs(timer)
         self.relay = relay.Relay(timer)
@@ -126,7 +140,7 @@
         self.stored_jobs = stored_jobs.StoredJobs(self)
         self.message_router = message_router.MessageRouter(self)
         self.links = links.Links(
-            ids.ProcessId(settings.name, rng.getrandbits(62)),
+            ids.ProcessId(settings.name, self.incarnation),
             settings_.split_address(settings.name),
             (),
             settings.link_key,
@@ -137,6 +151,8 @@
         )
         self.waiters: dict[str, list[gevent.event.AsyncResult[open_jobs.Outcome]]] = {}
         self.followed_dispatcher = ""
+        self.followed_token = 0
+        self.followed_table: sharding.Table = ()
         self.is_stopping = False
         self.is_placement_due = False
         self.links_due_ms = 0
@@ -217,34 +233,45 @@
                     self.set_outcome(effect)
                 case _:
                     self.handle_log_event(effect)
-        if self.dispatcher.queue and not self.is_placement_due:
+        if not self.is_placement_due and self.shards.count_queued():
             self.is_placement_due = True
             gevent.spawn(self.place)
 
     def place(self) -> None:
         """Place tasks, once for all events of one turn of the loop."""
         try:
-            pause_ms = self.dispatcher.get_placement_pause_ms()
+            pause_ms = self.shards.get_placement_pause_ms()
             if pause_ms:
                 gevent.sleep(pause_ms / clock.SECOND_MS)
-            self.run(self.dispatcher.place())
+            for owner in self.shards.list_active():
+                self.place_shard(owner)
+        finally:
+            self.is_placement_due = False
+
+    def place_shard(self, owner: dispatcher.Dispatcher) -> None:
+        """Place the tasks of one shard; an error concerns this placement alone."""
+        try:
+            self.run(owner.place())
         except Exception as error:
             emit.emit(
                 catalogue.DECISION_FAILED,
                 step="placement",
-                subject=f"{len(self.dispatcher.queue)} jobs",
+                subject=f"{len(owner.queue)} jobs",
                 error=faults.describe(error),
             )
-        finally:
-            self.is_placement_due = False
 
     def handle_log_event(self, log_event: log_events.LogEvent) -> None:
         """Log a decision; give up the dispatcher role if an endpoint refused it."""
         event = CATALOGUE_EVENTS[type(log_event)]
         emit.emit_record(event, log_event)
         self.telemetry.count_event(event.name)
-        is_refused = isinstance(log_event, log_events.EndpointFenced)
-        if is_refused and self.dispatcher_role.generation == self.dispatcher.fence:
+        if isinstance(log_event, log_events.EndpointFenced):
+            self.handle_refused_token(log_event.fence)
+
+    def handle_refused_token(self, token: int) -> None:
+        """Give up the shard, or the dispatcher role, that a token stands for."""
+        is_shard = self.sharding.handle_refused_token(token)
+        if not is_shard and token == self.dispatcher_role.generation:
             self.dispatcher_role.handle_refused_token(REFUSED_TOKEN_PAUSE_MS)
 
     def set_outcome(self, settled: open_jobs.Settled) -> None:
@@ -270,29 +297,29 @@
         if max(load.timer_lag_ms, load.wake_lag_ms) >= LOGGED_LAG_MS:
             emit.emit(catalogue.LOOP_LAGGED, **dataclasses.asdict(load))
         calls_made = self.endpoint_calls.take_counts()
-        if self.dispatcher.fence and (self.dispatcher.jobs or calls_made.starts):
+        if self.shards.is_active() and (self.shards.has_jobs() or calls_made.starts):
             emit.emit(
                 catalogue.ENDPOINT_CALL_LOAD,
                 **dataclasses.asdict(calls_made),
-                running=self.dispatcher.count_attempts(),
-                held_back=self.dispatcher.task_starter.start_window.take_held_back(),
+                running=self.shards.count_attempts(),
+                held_back=self.shards.take_held_back(),
             )
 
     def tick(self) -> None:
         """Do what is due in all parts."""
         now_ms = self.clock.now_ms()
         update = self.participant.update(self.build_presence())
-        self.run(self.dispatcher.set_fence(self.dispatcher_role.generation))
+        self.update_shards()
         for member in update.silent:
             self.handle_silent(member)
         self.follow(update)
         self.send_heartbeats()
-        self.run(self.dispatcher.tick())
+        self.run(self.shards.tick())
         self.run(self.open_jobs.tick())
         if self.log is not None:
             self.log.tick()
             self.manifests.apply_committed()
-        self.dispatcher.stored_scheduler.has_stored_jobs = self.has_stored_jobs()
+        self.shards.set_stored_jobs(self.has_stored_jobs())
         self.stored_jobs.tick()
         if now_ms >= self.links_due_ms:
             self.links_due_ms = now_ms + LINK_UPDATE_INTERVAL_MS
@@ -302,6 +329,35 @@
             self.speeds_due_ms = now_ms + SPEEDS_INTERVAL_MS
             self.announcement_forwarder.send_speeds()
 
+    def update_shards(self) -> None:
+        """Dispatch on the shards that this process owns."""
+        before = self.sharding.table
+        work = sharding.Work(
+            self.shards.count_endpoints(),
+            self.shards.has_jobs(),
+            self.has_stored_jobs(),
+        )
+        table = self.sharding.update(self.build_presence(), work)
+        if table != before:
+            self.log_shards(table)
+        tokens = self.sharding.list_own_tokens()
+        self.run(self.shards.set_tokens(max(1, len(table)), tokens))
+
+    def log_shards(self, table: sharding.Table) -> None:
+        """Log how the endpoints are divided now."""
+        emit.emit(
+            catalogue.SHARDS_DIVIDED,
+            count=max(1, len(table)),
+            lead=bool(self.dispatcher_role.generation),
+            owners=" ".join(owner.name for owner in table),
+            endpoints=self.shards.count_endpoints(),
+        )
+
+    def is_shard_owner(self, name: str) -> bool:
+        """Return whether a live member owns a shard, as this process knows it."""
+        is_named = any(owner.name == name for owner in self.followed_table)
+        return is_named and self.members.is_live(name)
+
     def send_heartbeats(self) -> None:
         """Send the heartbeats that are due."""
         has_open_jobs = bool(self.open_jobs.jobs or self.relay.jobs)
@@ -316,7 +372,7 @@
             self.settings.is_core,
             self.settings.domain,
             self.settings.control,
-            bool(self.dispatcher.endpoints),
+            bool(self.shards.count_endpoints()),
             self.is_stopping,
             self.dispatcher_role.generation,
             self.members.highest_generation,
@@ -326,6 +382,9 @@
             self.log is not None and self.log.is_caught_up_leader(),
             self.stored_jobs.has_jobs(),
             self.members.candidates,
+            incarnation=self.incarnation,
+            shards=self.sharding.table if self.dispatcher_role.generation else (),
+            refused=tuple(sorted(self.sharding.refused)),
         )
 
     def has_stored_jobs(self) -> bool:
@@ -347,16 +406,36 @@
         presence = self.members.get_presence(name)
         return presence.control if presence is not None else ""
 
-    def get_dispatcher_control_address(self) -> str:
-        """Return the control API that endpoints should use, empty if unknown."""
-        if self.dispatcher_role.generation:
+    def get_dispatcher_control_address(self, endpoint: str) -> str:
+        """Return the control API that an endpoint should use, empty if unknown."""
+        table = self.sharding.table
+        if table:
+            name = table[sharding.get_shard(endpoint, len(table))].name
+        elif self.dispatcher_role.generation:
+            name = self.settings.name
+        else:
+            name = self.followed_dispatcher
+        if name == self.settings.name:
             return self.settings.control
-        return self.get_control_address(self.followed_dispatcher)
+        return self.get_control_address(name)
 
     def follow(self, update: participant.Update) -> None:
-        """Send open jobs to another process if the update says so."""
+        """Send open jobs to other processes if the update says so."""
         name = update.target
+        self.update_followed_table(update)
+        if update.choice.generation and update.choice.name == name:
+            self.followed_token = update.choice.generation
+        elif name != self.followed_dispatcher:
+            self.followed_token = 0
+        lead = open_jobs.Target(name, self.followed_token)
+        targets = tuple(
+            open_jobs.Target(owner.name, owner.token)
+            if owner.name == self.settings.name or self.members.is_live(owner.name)
+            else lead
+            for owner in self.followed_table
+        )
         if name == self.followed_dispatcher:
+            self.run(self.open_jobs.follow(name, lead.token, targets))
             return
         self.followed_dispatcher = name
         emit.emit(
@@ -365,7 +444,22 @@
             generation=update.choice.generation,
             jobs=len(self.open_jobs.jobs),
         )
-        self.run(self.open_jobs.follow(name))
+        self.run(self.open_jobs.follow(name, lead.token, targets))
+
+    def update_followed_table(self, update: participant.Update) -> None:
+        """Use the division of the lead that is followed.
+
+        While it is replaced, its division is kept: the owners go on.
+        """
+        lead = update.choice
+        if not lead.generation:
+            return
+        if lead.name == self.settings.name:
+            self.followed_table = self.sharding.table
+            return
+        presence = self.members.get_presence(lead.name)
+        if presence is not None and presence.generation:
+            self.followed_table = presence.shards
 
     def update_links(self) -> None:
         """Remove stale members and relayed jobs, then update the links."""
@@ -415,7 +509,7 @@
             interval_ms=member.interval_ms,
             asked=member.asked_ms is not None,
         )
-        self.run(self.dispatcher.on_entry_lost(member.name))
+        self.run(self.shards.on_entry_lost(member.name))
 
     # Jobs.
 
@@ -462,11 +556,11 @@
 
     def is_active_dispatcher(self) -> bool:
         """Return whether this process still dispatches."""
-        return self.dispatcher_role.generation != 0
+        return self.dispatcher_role.generation != 0 or self.shards.is_active()
 
     def get_metrics(self) -> bytes:
         """Return the metrics of this process as text."""
-        self.telemetry.update_gauges(self.dispatcher)
+        self.telemetry.update_gauges(self.shards)
         self.telemetry.open_jobs.set(len(self.open_jobs.jobs))
         self.telemetry.live_members.set(len(self.members.get_live()))
         self.telemetry.manifest_version.set(self.manifests.get_version())
--- a/packages/server/src/knapweedbeam_server/fleet/settings.py
+++ b/packages/server/src/knapweedbeam_server/fleet/settings.py
@@ -5,6 +5,7 @@
 import dataclasses
 import pathlib
 
+from knapweedbeam_core.fleet import sharding
 from knapweedbeam_core.pool import attempt_tracker
 
 
@@ -15,7 +16,8 @@
     `name` is the address of its links, `control` that of its control API, empty for
     an entry VM. `seeds` are addresses of links. `data_folder` is none if the process
     stores nothing. `is_first_start` means that the whole deployment starts for the
-    first time, with empty data folders.
+    first time, with empty data folders. With more than `endpoints_per_shard` endpoints
+    for each, several processes share the work of dispatching.
     """
 
     name: str
@@ -27,6 +29,7 @@
     is_first_start: bool
     link_key: bytes
     endpoint_bounds: attempt_tracker.ProtocolBounds
+    endpoints_per_shard: int = sharding.ENDPOINTS_PER_SHARD
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/packages/server/src/knapweedbeam_server/fleet/stored_jobs.py
+++ b/packages/server/src/knapweedbeam_server/fleet/stored_jobs.py
@@ -9,7 +9,7 @@
 import gevent.event
 
 from knapweedbeam_core import clock, effects
-from knapweedbeam_core.pool import calls, dispatcher
+from knapweedbeam_core.pool import calls, shards
 from knapweedbeam_core.stored import client, ledger, messages, service
 from knapweedbeam_server.fleet import replicated_log
 from knapweedbeam_server.logs import catalogue, emit
@@ -25,7 +25,7 @@
     """The parts and methods of the process that are used here."""
 
     clock: clock.Clock
-    dispatcher: dispatcher.Dispatcher
+    shards: shards.ShardedDispatcher
     log: replicated_log.ReplicatedLog | None
 
     def send(self, effect: effects.Send) -> None:
@@ -131,7 +131,7 @@
 
     def build_count_reply(self, number: int, queue: str) -> messages.Told:
         """Return the number of waiting jobs in a queue, if this process places them."""
-        stored_scheduler = self.host.dispatcher.stored_scheduler
+        stored_scheduler = self.host.shards.get_primary().stored_scheduler
         if not stored_scheduler.term:
             return messages.Told(number, messages.Verdict.ELSEWHERE)
         waiting = stored_scheduler.count_waiting(queue)
@@ -150,7 +150,7 @@
         log = self.host.log
         assert log is not None
         changes = log.machine.take_changes()
-        stored_scheduler = self.host.dispatcher.stored_scheduler
+        stored_scheduler = self.host.shards.get_primary().stored_scheduler
         if log.machine.restores != self.last_restores:
             self.last_restores = log.machine.restores
             stored_scheduler.require_registration()
@@ -208,7 +208,7 @@
         ends, self.unsent_ends = tuple(self.unsent_ends), []
         leader = self.host.find_log_leader()
         if leader:
-            message = messages.NoteEnds(self.host.dispatcher.fence, ends)
+            message = messages.NoteEnds(self.host.shards.get_primary().fence, ends)
             self.host.send(effects.Send(leader, message))
 
     # Time.
@@ -229,7 +229,7 @@
             return
         self.update_service()
         self.run(self.service.tick())
-        own_dispatcher = self.host.dispatcher
+        own_dispatcher = self.host.shards.get_primary()
         if log.has_leader():
             own_dispatcher.stored_scheduler.record_log_contact()
         is_due = leader and now_ms >= self.registration_due_ms
--- a/packages/server/src/knapweedbeam_server/fleet/telemetry.py
+++ b/packages/server/src/knapweedbeam_server/fleet/telemetry.py
@@ -5,7 +5,7 @@
 import prometheus_client
 import prometheus_client.exposition
 
-from knapweedbeam_core.pool import dispatcher
+from knapweedbeam_core.pool import shards
 from knapweedbeam_server.fleet import loop_monitor
 
 # Objectives lie between 0.1 and 2 s; callers are lost after 3 s.
@@ -84,12 +84,10 @@
         """Count a call to an endpoint."""
         self.endpoint_calls.labels(kind, outcome).inc()
 
-    def update_gauges(self, owner: dispatcher.Dispatcher) -> None:
-        """Update the gauges that depend on the dispatcher."""
-        self.waiting_jobs.set(sum(bool(job.waiting) for job in owner.jobs.values()))
-        self.held_endpoints.set(
-            sum(endpoint.is_held for endpoint in owner.endpoints.values())
-        )
+    def update_gauges(self, owner: shards.ShardedDispatcher) -> None:
+        """Update the gauges that depend on the dispatchers."""
+        self.waiting_jobs.set(owner.count_waiting_jobs())
+        self.held_endpoints.set(owner.count_held_endpoints())
         self.used_capacity.set(owner.get_used_share())
 
     def set_loop_load(self, load: loop_monitor.LoopLoad) -> None:
--- a/packages/server/src/knapweedbeam_server/logs/catalogue.py
+++ b/packages/server/src/knapweedbeam_server/logs/catalogue.py
@@ -472,6 +472,14 @@
     "considered this one lost. With little CPU time the process was not scheduled.",
     "Compare the CPU time with the VM's share and the load in `queue_load`.",
 )
+SHARDS_DIVIDED = Event(
+    7016,
+    "shards_divided",
+    Level.INFO,
+    "{endpoints} endpoints in {count} shards, owners {owners}; lead: {lead}",
+    "Each owner dispatches on its shard. One shard without an owner means that the "
+    "active dispatcher has all endpoints.",
+)
 MANIFEST_IN_FORCE = Event(
     7020,
     "manifest_in_force",
--- a/packages/server/tests/fleet/test_endpoint_calls.py
+++ b/packages/server/tests/fleet/test_endpoint_calls.py
@@ -75,7 +75,7 @@
             system_clock.SystemClock(),
             random.Random(1),
         )
-        self.dispatcher: dispatcher.Dispatcher = self.node.dispatcher
+        self.dispatcher: dispatcher.Dispatcher = self.node.shards.dispatchers[0]
 
     def begin(self) -> None:
         """Dispatch with one known endpoint."""
--- a/packages/wire/src/knapweedbeam_wire/schema/fleet.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/fleet.capnp
@@ -18,6 +18,15 @@
   hasStored @13 :Bool;
   intervalMs @14 :Int64;
   wantsReply @15 :Bool;
+  incarnation @16 :Int64;
+  shards @17 :List(ShardOwner);
+  refused @18 :List(Int64);
+}
+
+struct ShardOwner {
+  name @0 :Text;
+  incarnation @1 :Int64;
+  token @2 :Int64;
 }
 
 struct Alive {
--- a/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
@@ -67,6 +67,7 @@
   patienceMs @5 :Int64;
   attemptBase @6 :Int64;
   handIn @7 :Int64;
+  token @8 :Int64;
 }
 
 struct Withdraw {
