Play the loss, the cut and the restart of shard owners in simulated time

Where an entry VM's jobs go is a decision of its own (fleet/job_routes), so that the simulation of a deployment runs it too. An entry VM whose link to an owner breaks asks it for a heartbeat, and passes jobs through the lead after 0.3 s without one; it hears owners only once a second otherwise.

Tests in simulated time: loss of an owner and of the lead (median 0.6 s, at most 0.9 s), both in the same second, a domain cut off, the core cut in two, an entry VM cut off from one owner and from the core, the core lost, all processes started again, a frozen owner that wakes.

--- a/bench/fleet/simulation.py
+++ b/bench/fleet/simulation.py
@@ -13,7 +13,14 @@
 import itertools
 
 from knapweedbeam_core import clock, effects
-from knapweedbeam_core.fleet import dispatcher_role, membership, messages, participant
+from knapweedbeam_core.fleet import (
+    dispatcher_role,
+    job_routes,
+    membership,
+    messages,
+    participant,
+    sharding,
+)
 
 TICK_MS = 20
 LINK_UPDATE_INTERVAL_MS = 200
@@ -64,14 +71,19 @@
         number: int,
         timer: clock.Clock,
         start_ms: int,
+        endpoint_count: int,
     ) -> None:
         self.name = name
+        self.incarnation = number
+        self.work = sharding.Work(endpoint_count, False, False)
         self.is_core = is_core
         self.domain = domain
         self.clock = timer
         self.members = membership.Membership(name, is_core, seeds, timer)
         self.role = dispatcher_role.DispatcherRole(self.members, number, timer)
         self.participant = participant.Participant(self.members, self.role, timer)
+        self.sharding = sharding.Sharding(self.members, self.role, number, timer)
+        self.routes = job_routes.JobRoutes(self.members)
         self.links: dict[str, Link] = {}
         self.next_tick_ms = start_ms
         self.link_update_ms = start_ms
@@ -95,11 +107,16 @@
             using=self.participant.target,
             manifest_version=1,
             members=self.members.candidates,
+            incarnation=self.incarnation,
+            shards=self.sharding.table if self.role.generation else (),
+            refused=tuple(sorted(self.sharding.refused)),
         )
 
     def tick(self) -> list[effects.Send]:
         """Do what is due and return the heartbeats to send."""
-        self.participant.update(self.build_presence())
+        update = self.participant.update(self.build_presence())
+        self.sharding.update(self.build_presence(), self.work)
+        self.routes.update(update, self.sharding.table)
         return self.participant.build_heartbeats(
             self.build_presence(), self.has_open_jobs
         )
@@ -130,7 +147,9 @@
         domain_count: int = 3,
         seed_count: int = 3,
         measure: Measure | None = None,
+        endpoint_count: int = 0,
     ) -> None:
+        self.endpoint_count = endpoint_count
         self.clock = clock.ManualClock(0, WALL_MS)
         self.measure = measure
         self.domain_count = domain_count
@@ -161,6 +180,7 @@
             number,
             ShiftedClock(self.clock),
             self.clock.now_ms() + delay_ms,
+            self.endpoint_count,
         )
         self.down.discard(name)
         return self.processes[name]
@@ -201,12 +221,44 @@
 
     def is_served(self, process: Process) -> bool:
         """Return whether a process's jobs reach a dispatcher, directly or relayed."""
+        targets = process.routes.list_targets()
+        if targets:
+            return all(
+                self.reaches_owner(process, shard, target.name)
+                for shard, target in enumerate(targets)
+            )
         target = self.find_target(process)
         if target is None or target.role.generation:
             return target is not None
         relayed_to = None if target.is_core else self.find_target(target)
         return relayed_to is not None and bool(relayed_to.role.generation)
 
+    def reaches_owner(self, process: Process, shard: int, name: str) -> bool:
+        """Return whether jobs of a shard that go to `name` reach their owner."""
+        if name != process.name and not self.is_reachable(process.name, name):
+            return False
+        target = self.processes[name]
+        if target.is_frozen:
+            return False
+        if shard in target.sharding.list_own_tokens():
+            return True
+        table = target.sharding.table if target.role.generation else ()
+        if not table and not target.is_core and target is not process:
+            # A relay sends jobs to the owners that it knows.
+            table = target.routes.table
+        if len(table) <= shard or not self.is_reachable(name, table[shard].name):
+            return False
+        owner = self.processes[table[shard].name]
+        return not owner.is_frozen and shard in owner.sharding.list_own_tokens()
+
+    def list_owners(self) -> list[list[str]]:
+        """Return the running processes that own each shard, in their own view."""
+        owners: dict[int, list[str]] = {}
+        for name, process in self.get_running().items():
+            for shard in process.sharding.list_own_tokens():
+                owners.setdefault(shard, []).append(name)
+        return [owners[shard] for shard in sorted(owners)]
+
     def find_target(self, process: Process) -> Process | None:
         """Return the process that a process's jobs go to, None if out of reach."""
         name = process.participant.target
@@ -272,6 +324,7 @@
             )
             if is_broken:
                 link.is_up, link.broken_ms = False, None
+                process.participant.on_link_down(name)
                 link.connected_ms = now_ms + LINK_UPDATE_INTERVAL_MS
             if link.is_up or now_ms < link.connected_ms:
                 continue
--- a/bench/tests/fleet/test_simulation.py
+++ b/bench/tests/fleet/test_simulation.py
@@ -124,6 +124,119 @@
         self.assertEqual(len(settled.get_dispatchers()), 1)
 
 
+class ShardsTest(unittest.TestCase):
+    """Deployments whose core VMs share the work."""
+
+    def build(self, core_count: int = 6) -> simulation.Simulation:
+        settled = simulation.Simulation(
+            core_count, 20, domain_count=6, endpoint_count=45 * core_count
+        )
+        settled.advance(8_000)
+        self.assert_shared(settled, core_count)
+        return settled
+
+    def assert_shared(self, running: simulation.Simulation, count: int) -> None:
+        owners = running.list_owners()
+        self.assertEqual(len(owners), count)
+        self.assertEqual([len(names) for names in owners], [1] * count)
+        self.assertEqual(running.list_unserved(), [])
+
+    def find_owner_that_follows(self, running: simulation.Simulation) -> str:
+        (lead,) = running.get_dispatchers()
+        return next(name for (name,) in running.list_owners() if name != lead)
+
+    def test_lost_owner_is_replaced(self) -> None:
+        outages = []
+        for delay_ms in range(0, 200, 20):
+            settled = self.build(4)
+            settled.advance(delay_ms)
+            settled.stop(self.find_owner_that_follows(settled))
+            outages.append(settled.measure_outage_ms(5_000))
+        self.assertLessEqual(statistics.median(outages), TYPICAL_REPLACEMENT_MS)
+        self.assertLessEqual(max(outages), LONGEST_REPLACEMENT_MS)
+
+    def test_lost_lead_is_replaced(self) -> None:
+        outages = []
+        for delay_ms in range(0, 200, 20):
+            settled = self.build(4)
+            settled.advance(delay_ms)
+            settled.stop(*settled.get_dispatchers())
+            outages.append(settled.measure_outage_ms(5_000))
+        self.assertLessEqual(statistics.median(outages), TYPICAL_REPLACEMENT_MS)
+        self.assertLessEqual(max(outages), LONGEST_REPLACEMENT_MS)
+
+    def test_lead_and_another_owner_lost_in_the_same_second(self) -> None:
+        settled = self.build()
+        settled.stop(*settled.get_dispatchers(), self.find_owner_that_follows(settled))
+        self.assertLessEqual(settled.measure_outage_ms(5_000), LONGEST_REPLACEMENT_MS)
+
+    def test_domain_cut_off_serves_itself_and_returns(self) -> None:
+        settled = self.build()
+        inside = [n for n, p in settled.processes.items() if p.domain == "d4"]
+        outside = [n for n, p in settled.processes.items() if p.domain != "d4"]
+        settled.cut_apart(inside, outside)
+        self.assertLessEqual(settled.measure_outage_ms(5_000), LONGEST_REPLACEMENT_MS)
+        settled.advance(3_000)
+        self.assertEqual(settled.list_unserved(), [])
+        settled.cut.clear()
+        settled.advance(15_000)
+        self.assertEqual(len(settled.get_dispatchers()), 1)
+        self.assert_shared(settled, 6)
+
+    def test_core_cut_in_two_halves_is_served_by_one(self) -> None:
+        settled = self.build()
+        (lead,) = settled.get_dispatchers()
+        core = [n for n, p in settled.processes.items() if p.is_core and n != lead]
+        settled.cut_apart([lead, *core[:2]], core[2:])
+        settled.advance(LONGEST_REPLACEMENT_MS)
+        self.assertEqual(settled.list_unserved(), [])
+        settled.cut.clear()
+        settled.advance(15_000)
+        self.assert_shared(settled, 6)
+
+    def test_entry_vm_cut_off_from_one_owner(self) -> None:
+        settled = self.build()
+        settled.cut_apart([self.find_owner_that_follows(settled)], ["e0007"])
+        # Its link breaks after 0.6 s, and a question is answered within 0.3 s.
+        self.assertLessEqual(settled.measure_outage_ms(5_000), 1_200)
+        self.assertEqual(len(settled.get_dispatchers()), 1)
+
+    def test_entry_vm_cut_off_from_the_core_is_relayed(self) -> None:
+        settled = self.build()
+        core = [name for name, p in settled.processes.items() if p.is_core]
+        settled.cut_apart(core, ["e0015"])
+        settled.advance(3_000)
+        self.assertEqual(settled.list_unserved(), [])
+        self.assertEqual(len(settled.get_dispatchers()), 1)
+
+    def test_all_core_vms_lost_at_once(self) -> None:
+        settled = self.build()
+        settled.stop(*(n for n, p in settled.processes.items() if p.is_core))
+        self.assertLessEqual(settled.measure_outage_ms(5_000), LONGEST_REPLACEMENT_MS)
+
+    def test_all_processes_start_again_after_loss_of_power(self) -> None:
+        settled = self.build()
+        for name, process in list(settled.processes.items()):
+            settled.stop(name)
+            settled.start(name, process.is_core)
+        settled.advance(3_000)
+        self.assertEqual(settled.list_unserved(), [])
+        settled.advance(4_000)
+        self.assert_shared(settled, 6)
+
+    def test_frozen_owner_that_wakes_uses_no_former_token(self) -> None:
+        settled = self.build()
+        owner = self.find_owner_that_follows(settled)
+        tokens = settled.processes[owner].sharding.list_own_tokens()
+        settled.processes[owner].is_frozen = True
+        settled.advance(4_000)
+        settled.processes[owner].is_frozen = False
+        settled.advance(200)
+        now = settled.processes[owner].sharding.list_own_tokens()
+        self.assertFalse(set(tokens.values()) & set(now.values()))
+        self.assertEqual(settled.list_unserved(), [])
+
+
 class SlowTest(unittest.TestCase):
     def test_frozen_dispatcher_that_wakes_acts_on_no_lapsed_role(self) -> None:
         settled = build_settled(4, 20)
--- a/packages/core/src/knapweedbeam_core/fleet/heartbeats.py
+++ b/packages/core/src/knapweedbeam_core/fleet/heartbeats.py
@@ -65,8 +65,12 @@
                 continue
             member = self.members.members[name]
             if member.interval_ms > membership.FAST_INTERVAL_MS:
-                self.members.record_question(name)
-                self.questions.add(name)
+                self.ask(name)
+
+    def ask(self, name: str) -> None:
+        """Ask a member for a heartbeat."""
+        self.members.record_question(name)
+        self.questions.add(name)
 
     def build(
         self, presence: messages.Presence, has_open_jobs: bool
--- a/packages/core/src/knapweedbeam_core/fleet/participant.py
+++ b/packages/core/src/knapweedbeam_core/fleet/participant.py
@@ -43,6 +43,11 @@
             self.heartbeats.on_question(message.name)
         return self.members.record_heartbeat(message)
 
+    def on_link_down(self, name: str) -> None:
+        """Find out soon whether a member whose link broke still responds."""
+        if self.members.is_live(name):
+            self.heartbeats.ask(name)
+
     def update(self, own: messages.Presence) -> Update:
         """Find silent members and select the dispatcher; `own` is this one's state."""
         was_selected = self.is_selected()
--- a/packages/core/src/knapweedbeam_core/pool/open_jobs.py
+++ b/packages/core/src/knapweedbeam_core/pool/open_jobs.py
@@ -10,7 +10,7 @@
 import dataclasses
 
 from knapweedbeam_core import clock, effects, reasons
-from knapweedbeam_core.fleet import sharding
+from knapweedbeam_core.fleet import job_routes, sharding
 from knapweedbeam_core.manifests import manifest
 from knapweedbeam_core.pool import messages
 
@@ -61,18 +61,6 @@
     outcome: Outcome
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Target:
-    """Where the jobs of a shard go.
-
-    `token` is the fencing token under which the process dispatches, 0 if that is not
-    known or it only passes jobs on.
-    """
-
-    name: str
-    token: int = 0
-
-
 @dataclasses.dataclass(slots=True)
 class OpenJob:
     """A job that at least one caller waits for.
@@ -107,9 +95,8 @@
     def __init__(self, timer: clock.Clock) -> None:
         self.clock = timer
         self.jobs: dict[str, OpenJob] = {}
-        self.dispatcher = ""
-        self.token = 0
-        self.targets: tuple[Target, ...] = ()
+        self.lead = job_routes.Target("")
+        self.targets: tuple[job_routes.Target, ...] = ()
         # Based on the wall clock, so that it also increases over restarts.
         self.last_hand_in = timer.wall_ms() * MAX_SUBMISSIONS_PER_MS
 
@@ -131,6 +118,11 @@
         self.jobs[job_id] = job
         return self.send(job) if self.dispatcher else []
 
+    @property
+    def dispatcher(self) -> str:
+        """Return the dispatcher that is followed, empty for none."""
+        return self.lead.name
+
     def send(self, job: OpenJob) -> Effects:
         """Send a job to the dispatcher, or send it there again.
 
@@ -158,26 +150,25 @@
         )
         return [effects.Send(target.name, submit)]
 
-    def find_target(self, job_id: str) -> Target:
+    def find_target(self, job_id: str) -> job_routes.Target:
         """Return where a job goes."""
         if not self.targets:
-            return Target(self.dispatcher, self.token)
+            return self.lead
         return self.targets[sharding.get_shard(job_id, len(self.targets))]
 
     def follow(
-        self, dispatcher: str, token: int = 0, targets: tuple[Target, ...] = ()
+        self, lead: job_routes.Target, targets: tuple[job_routes.Target, ...] = ()
     ) -> Effects:
         """Follow another dispatcher, or other owners of the shards.
 
         With another dispatcher all open jobs are sent again, otherwise those whose
         owner changed, or whose owner has another token and forgot them.
         """
-        followed = (dispatcher, token, targets)
-        if followed == (self.dispatcher, self.token, self.targets):
+        if (lead, targets) == (self.lead, self.targets):
             return []
-        is_other = dispatcher != self.dispatcher
-        self.dispatcher, self.token, self.targets = followed
-        if not dispatcher:
+        is_other = lead.name != self.lead.name
+        self.lead, self.targets = lead, targets
+        if not lead.name:
             return []
         return [
             sent
--- a/packages/core/tests/pool/test_open_jobs.py
+++ b/packages/core/tests/pool/test_open_jobs.py
@@ -3,7 +3,7 @@
 import unittest
 
 from knapweedbeam_core import clock, effects, reasons
-from knapweedbeam_core.fleet import sharding
+from knapweedbeam_core.fleet import job_routes, sharding
 from knapweedbeam_core.manifests import manifest
 from knapweedbeam_core.pool import messages, open_jobs
 
@@ -17,6 +17,11 @@
         self.clock = clock.ManualClock(10_000)
         self.open_jobs = open_jobs.OpenJobs(self.clock)
 
+    def follow(
+        self, name: str, token: int = 0, targets: tuple[job_routes.Target, ...] = ()
+    ) -> open_jobs.Effects:
+        return self.open_jobs.follow(job_routes.Target(name, token), targets)
+
     def take(self, job_id: str = "j") -> open_jobs.Effects:
         return self.open_jobs.submit(job_id, QUEUE, "spec", STEPS, 3_000)
 
@@ -29,13 +34,16 @@
         ]
 
     def test_a_job_goes_to_the_dispatcher_and_again_to_the_next(self) -> None:
-        self.open_jobs.follow("a")
+        self.follow("a")
         self.assertEqual(self.get_submits(self.take()), [("a", 0)])
-        self.assertEqual(self.get_submits(self.open_jobs.follow("b")), [("b", 100)])
+        self.assertEqual(
+            self.get_submits(self.follow("b")),
+            [("b", 100)],
+        )
 
     def test_a_job_goes_to_the_owner_of_its_shard(self) -> None:
-        targets = (open_jobs.Target("a", 21), open_jobs.Target("b", 22))
-        self.open_jobs.follow("a", 20, targets)
+        targets = (job_routes.Target("a", 21), job_routes.Target("b", 22))
+        self.follow("a", 20, targets)
         for number in range(8):
             expected = targets[sharding.get_shard(f"j{number}", 2)]
             (sent,) = self.take(f"j{number}")
@@ -46,26 +54,29 @@
             )
 
     def test_only_jobs_whose_owner_changed_are_sent_again(self) -> None:
-        targets = (open_jobs.Target("a", 21), open_jobs.Target("b", 22))
-        self.open_jobs.follow("a", 20, targets)
+        targets = (job_routes.Target("a", 21), job_routes.Target("b", 22))
+        self.follow("a", 20, targets)
         for number in range(8):
             self.take(f"j{number}")
-        moved = (targets[0], open_jobs.Target("c", 23))
-        sent = self.get_submits(self.open_jobs.follow("a", 20, moved))
+        moved = (targets[0], job_routes.Target("c", 23))
+        sent = self.get_submits(self.follow("a", 20, moved))
         count = sum(sharding.get_shard(f"j{number}", 2) for number in range(8))
         self.assertEqual(sent, [("c", 100)] * count)
 
     def test_owner_with_another_token_may_have_had_the_job_before(self) -> None:
-        self.open_jobs.follow("a", 20)
+        self.follow("a", 20)
         self.take()
-        self.assertEqual(self.get_submits(self.open_jobs.follow("a", 21)), [("a", 100)])
+        self.assertEqual(
+            self.get_submits(self.follow("a", 21)),
+            [("a", 100)],
+        )
         refused = messages.JobRefused("j", reasons.Reason.DEADLINE, 500)
         (settled,) = self.open_jobs.on_refused("a", refused)
         assert isinstance(settled, open_jobs.Settled)
         self.assertIsInstance(settled.outcome, open_jobs.Unknown)
 
     def test_resend_rate_to_inactive_dispatcher_is_limited(self) -> None:
-        self.open_jobs.follow("a")
+        self.follow("a")
         for number in range(30):
             self.take(f"j{number}")
         sent = 0
@@ -77,25 +88,28 @@
         self.assertLessEqual(sent, 30 * 11)
 
     def test_job_that_was_not_accepted_keeps_attempt_base(self) -> None:
-        self.open_jobs.follow("a")
+        self.follow("a")
         self.take()
         self.open_jobs.on_not_dispatching("a", "j")
-        self.assertEqual(self.get_submits(self.open_jobs.follow("b")), [("b", 0)])
+        self.assertEqual(self.get_submits(self.follow("b")), [("b", 0)])
 
     def test_refusal_is_uncertain_if_job_may_have_been_accepted(self) -> None:
-        self.open_jobs.follow("a")
+        self.follow("a")
         self.take()
         self.clock.advance(open_jobs.RESEND_MS)
         self.open_jobs.tick()
         self.open_jobs.on_not_dispatching("a", "j")
-        self.assertEqual(self.get_submits(self.open_jobs.follow("b")), [("b", 100)])
+        self.assertEqual(
+            self.get_submits(self.follow("b")),
+            [("b", 100)],
+        )
         refused = messages.JobRefused("j", reasons.Reason.DEADLINE, 500)
         (settled,) = self.open_jobs.on_refused("b", refused)
         assert isinstance(settled, open_jobs.Settled)
         self.assertIsInstance(settled.outcome, open_jobs.Unknown)
 
     def test_open_job_is_resent_after_interval(self) -> None:
-        self.open_jobs.follow("a")
+        self.follow("a")
         self.take()
         self.clock.advance(open_jobs.RESEND_MS)
         self.assertEqual(self.get_submits(self.open_jobs.tick()), [("a", 0)])
@@ -110,18 +124,18 @@
 
     def test_a_refusal_is_sure_only_if_one_dispatcher_had_the_job(self) -> None:
         refused = messages.JobRefused("j", reasons.Reason.DEADLINE, 500)
-        self.open_jobs.follow("a")
+        self.follow("a")
         self.take()
-        self.open_jobs.follow("b")
+        self.follow("b")
         self.assertEqual(self.open_jobs.on_refused("a", refused), [])
         (settled,) = self.open_jobs.on_refused("b", refused)
         assert isinstance(settled, open_jobs.Settled)
         self.assertIsInstance(settled.outcome, open_jobs.Unknown)
 
     def test_an_end_from_an_earlier_dispatcher_counts(self) -> None:
-        self.open_jobs.follow("a")
+        self.follow("a")
         self.take()
-        self.open_jobs.follow("b")
+        self.follow("b")
         done = messages.JobComplete("j")
         (settled,) = self.open_jobs.on_ended("a", done)
         self.assertEqual(settled, open_jobs.Settled("j", open_jobs.Ended(True)))
--- a/packages/server/src/knapweedbeam_server/fleet/message_router.py
+++ b/packages/server/src/knapweedbeam_server/fleet/message_router.py
@@ -5,10 +5,10 @@
 import typing
 
 from knapweedbeam_core import effects
-from knapweedbeam_core.fleet import membership
+from knapweedbeam_core.fleet import job_routes, membership
 from knapweedbeam_core.fleet import messages as fleet_messages
 from knapweedbeam_core.log import messages as log_messages
-from knapweedbeam_core.pool import messages, open_jobs
+from knapweedbeam_core.pool import messages
 from knapweedbeam_core.stored import messages as stored_messages
 from knapweedbeam_server.logs import catalogue, emit
 
@@ -80,7 +80,7 @@
         else:
             self.node.run(self.node.shards.on_submit(sender, submit))
 
-    def find_relay_target(self, submit: messages.Submit) -> open_jobs.Target | None:
+    def find_relay_target(self, submit: messages.Submit) -> job_routes.Target | None:
         """Return the process that a job is relayed to, None to handle it here.
 
         The lead passes jobs on to the owner of their shard, an entry VM to the
@@ -93,12 +93,12 @@
         if self.node.dispatcher_role.generation and len(table) > shard:
             owner = table[shard]
             is_own = owner.name == self.node.settings.name
-            return None if is_own else open_jobs.Target(owner.name, owner.token)
+            return None if is_own else job_routes.Target(owner.name, owner.token)
         if self.node.settings.is_core or self.node.shards.is_active():
             return None
         target = self.node.open_jobs.find_target(submit.job_id)
         is_dispatching = self.node.members.is_active_dispatcher(target.name)
-        is_owner = self.node.is_shard_owner(target.name)
+        is_owner = self.node.job_routes.is_owner(target.name)
         return target if is_dispatching or is_owner else None
 
     def get_interval_ms(self, sender: str) -> int:
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -13,6 +13,7 @@
 from knapweedbeam_core import clock, effects, ids, reasons
 from knapweedbeam_core.fleet import (
     dispatcher_role,
+    job_routes,
     membership,
     participant,
     sharding,
@@ -150,9 +151,7 @@
             is_closed_group=False,
         )
         self.waiters: dict[str, list[gevent.event.AsyncResult[open_jobs.Outcome]]] = {}
-        self.followed_dispatcher = ""
-        self.followed_token = 0
-        self.followed_table: sharding.Table = ()
+        self.job_routes = job_routes.JobRoutes(self.members)
         self.is_stopping = False
         self.is_placement_due = False
         self.links_due_ms = 0
@@ -353,11 +352,6 @@
             endpoints=self.shards.count_endpoints(),
         )
 
-    def is_shard_owner(self, name: str) -> bool:
-        """Return whether a live member owns a shard, as this process knows it."""
-        is_named = any(owner.name == name for owner in self.followed_table)
-        return is_named and self.members.is_live(name)
-
     def send_heartbeats(self) -> None:
         """Send the heartbeats that are due."""
         has_open_jobs = bool(self.open_jobs.jobs or self.relay.jobs)
@@ -399,7 +393,7 @@
 
     def get_dispatcher_name(self) -> str:
         """Return the dispatcher that this process follows, empty for none."""
-        return self.followed_dispatcher
+        return self.job_routes.lead.name
 
     def get_control_address(self, name: str) -> str:
         """Return the address of a live member's control API."""
@@ -414,52 +408,22 @@
         elif self.dispatcher_role.generation:
             name = self.settings.name
         else:
-            name = self.followed_dispatcher
+            name = self.job_routes.lead.name
         if name == self.settings.name:
             return self.settings.control
         return self.get_control_address(name)
 
     def follow(self, update: participant.Update) -> None:
         """Send open jobs to other processes if the update says so."""
-        name = update.target
-        self.update_followed_table(update)
-        if update.choice.generation and update.choice.name == name:
-            self.followed_token = update.choice.generation
-        elif name != self.followed_dispatcher:
-            self.followed_token = 0
-        lead = open_jobs.Target(name, self.followed_token)
-        targets = tuple(
-            open_jobs.Target(owner.name, owner.token)
-            if owner.name == self.settings.name or self.members.is_live(owner.name)
-            else lead
-            for owner in self.followed_table
-        )
-        if name == self.followed_dispatcher:
-            self.run(self.open_jobs.follow(name, lead.token, targets))
-            return
-        self.followed_dispatcher = name
-        emit.emit(
-            catalogue.FOLLOWING,
-            dispatcher=name,
-            generation=update.choice.generation,
-            jobs=len(self.open_jobs.jobs),
-        )
-        self.run(self.open_jobs.follow(name, lead.token, targets))
-
-    def update_followed_table(self, update: participant.Update) -> None:
-        """Use the division of the lead that is followed.
-
-        While it is replaced, its division is kept: the owners go on.
-        """
-        lead = update.choice
-        if not lead.generation:
-            return
-        if lead.name == self.settings.name:
-            self.followed_table = self.sharding.table
-            return
-        presence = self.members.get_presence(lead.name)
-        if presence is not None and presence.generation:
-            self.followed_table = presence.shards
+        routes = self.job_routes
+        if routes.update(update, self.sharding.table):
+            emit.emit(
+                catalogue.FOLLOWING,
+                dispatcher=routes.lead.name,
+                generation=update.choice.generation,
+                jobs=len(self.open_jobs.jobs),
+            )
+        self.run(self.open_jobs.follow(routes.lead, routes.list_targets()))
 
     def update_links(self) -> None:
         """Remove stale members and relayed jobs, then update the links."""
@@ -488,7 +452,8 @@
         self.participant.heartbeats.on_link_up(peer.name)
 
     def link_down(self, name: str, detail: str) -> None:
-        """Log that a link went down."""
+        """Log that a link went down, and find out whether its peer responds."""
+        self.participant.on_link_down(name)
         emit.emit(catalogue.PEER_DOWN, peer=name, reason=detail)
 
     def link_refused(self, address: str, detail: str) -> None:
