--- a/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
+++ b/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
@@ -61,6 +61,7 @@
     def __init__(self, owner: dispatcher.Dispatcher) -> None:
         self.owner = owner
         self.reconciler = reconciler.Reconciler(self)
+        self.losses = polling.LossRecord()
 
     @property
     def now_ms(self) -> int:
@@ -115,9 +116,11 @@
     def get_wait_ms(self, endpoint: endpoints.Endpoint) -> int:
         """Return how long a hold may wait: at most until a task becomes overdue."""
         # A process that is late itself makes fewer calls.
-        is_busy = bool(endpoint.attempts) and not self.owner.waiting_clock.late_ms
+        is_late = self.owner.waiting_clock.late_ms > 0
+        is_lossy = self.losses.is_lossy(self.waiting_ms)
+        is_urgent = bool(endpoint.attempts) and is_lossy and not is_late
         wait_ms = polling.get_interval_ms(
-            len(self.owner.endpoints), is_busy, self.owner.bounds.lease_ms
+            len(self.owner.endpoints), is_urgent, self.owner.bounds.lease_ms
         )
         if endpoint.reading is None:
             return wait_ms
@@ -532,10 +535,14 @@
         produced: dispatcher.Effects = []
         for endpoint in list(self.owner.endpoints.values()):
             if endpoint.is_held:
-                probing.mark_late_starts(endpoint, self.waiting_ms)
+                is_start_late = probing.mark_late_starts(endpoint, self.waiting_ms)
+                probes: dispatcher.Effects = []
                 if not self.owner.waiting_clock.late_ms:
                     stop_ms = self.owner.bounds.stop_ms
-                    produced += probing.probe(endpoint, self.waiting_ms, stop_ms)
+                    probes += probing.probe(endpoint, self.waiting_ms, stop_ms)
+                if is_start_late or probes:
+                    self.losses.record(self.waiting_ms)
+                produced += probes
             if endpoint.failed_polls:
                 produced += self.tick_unresponsive(endpoint, now_ms)
             else:
--- a/packages/core/src/knapweedbeam_core/pool/probing.py
+++ b/packages/core/src/knapweedbeam_core/pool/probing.py
@@ -19,16 +19,19 @@
 MAX_OPEN_PROBES = 2
 
 
-def mark_late_starts(endpoint: endpoints.Endpoint, now_ms: int) -> None:
-    """Mark starts that were not answered in time as uncertain.
+def mark_late_starts(endpoint: endpoints.Endpoint, now_ms: int) -> bool:
+    """Mark starts that were not answered in time as uncertain; return if there are any.
 
     Like all times here, `now_ms` is that of the dispatcher's `waiting_clock`.
     """
+    is_any_late = False
     for attempt in endpoint.attempts.values():
         if attempt.state != endpoints.AttemptState.STARTING or not attempt.called_ms:
             continue
         if now_ms - attempt.called_ms > LATE_START_MS:
             attempt.state = endpoints.AttemptState.UNCERTAIN
+            is_any_late = True
+    return is_any_late
 
 
 def probe(endpoint: endpoints.Endpoint, now_ms: int, stop_ms: int) -> list[calls.Probe]:
