Start with less processor time, and keep what members report of stored jobs

The tick of a process at 103 walked all members four times to find whether any has stored jobs (0.023 of 0.068 ms).

--- a/packages/core/src/knapweedbeam_core/fleet/membership.py
+++ b/packages/core/src/knapweedbeam_core/fleet/membership.py
@@ -81,6 +81,8 @@
         self.link_version = 0
         self.live: list[messages.Presence] = []
         self.live_version = -1
+        self.is_any_stored = False
+        self.stored_version = -1
         self.check_due_ms = 0
         self.became_silent: list[str] = []
         self.core_names: set[str] = {name} if is_core else set()
@@ -240,10 +242,13 @@
 
     def has_stored(self) -> bool:
         """Return whether some member reported stored jobs in its last state."""
-        return any(
-            member.presence is not None and member.presence.has_stored
-            for member in self.members.values()
-        )
+        if self.stored_version != self.version:
+            self.stored_version = self.version
+            self.is_any_stored = any(
+                member.presence is not None and member.presence.has_stored
+                for member in self.members.values()
+            )
+        return self.is_any_stored
 
     def find_relay(self) -> str:
         """Return an entry VM that still reaches a dispatcher, empty for none."""
--- a/packages/wire/src/knapweedbeam_wire/codec.py
+++ b/packages/wire/src/knapweedbeam_wire/codec.py
@@ -12,6 +12,7 @@
 import collections.abc
 import dataclasses
 import enum
+import functools
 import importlib.resources
 import struct as structs
 import types
@@ -66,8 +67,9 @@
         raise ValueError(f"{len(body)} bytes in place of {size}")
 
 
+@functools.cache
 def load_schema(file_name: str) -> typing.Any:
-    """Load a schema file of this package."""
+    """Load a schema file of this package, once in the life of a process."""
     folder = importlib.resources.files("knapweedbeam_wire") / "schema"
     return capnp.load(str(folder / file_name))
 
