--- a/packages/server/tests/fleet/test_full_disks.py
+++ b/packages/server/tests/fleet/test_full_disks.py
@@ -6,6 +6,7 @@
 import random
 import tempfile
 import time
+import typing
 import unittest
 import unittest.mock
 
@@ -30,6 +31,17 @@
 write_all = store.write_all
 
 
+class Supervisor(supervising.Supervisor):
+    """Runs loops that can be ended, as those of a process that is killed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loops: list[gevent.Greenlet] = []
+
+    def spawn(self, name: str, loop: typing.Callable[[], None]) -> None:
+        self.loops.append(gevent.spawn(self.run, name, loop))
+
+
 class Replicas:
     """Replicas of one log that reach each other, on folders that may be full."""
 
@@ -38,6 +50,7 @@
         self.rng = random.Random(seed)
         self.names = [f"127.0.0.1:{7000 + number}" for number in range(count)]
         self.logs: dict[str, replicated_log.ReplicatedLog] = {}
+        self.supervisors: dict[str, Supervisor] = {}
         self.full: set[str] = set()
         self.version = 0
         self.fence = 0
@@ -48,8 +61,10 @@
     def start(self, name: str) -> None:
         """Start a replica, or start it again on its folder."""
         before = self.logs.get(name)
-        if before is not None and before.store is not None:
-            before.store.close()
+        if before is not None:
+            gevent.killall(self.supervisors[name].loops)
+            if before.store is not None:
+                before.store.close()
         log = replicated_log.ReplicatedLog(
             name,
             tuple(self.names[:3]),
@@ -60,7 +75,8 @@
             lambda: None,
         )
         self.logs[name] = log
-        log.start(supervising.Supervisor())
+        self.supervisors[name] = Supervisor()
+        log.start(self.supervisors[name])
 
     def send(self, effect: effects.Send) -> None:
         gevent.spawn_later(0.001, self.deliver, effect)
