Divide soon after a start under load, for the core VMs that are known

Cause (found by reading): when all processes start again under load, jobs are always open, so that the division waited 10 s, while one dispatcher was overloaded. With some core VMs still down, the number of shards followed those that were up and was changed again, which stops the tasks that run. A process that got its first shard took 1.8 s to start tasks of jobs that another one had.

Change: the division waits 2 s at most; shards are counted by the known core VMs; processes without a shard divide their endpoints like the others. Tests: test_sharding, test_shards.

--- a/packages/core/src/knapweedbeam_core/fleet/sharding.py
+++ b/packages/core/src/knapweedbeam_core/fleet/sharding.py
@@ -25,9 +25,9 @@
 ENDPOINTS_PER_SHARD = 40
 # The endpoints of a deployment that starts announce themselves within this time.
 SETTLE_MS = 1_500
-# Division stops the tasks that run, so it waits for a pause in the work, at most this
-# long.
-MAX_PAUSE_WAIT_MS = 10_000
+# Division stops the tasks that run, so it waits for a pause in the work, but not for
+# long: a deployment that started again under load is too much for one dispatcher.
+MAX_PAUSE_WAIT_MS = 2_000
 # The number of shards follows the number of endpoints in steps of at least this factor.
 GROWTH_STEP = 1.5
 # A process that returned gets shards of others after this time.
@@ -188,7 +188,9 @@
         now_ms = self.clock.now_ms()
         size = max(1, len(self.table))
         work = dataclasses.replace(work, has_stored_jobs=self.has_had_stored_jobs)
-        wanted = count_shards(work, len(candidates), self.endpoints_per_shard)
+        # A core VM that is away for a moment gets its shard when it is back.
+        owner_count = len(self.members.get_core_names() | set(candidates))
+        wanted = count_shards(work, owner_count, self.endpoints_per_shard)
         is_due = wanted >= GROWTH_STEP * size or (wanted == 1 < size and self.is_alone)
         if not is_due:
             self.resize_wanted_ms = None
--- a/packages/core/src/knapweedbeam_core/pool/shards.py
+++ b/packages/core/src/knapweedbeam_core/pool/shards.py
@@ -39,10 +39,11 @@
     ) -> dispatcher.Effects:
         """Dispatch on the shards that have a token, of `count` shards.
 
-        While no shard has one, the number of shards here does not matter.
+        A process without a shard divides its endpoints in the same way, to be ready
+        for one. It keeps the division while it knows of none.
         """
         produced: dispatcher.Effects = []
-        if tokens and count != len(self.dispatchers):
+        if (tokens or count > 1) and count != len(self.dispatchers):
             produced += self.divide(count)
         for shard, owner in enumerate(self.dispatchers):
             produced += owner.set_fence(tokens.get(shard, 0))
--- a/packages/core/tests/pool/test_shards.py
+++ b/packages/core/tests/pool/test_shards.py
@@ -162,6 +162,15 @@
             submit = messages.Submit(f"j{number}", terms, "", (step,), 0, 1_000, 0)
             self.assertEqual(process.find_shard(submit), expected)
 
+    def test_process_without_a_shard_is_ready_for_one(self) -> None:
+        owners = Owners(1)
+        process = owners.processes["b"]
+        process.set_tokens(3, {})
+        self.assertEqual(len(process.dispatchers), 3)
+        process.set_tokens(1, {})
+        self.assertEqual(len(process.dispatchers), 3)
+        self.assertFalse(process.is_active())
+
     def test_speed_and_health_are_kept_when_endpoints_are_divided(self) -> None:
         owners = Owners(1)
         owners.assign(["a"], [10])
