Share shards evenly at once after a cut, and name one token for each decision

After the power loss at 47.8 s endpoints refused the lead's token three times, 1 s each: every shard of each decision had taken a token of its own, and the counter had run ahead of the seconds that new processes count from.

Change: after 0.5 s all excess shards move at once, but to no process that runs for less than 10 s, which would let jobs wait (`Dispatcher.holds_all_endpoints`). All shards that one decision gives away have the same token. A refused token is remembered for the shards of its own process alone.

--- a/packages/core/src/knapweedbeam_core/fleet/membership.py
+++ b/packages/core/src/knapweedbeam_core/fleet/membership.py
@@ -32,7 +32,8 @@
     """Another process and the newest state received from it, if any.
 
     All times are by the `waiting_clock` of the membership. `asked_ms` is when it was
-    asked for a heartbeat that has not come; `is_responsive` is as of the last check.
+    asked for a heartbeat that has not come; `is_responsive` is as of the last check,
+    `first_heard_ms` when this incarnation of it was first heard.
     """
 
     name: str
@@ -42,6 +43,7 @@
     interval_ms: int = FAST_INTERVAL_MS
     asked_ms: int | None = None
     is_responsive: bool = False
+    first_heard_ms: int = 0
 
     def get_deadline_ms(self) -> int:
         """Return the time up to which the member may be silent."""
@@ -117,6 +119,13 @@
         names, self.became_silent = self.became_silent, []
         return names
 
+    def get_known_ms(self, name: str) -> int:
+        """Return for how long the present incarnation of a member is known."""
+        member = self.members.get(name)
+        if member is None or member.presence is None:
+            return 0
+        return self.waiting_clock.now_ms() - member.first_heard_ms
+
     def get_silence_ms(self, member: Member) -> int:
         """Return how long nothing has been heard of a member."""
         return self.waiting_clock.now_ms() - member.last_contact_ms
@@ -141,6 +150,10 @@
         self.add_member(presence.name)
         member = self.members[presence.name]
         is_new = member.presence is None
+        if member.presence is None or (
+            member.presence.incarnation != presence.incarnation
+        ):
+            member.first_heard_ms = self.waiting_clock.now_ms()
         if presence != member.presence:
             member.presence = presence
             self.version += 1
--- a/packages/core/src/knapweedbeam_core/fleet/sharding.py
+++ b/packages/core/src/knapweedbeam_core/fleet/sharding.py
@@ -30,14 +30,20 @@
 MAX_PAUSE_WAIT_MS = 2_000
 # The number of shards follows the number of endpoints in steps of at least this factor.
 GROWTH_STEP = 1.5
-# A process that returned gets shards of others after this time.
-BALANCE_MS = 2_000
+# Owners that have more than others give shards to them after this time, but not to a
+# process that just started: it may not know all endpoints yet, and lets jobs of other
+# dispatchers wait. See `Dispatcher.holds_all_endpoints`.
+BALANCE_MS = 500
+MATURE_MS = 10_000
 # Pause between two tokens for a shard whose endpoints refuse them.
 REFUSED_PAUSE_MS = 300
 # An owner that hears of no lead for this long gives up its shards.
 LEAD_TIMEOUT_MS = 2_000
 
 Table = tuple[messages.ShardOwner, ...]
+Candidates = dict[str, messages.Presence]
+# The new owners of shards.
+Changes = dict[int, messages.Presence]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,6 +89,7 @@
         self.role = role
         self.incarnation = incarnation
         self.clock = timer
+        self.started_ms = timer.now_ms()
         self.endpoints_per_shard = endpoints_per_shard
         self.table: Table = ()
         self.refused: set[int] = set()
@@ -105,7 +112,7 @@
                 self.take_lead()
             self.decide(own, work)
         if self.refused:
-            self.refused &= {owner.token for owner in self.table}
+            self.refused &= {each.token for each in self.table if self.is_own(each)}
         return self.table
 
     def list_own_tokens(self) -> dict[int, int]:
@@ -125,7 +132,7 @@
 
     def handle_refused_token(self, token: int) -> bool:
         """Give up the shard with a token; return whether there is one."""
-        if all(owner.token != token for owner in self.table):
+        if not any(each.token == token and self.is_own(each) for each in self.table):
             return False
         self.refused.add(token)
         return True
@@ -166,11 +173,12 @@
         candidates = self.list_candidates(own)
         self.resize(candidates, work)
         if self.table:
-            self.replace_owners(candidates)
-            self.balance(candidates)
+            changes = self.find_replacements(candidates)
+            changes |= self.find_moves(candidates, changes)
+            self.assign(changes)
         self.lead_heard_ms = self.clock.now_ms()
 
-    def list_candidates(self, own: messages.Presence) -> dict[str, messages.Presence]:
+    def list_candidates(self, own: messages.Presence) -> Candidates:
         """Return the processes that may own shards."""
         candidates = {
             presence.name: presence
@@ -181,9 +189,13 @@
             candidates[own.name] = own
         return candidates
 
-    def resize(
-        self, candidates: collections.abc.Mapping[str, messages.Presence], work: Work
-    ) -> None:
+    def is_mature(self, name: str) -> bool:
+        """Return whether a candidate has run for long enough to know all endpoints."""
+        if name == self.members.name:
+            return self.clock.now_ms() - self.started_ms >= MATURE_MS
+        return self.members.get_known_ms(name) >= MATURE_MS
+
+    def resize(self, candidates: Candidates, work: Work) -> None:
         """Change the number of shards once another one has been right for a while."""
         now_ms = self.clock.now_ms()
         size = max(1, len(self.table))
@@ -218,65 +230,79 @@
         """Return whether this process has to dispatch alone."""
         return self.has_had_stored_jobs
 
-    def replace_owners(
-        self, candidates: collections.abc.Mapping[str, messages.Presence]
-    ) -> None:
-        """Give each shard whose owner is lost, or was refused, an owner and a token."""
+    def find_replacements(self, candidates: Candidates) -> Changes:
+        """Return a new owner for each shard whose owner is lost, or was refused."""
         now_ms = self.clock.now_ms()
         may_reissue = now_ms - self.reissued_ms >= REFUSED_PAUSE_MS
-        counts = self.count_by_owner(candidates)
+        counts = self.count_by_owner(candidates, {})
+        changes: Changes = {}
         for shard, owner in enumerate(self.table):
             presence = candidates.get(owner.name)
-            is_lost = presence is None or presence.incarnation != owner.incarnation
-            refused = self.refused
-            if presence is not None and owner.name != self.members.name:
-                refused = set(presence.refused)
-            if is_lost:
-                name = min(
-                    counts,
-                    key=lambda each: (counts[each], each == self.members.name, each),
-                )
+            if presence is None or presence.incarnation != owner.incarnation:
+                name = min(counts, key=lambda each: self.rank(each, counts[each]))
                 counts[name] += 1
-                self.assign(shard, candidates[name])
-            elif owner.token in refused and may_reissue and presence is not None:
+                changes[shard] = candidates[name]
+            elif may_reissue and owner.token in self.get_refused(presence):
                 self.reissued_ms = now_ms
-                self.assign(shard, presence)
+                changes[shard] = presence
+        return changes
+
+    def rank(self, name: str, shard_count: int) -> tuple[bool, int, bool, str]:
+        """Return the sort key of a candidate; the lowest key gets the next shard."""
+        is_own = name == self.members.name
+        return not self.is_mature(name), shard_count, is_own, name
+
+    def get_refused(self, presence: messages.Presence) -> collections.abc.Set[int]:
+        """Return the tokens of a process that endpoints refused."""
+        if presence.name == self.members.name:
+            return self.refused
+        return set(presence.refused)
 
     def count_by_owner(
-        self, candidates: collections.abc.Mapping[str, messages.Presence]
+        self, candidates: Candidates, changes: Changes
     ) -> collections.Counter[str]:
-        """Return the number of shards of each candidate."""
+        """Return the number of shards of each candidate after some changes."""
         counts = collections.Counter(dict.fromkeys(candidates, 0))
-        for owner in self.table:
-            presence = candidates.get(owner.name)
-            if presence is not None and presence.incarnation == owner.incarnation:
-                counts[owner.name] += 1
+        for shard, owner in enumerate(self.table):
+            name = changes[shard].name if shard in changes else owner.name
+            if name in candidates:
+                counts[name] += 1
         return counts
 
-    def balance(
-        self, candidates: collections.abc.Mapping[str, messages.Presence]
-    ) -> None:
-        """Move a shard from the owner with most to a process with two fewer."""
+    def find_moves(self, candidates: Candidates, changes: Changes) -> Changes:
+        """Return the shards to move so that owners have similar numbers of them."""
         now_ms = self.clock.now_ms()
-        counts = self.count_by_owner(candidates)
-        most = max(counts, key=lambda each: (counts[each], each == self.members.name))
-        least = min(counts, key=lambda each: (counts[each], each))
-        if counts[most] - counts[least] < 2:
+        counts = self.count_by_owner(candidates, changes)
+        mature = [name for name in candidates if self.is_mature(name)]
+        fewest = min((counts[name] for name in mature), default=len(self.table))
+        if changes or max(counts.values()) - fewest < 2:
             self.unbalanced_ms = None
-        elif self.unbalanced_ms is None:
+            return {}
+        if self.unbalanced_ms is None:
             self.unbalanced_ms = now_ms
-        elif now_ms - self.unbalanced_ms >= BALANCE_MS:
-            self.unbalanced_ms = None
-            shard = next(
-                shard for shard, owner in enumerate(self.table) if owner.name == most
-            )
-            self.assign(shard, candidates[least])
-
-    def assign(self, shard: int, presence: messages.Presence) -> None:
-        """Make a process the owner of a shard, with a new token."""
+        if now_ms - self.unbalanced_ms < BALANCE_MS:
+            return {}
+        self.unbalanced_ms = None
+        moves: Changes = {}
+        for shard, owner in enumerate(self.table):
+            least = min(mature, key=lambda each: self.rank(each, counts[each]))
+            if counts[owner.name] - counts[least] >= 2:
+                counts[owner.name] -= 1
+                counts[least] += 1
+                moves[shard] = candidates[least]
+        return moves
+
+    def assign(self, changes: Changes) -> None:
+        """Give shards to other owners, with one new token."""
+        if not changes:
+            return
         token = self.role.create_token()
-        owner = messages.ShardOwner(presence.name, presence.incarnation, token)
-        self.table = (*self.table[:shard], owner, *self.table[shard + 1 :])
+        self.table = tuple(
+            messages.ShardOwner(changes[shard].name, changes[shard].incarnation, token)
+            if shard in changes
+            else owner
+            for shard, owner in enumerate(self.table)
+        )
 
 
 def merge_tables(tables: collections.abc.Iterable[Table]) -> Table:
