--- a/packages/core/src/knapweedbeam_core/fleet/participant.py
+++ b/packages/core/src/knapweedbeam_core/fleet/participant.py
@@ -44,8 +44,14 @@
         return self.members.record_heartbeat(message)
 
     def on_link_down(self, name: str) -> None:
-        """Find out soon whether a member whose link broke still responds."""
-        if self.members.is_live(name):
+        """Find out soon whether an owner of a shard whose link broke still responds.
+
+        Only entry VMs do: others hear those that matter at the fast rate.
+        """
+        member = self.members.members.get(name)
+        if self.members.is_core or member is None or not member.is_responsive:
+            return
+        if member.interval_ms > membership.FAST_INTERVAL_MS:
             self.heartbeats.ask(name)
 
     def update(self, own: messages.Presence) -> Update:
