Move a task that stands still on the fastest endpoint to a slower one

Cause: an overdue task was moved only to an endpoint at least as fast.

Change: a slower endpoint will do once the task has run so long that it would be overdue there too. The task does not return to the endpoint that it left while another one is large enough.

Test: test_task_that_stands_still_on_the_fastest_endpoint_is_moved.

--- a/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
+++ b/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
@@ -139,9 +139,14 @@
     ) -> float:
         """Return the run time after which an attempt counts as overdue."""
         assert attempt.owner is not None
+        return self.get_task_overdue_ms(endpoint, attempt.owner)
+
+    def get_task_overdue_ms(
+        self, endpoint: endpoints.Endpoint, task: jobs.Task
+    ) -> float:
+        """Return the run time after which a task would be overdue at an endpoint."""
         return endpoint.speed.get_overdue_ms(
-            self.get_estimate_ms(endpoint, attempt.owner),
-            attempt.owner.job.work_factor,
+            self.get_estimate_ms(endpoint, task), task.job.work_factor
         )
 
     def get_estimate_ms(self, endpoint: endpoints.Endpoint, task: jobs.Task) -> float:
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -241,14 +241,34 @@
 
     def has_alternative(self, endpoint: endpoints.Endpoint, task: jobs.Task) -> bool:
         """Return whether an available endpoint is large enough and at least as fast."""
-        now_ms = self.clock.now_ms()
         return any(
-            other is not endpoint
-            and other.announcement.service == endpoint.announcement.service
+            other.speed.value >= endpoint.speed.value
+            for other in self.iterate_alternatives(endpoint, task)
+        )
+
+    def has_slower_alternative(
+        self, endpoint: endpoints.Endpoint, task: jobs.Task, ran_ms: float
+    ) -> bool:
+        """Return whether a task would be overdue on a slower available endpoint too.
+
+        A task that runs for so long most probably stands still.
+        """
+        return any(
+            ran_ms > self.tracker.get_task_overdue_ms(other, task)
+            for other in self.iterate_alternatives(endpoint, task)
+        )
+
+    def iterate_alternatives(
+        self, endpoint: endpoints.Endpoint, task: jobs.Task
+    ) -> collections.abc.Iterator[endpoints.Endpoint]:
+        """Return the other available endpoints that are large enough for a task."""
+        now_ms = self.clock.now_ms()
+        return (
+            other
+            for other in self.iterate_service(endpoint.announcement.service)
+            if other is not endpoint
             and other.is_available(now_ms)
-            and other.speed.value >= endpoint.speed.value
             and other.capacity.covers(task.need)
-            for other in self.endpoints.values()
         )
 
     # Jobs.
--- a/packages/core/src/knapweedbeam_core/pool/jobs.py
+++ b/packages/core/src/knapweedbeam_core/pool/jobs.py
@@ -73,8 +73,9 @@
     """One task of a job.
 
     `last_attempt` is the number of its newest attempt. `move_count` counts how often it
-    was stopped as overdue to be started elsewhere. `progress` is the newest saved
-    state, empty for none. `lost_ms` is when an endpoint was lost on which it may have
+    was stopped as overdue to be started elsewhere. `left_endpoint` is one on which it
+    stood still, empty for none. `progress` is the newest saved state, empty for none.
+    `lost_ms` is when an endpoint was lost on which it may have
     run, 0 for never.
     """
 
@@ -87,6 +88,7 @@
     failures: int = 0
     failed_endpoints: tuple[str, ...] = ()
     move_count: int = 0
+    left_endpoint: str = ""
     progress: str = ""
     lost_ms: int = 0
     spec: messages.SubmittedStep = dataclasses.field(init=False)
--- a/packages/core/src/knapweedbeam_core/pool/placing.py
+++ b/packages/core/src/knapweedbeam_core/pool/placing.py
@@ -216,6 +216,15 @@
     )
 
 
+def has_other_endpoint(task: jobs.Task, available: AvailableEndpoints) -> bool:
+    """Return whether a task that stood still may run elsewhere, now or later."""
+    return any(
+        endpoint.announcement.endpoint != task.left_endpoint
+        and endpoint.capacity.covers(task.need)
+        for endpoint in available.list_endpoints()
+    )
+
+
 def choose_endpoint(
     task: jobs.Task,
     available: AvailableEndpoints,
@@ -235,6 +244,10 @@
         has_room = True
         if not fits(task, endpoint):
             continue
+        if endpoint.announcement.endpoint == task.left_endpoint and has_other_endpoint(
+            task, available
+        ):
+            continue
         run_ms = ESTIMATE_MARGIN * endpoint.get_estimate_ms(task.spec, factor)
         ends_ms = now_ms + endpoint.speed.get_run_ms(run_ms)
         # Lasting tasks run until their job is cancelled, so waiting gains nothing.
--- a/packages/core/src/knapweedbeam_core/pool/reconciler.py
+++ b/packages/core/src/knapweedbeam_core/pool/reconciler.py
@@ -94,7 +94,9 @@
         ):
             return produced
         if not self.tracker.owner.has_alternative(endpoint, task):
-            return produced
+            if not self.tracker.owner.has_slower_alternative(endpoint, task, ran_ms):
+                return produced
+            task.left_endpoint = endpoint.announcement.endpoint
         task.move_count += 1
         return [*produced, self.tracker.stop_attempt(endpoint, attempt)]
 
--- a/packages/core/tests/pool/test_dispatcher.py
+++ b/packages/core/tests/pool/test_dispatcher.py
@@ -201,6 +201,23 @@
         return list(self.dispatcher.endpoints.values())
 
 
+class StandstillTest(unittest.TestCase):
+    def test_task_that_stands_still_on_the_fastest_endpoint_is_moved(self) -> None:
+        running = simulation.Simulation()
+        fast = running.add_endpoint("fast", speed=2.0)
+        running.add_endpoint("slow", speed=0.5)
+        made = running.add_dispatcher("a", 10)
+        running.advance(50)
+        made.endpoints["fast"].speed.restore(2.0, 20)
+        made.endpoints["slow"].speed.restore(0.5, 20)
+        fast.is_hanging = True
+        running.submit(made, "j", work_ms=200, patience_ms=10_000, slack_factor=50)
+        running.advance(4_000)
+        self.assertEqual([name for _, name, _ in running.starts], ["fast", "slow"])
+        self.assertEqual(running.get_outcome("j"), "JobComplete")
+        self.assertEqual(running.breaches, [])
+
+
 class LostEndpointTest(unittest.TestCase):
     def setUp(self) -> None:
         self.simulation = simulation.Simulation()
