Divide endpoints into shards of 60 or more

Cause: four shards at 176 endpoints cost more processor time than two, since a process that is less busy handles fewer events in one turn of its loop.

--- a/packages/core/src/knapweedbeam_core/fleet/sharding.py
+++ b/packages/core/src/knapweedbeam_core/fleet/sharding.py
@@ -1,7 +1,7 @@
 """Divides the endpoints among several dispatchers.
 
 Load: more task starts a second than the processor of one VM can make. One dispatcher
-serves some 40 endpoints with half of a core VM, and packs wide tasks best while it has
+serves some 60 endpoints with half of a core VM, and packs wide tasks best while it has
 all of them; so a deployment is divided only when it has more. Endpoints and jobs belong
 to a shard by a hash of their id, so that every shard has endpoints in each failure
 domain and a job that is submitted again finds its first submission.
@@ -22,7 +22,7 @@
 from knapweedbeam_core import clock
 from knapweedbeam_core.fleet import dispatcher_role, membership, messages
 
-ENDPOINTS_PER_SHARD = 40
+ENDPOINTS_PER_SHARD = 60
 # The endpoints of a deployment that starts announce themselves within this time.
 SETTLE_MS = 1_500
 # Division stops the tasks that run, so it waits for a pause in the work, but not for
