--- a/packages/core/src/knapweedbeam_core/pool/shards.py
+++ b/packages/core/src/knapweedbeam_core/pool/shards.py
@@ -217,10 +217,6 @@
         """Return how long the next placement should wait, 0 for not at all."""
         return max(owner.get_placement_pause_ms() for owner in self.dispatchers)
 
-    def get_delay_ms(self) -> int:
-        """Return how late the process came to its periodic work."""
-        return self.dispatchers[0].waiting_clock.late_ms
-
     # Calls to endpoints and their answers.
 
     def build_hold(self, name: str) -> calls.Hold | None:
