Pass on every announcement again

With an announcement of each endpoint every 1.5 s it knows all after 3 s, which is what Dispatcher.holds_all_endpoints waits for.

--- a/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
+++ b/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
@@ -37,7 +37,7 @@
 # A lost poll is ignored if other lists arrived this recently.
 FRESH_LIST_MS = 200
 # An endpoint that neither answers polls nor announces itself is removed after this.
-FORGET_MS = 15_000
+FORGET_MS = 10_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -17,7 +17,6 @@
     calls,
     endpoint_index,
     endpoints,
-    forwarding,
     jobs,
     load_report,
     log_events,
@@ -39,8 +38,8 @@
 # cannot reach. The other dispatcher detects the loss of the entry VM within 0.5 s and
 # stops the job after `ORPHAN_GRACE_MS`; otherwise its leases of 1 s expire.
 TAKEOVER_MS = 1_800
-# All endpoints count as known after this many intervals in which announcements are
-# passed on. One is not enough: an announcement may be lost with its link.
+# All endpoints count as known after this many announcement intervals. One is not
+# enough: an announcement may be lost with its link.
 MIN_ANNOUNCEMENTS = 2
 # Tasks of an unresponsive entry VM keep running this long in case the job is submitted
 # again. Meanwhile none of its other tasks is started.
@@ -228,8 +227,7 @@
         """
         now_ms = self.clock.now_ms()
         uptime_ms = now_ms - self.started_ms
-        interval_ms = max(self.bounds.announce_ms, forwarding.REPEAT_INTERVAL_MS)
-        if uptime_ms < MIN_ANNOUNCEMENTS * interval_ms:
+        if uptime_ms < MIN_ANNOUNCEMENTS * self.bounds.announce_ms:
             return False
         if now_ms < self.uncertain_until_ms:
             return False
--- a/packages/server/src/knapweedbeam_server/fleet/announcing.py
+++ b/packages/server/src/knapweedbeam_server/fleet/announcing.py
@@ -7,9 +7,9 @@
 
 import gevent.event
 
-from knapweedbeam_core import clock, effects
+from knapweedbeam_core import effects
 from knapweedbeam_core.fleet import membership
-from knapweedbeam_core.pool import forwarding, messages, shards
+from knapweedbeam_core.pool import messages, shards
 
 # Shorter than the 1 s for which a leaving endpoint waits for its acknowledgement.
 ACKNOWLEDGEMENT_TIMEOUT_S = 0.8
@@ -18,7 +18,6 @@
 class Host(typing.Protocol):
     """The parts and methods of the process that are used here."""
 
-    clock: clock.Clock
     members: membership.Membership
     shards: shards.ShardedDispatcher
 
@@ -34,7 +33,6 @@
 
     def __init__(self, host: Host) -> None:
         self.host = host
-        self.forwarding = forwarding.Forwarding()
         self.pending_acknowledgements: dict[
             tuple[str, int, int], gevent.event.Event
         ] = {}
@@ -45,8 +43,7 @@
         A leaving endpoint is acknowledged only once the active dispatcher knows of it.
         """
         self.host.run(self.host.shards.on_announcement(announcement))
-        if self.forwarding.is_due(announcement, self.host.clock.now_ms()):
-            self.send_to_candidates(announcement)
+        self.send_to_candidates(announcement)
         if (
             announcement.state != messages.EndpointState.LEAVING
             or self.host.shards.is_active_for(announcement.endpoint)
@@ -87,7 +84,6 @@
     def handle_departure(self, gone: messages.EndpointGone) -> None:
         """Handle an endpoint's deregistration and forward it."""
         self.host.run(self.host.shards.on_endpoint_gone(gone))
-        self.forwarding.remove(gone.endpoint)
         self.send_to_candidates(gone)
 
     def send_to_candidates(self, message: effects.Message) -> None:
