--- a/packages/core/tests/pool/test_dispatcher.py
+++ b/packages/core/tests/pool/test_dispatcher.py
@@ -476,6 +476,19 @@
         self.assertEqual(self.simulation.get_outcome("j"), "JobComplete")
         self.assertEqual(len(self.simulation.starts), 4)
 
+    def test_process_cut_off_after_its_start_waits_for_unknown_endpoints(
+        self,
+    ) -> None:
+        """It ran for long, but heard of the others' endpoints only before the cut."""
+        self.simulation.submit(self.first, "j", count=4, work_ms=900)
+        self.simulation.advance(100)
+        used = {name for _, name, _ in self.simulation.starts}
+        (idle,) = set(self.simulation.endpoints) - used
+        second = self.simulation.add_dispatcher("b", 11, known_endpoints=(idle,))
+        self.simulation.submit(second, "j", 4, 900, age_ms=100, attempt_base=100)
+        self.simulation.advance(200)
+        self.assertEqual(self.simulation.breaches, [])
+
     def test_tasks_of_lost_entry_vm_end_before_takeover(
         self,
     ) -> None:
