Tell from the log how contact with a lost endpoint ended

There are two verdicts more now, closed and refused, which are handled like the ones before; 7031 says how contact ended, 7053 how long ago the attempt was started and what was known of it. No decision changes.

--- a/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
+++ b/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
@@ -239,7 +239,12 @@
         self.owner.requeue(task)
         return [
             log_events.AttemptLost(
-                attempt.task, attempt.number, endpoint.announcement.endpoint, why
+                attempt.task,
+                attempt.number,
+                endpoint.announcement.endpoint,
+                why,
+                self.now_ms - attempt.sent_ms,
+                attempt.state.value,
             ),
             *self.stop_gang(task, attempt.number),
         ]
@@ -295,6 +300,7 @@
     ) -> dispatcher.Effects:
         """Handle the answer to a start."""
         endpoint.record_reading(answer.reading)
+        endpoint.contact.record_failure(answer.verdict)
         attempt = endpoint.attempts.get(start.task)
         if attempt is None or attempt.number != start.number:
             return []
@@ -303,7 +309,7 @@
                 if answer.reading is not None and not attempt.began_clock_ms:
                     attempt.began_clock_ms = answer.reading.clock_ms
                 return self.mark_running(endpoint, attempt)
-            case calls.Verdict.UNKNOWN:
+            case calls.Verdict.UNKNOWN | calls.Verdict.CLOSED:
                 if attempt.state == endpoints.AttemptState.STARTING:
                     attempt.state = endpoints.AttemptState.UNCERTAIN
                 return []
@@ -370,6 +376,7 @@
             endpoint.lease_until_ms = max(endpoint.lease_until_ms, granted_ms)
         endpoint.is_held = True
         endpoint.failed_polls = 0
+        endpoint.contact.record_answer()
         for end in sorted(answer.ends, key=lambda end: end.place):
             if end.place > endpoint.last_seen_end:
                 endpoint.last_seen_end = end.place
@@ -525,8 +532,9 @@
         """
         if failed.verdict == calls.Verdict.FENCED:
             return self.on_fenced(endpoint)
+        endpoint.contact.record_failure(failed.verdict)
         has_recent_lists = self.waiting_ms - endpoint.listed_ms < FRESH_LIST_MS
-        if failed.verdict == calls.Verdict.UNKNOWN and has_recent_lists:
+        if failed.verdict.may_have_arrived and has_recent_lists:
             return []
         endpoint.failed_polls += 1
         if failed.verdict == calls.Verdict.OTHER_INCARNATION and endpoint.attempts:
--- a/packages/core/src/knapweedbeam_core/pool/calls.py
+++ b/packages/core/src/knapweedbeam_core/pool/calls.py
@@ -107,8 +107,15 @@
     UNHEALTHY = "unhealthy"  # the endpoint refused the call without any effect
     OTHER_INCARNATION = "reborn"  # another incarnation answers at this address
     UNREACHABLE = "unreached"  # no connection, so nothing was sent
+    REFUSED = "refused"  # the host refused the connection, so nothing was sent
+    CLOSED = "closed"  # sent, but the connection was closed before an answer
     UNKNOWN = "unknown"  # sent, but no readable answer
 
+    @property
+    def may_have_arrived(self) -> bool:
+        """Return whether a call without an answer may have been carried out."""
+        return self in (Verdict.CLOSED, Verdict.UNKNOWN)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -174,7 +174,12 @@
         """Mark an endpoint as not held and requeue the tasks that ran on it."""
         lost = list(endpoint.attempts.values())
         produced: Effects = [
-            log_events.EndpointLost(endpoint.announcement.endpoint, why, len(lost))
+            log_events.EndpointLost(
+                endpoint.announcement.endpoint,
+                why,
+                len(lost),
+                endpoint.contact.state.value,
+            )
         ]
         endpoint.is_held = False
         for attempt in lost:
--- a/packages/core/src/knapweedbeam_core/pool/endpoints.py
+++ b/packages/core/src/knapweedbeam_core/pool/endpoints.py
@@ -8,6 +8,7 @@
 from knapweedbeam_core.pool import (
     calls,
     clocks,
+    contact,
     endpoint_index,
     health,
     jobs,
@@ -92,6 +93,7 @@
         self.is_held = False
         self.is_polled = False
         self.failed_polls = 0
+        self.contact = contact.Contact()
         self.list_clock_ms = -1
         self.listed_ms = 0
         self.answer_due_ms = 0
--- a/packages/core/src/knapweedbeam_core/pool/log_events.py
+++ b/packages/core/src/knapweedbeam_core/pool/log_events.py
@@ -26,11 +26,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointLost:
-    """An endpoint was lost with `attempts` running on it."""
+    """An endpoint was lost with `attempts` running on it.
+
+    `contact` is how contact ended: see `contact.ContactState`.
+    """
 
     endpoint: str
     why: str
     attempts: int
+    contact: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,12 +78,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptLost:
-    """An attempt was lost and its task waits for a new one."""
+    """An attempt was lost and its task waits for a new one.
+
+    It was started `age_ms` ago; `state` is the last that was known of it.
+    """
 
     task: str
     number: int
     endpoint: str
     why: str
+    age_ms: int
+    state: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/server/src/knapweedbeam_server/fleet/endpoint_calls.py
+++ b/packages/server/src/knapweedbeam_server/fleet/endpoint_calls.py
@@ -58,7 +58,7 @@
 
     def count_verdict(self, kind: str, verdict: calls.Verdict) -> None:
         """Count how a call ended."""
-        self.counts.unanswered += verdict == calls.Verdict.UNKNOWN
+        self.counts.unanswered += verdict.may_have_arrived
         self.telemetry.count_call(kind, verdict.value)
 
     def spawn(self, call: calls.Call) -> None:
--- a/packages/server/src/knapweedbeam_server/logs/catalogue.py
+++ b/packages/server/src/knapweedbeam_server/logs/catalogue.py
@@ -535,8 +535,9 @@
     7031,
     "pool_endpoint_lost",
     Level.WARNING,
-    "endpoint {endpoint} lost: {why}, {attempts} attempts lost",
-    "Its tasks are started again on other endpoints.",
+    "endpoint {endpoint} lost: {why}, contact {contact}, {attempts} attempts lost",
+    "Its tasks are started again on other endpoints. A process that ended closes its "
+    "connections and refuses new ones; a partition most often leaves calls silent.",
 )
 POOL_ENDPOINT_RESTS = Event(
     7032,
@@ -606,7 +607,8 @@
     7053,
     "pool_attempt_lost",
     Level.INFO,
-    "attempt {number} of task {task} on {endpoint} was lost: {why}",
+    "attempt {number} of task {task} on {endpoint} was lost after {age_ms} ms, "
+    "{state}: {why}",
     "The task waits for another attempt.",
 )
 POOL_TASKS_PLACED = Event(
--- a/packages/server/src/knapweedbeam_server/tasks/http_exchange.py
+++ b/packages/server/src/knapweedbeam_server/tasks/http_exchange.py
@@ -28,10 +28,18 @@
     """No connection could be opened: the endpoint received nothing."""
 
 
+class RefusedError(NotSentError):
+    """The host answered that nothing accepts connections at the address."""
+
+
 class IncompleteAnswerError(Exception):
     """The endpoint may have received the request; no complete answer came."""
 
 
+class ConnectionClosedError(IncompleteAnswerError):
+    """The connection was closed before a complete answer came."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
     """A complete answer; `started` and `task` are headers, empty if absent."""
@@ -111,13 +119,15 @@
     """Post once and return the complete answer; the caller sets the timeout.
 
     `extra_headers` holds further header lines, each with its line end. Raise
-    `NotSentError` or `IncompleteAnswerError`. If the exchange is not finished, the
-    connection is closed and never reused.
+    `NotSentError` or `IncompleteAnswerError`, or the subclass that tells more. If the
+    exchange is not finished, the connection is closed and never reused.
     """
     head = f"{target.head}{extra_headers}Content-Length: {len(body)}"
     request = f"POST {target.prefix}{path}{head}"
     try:
         sock = target.pool.get_socket()
+    except ConnectionRefusedError as error:
+        raise RefusedError(str(error)) from error
     except OSError as error:
         raise NotSentError(str(error)) from error
     try:
@@ -125,7 +135,7 @@
     except BaseException as error:
         target.pool.release_socket(sock)
         if isinstance(error, OSError):
-            raise IncompleteAnswerError(str(error)) from error
+            raise ConnectionClosedError(str(error)) from error
         raise
     try:
         response = geventhttpclient.response.HTTPSocketPoolResponse(
@@ -133,7 +143,9 @@
         )
         with response:
             return read_answer(response, max_answer_bytes)
-    except (OSError, geventhttpclient.response.HTTPParseError) as error:
+    except (OSError, geventhttpclient.response.HTTPConnectionClosed) as error:
+        raise ConnectionClosedError(str(error)) from error
+    except geventhttpclient.response.HTTPParseError as error:
         raise IncompleteAnswerError(str(error)) from error
 
 
@@ -153,8 +165,10 @@
     Raise `IncompleteAnswerError` if it is incomplete or longer than `max_bytes`.
     """
     body = response.read(max_bytes + 1)
-    if not response.message_complete or len(body) > max_bytes:
-        raise IncompleteAnswerError("the answer is incomplete or too long")
+    if len(body) > max_bytes:
+        raise IncompleteAnswerError("the answer is too long")
+    if not response.message_complete:
+        raise ConnectionClosedError("the answer is incomplete")
     started = str(response.get(STARTED_HEADER, ""))
     task = str(response.get(TASK_HEADER, ""))
     return Answer(response.status_code, body, started, task)
