--- a/packages/server/src/knapweedbeam_server/tasks/http_exchange.py
+++ b/packages/server/src/knapweedbeam_server/tasks/http_exchange.py
@@ -37,7 +37,7 @@
 
 
 class ConnectionClosedError(IncompleteAnswerError):
-    """The connection was closed before a complete answer came."""
+    """The connection was closed before an answer came."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -165,10 +165,8 @@
     Raise `IncompleteAnswerError` if it is incomplete or longer than `max_bytes`.
     """
     body = response.read(max_bytes + 1)
-    if len(body) > max_bytes:
-        raise IncompleteAnswerError("the answer is too long")
-    if not response.message_complete:
-        raise ConnectionClosedError("the answer is incomplete")
+    if not response.message_complete or len(body) > max_bytes:
+        raise IncompleteAnswerError("the answer is incomplete or too long")
     started = str(response.get(STARTED_HEADER, ""))
     task = str(response.get(TASK_HEADER, ""))
     return Answer(response.status_code, body, started, task)
