--- a/bench/pool/simulation.py
+++ b/bench/pool/simulation.py
@@ -21,7 +21,10 @@
 LEASE_MS = 1_000
 STOP_MS = 50
 CALL_TIMEOUT_MS = 300
+CRASH_DELAY_MS = 10
+RESTART_MS = 3_000
 ANNOUNCE_INTERVAL_MS = 1_500
+MAX_OPEN_CALLS = 20
 BOUNDS = attempt_tracker.ProtocolBounds(LEASE_MS, STOP_MS, ANNOUNCE_INTERVAL_MS)
 ENTRY = "entry"
 
@@ -119,6 +122,7 @@
         self.highest_ended: dict[str, int] = {}
         self.end_numbers = itertools.count(1)
         self.is_unresponsive = False
+        self.has_ended = False
         self.is_failing = False
         self.is_hanging = False
         self.drops_answers = False
@@ -128,6 +132,8 @@
         self.polls: list[
             tuple[calls.Hold, typing.Callable[[calls.HoldResult], None]]
         ] = []
+        # Called when the process ends, which closes its connections.
+        self.open_calls: list[typing.Callable[[], None]] = []
 
     def build_announcement(
         self, state: messages.EndpointState = messages.EndpointState.UP
@@ -177,6 +183,7 @@
         if self.is_failing:
             run.kind, run.ends_ms = calls.EndKind.FAILED, self.simulation.now_ms + 1
         self.running_attempts[call.task] = run
+        self.simulation.crash_if_deadly(self, call.task)
         self.simulation.schedule(run.ends_ms, lambda: self.end(run, run.kind))
         return calls.Verdict.ACCEPTED
 
@@ -268,6 +275,14 @@
         self.polls.clear()
         self.is_unresponsive = True
 
+    def end_process(self) -> None:
+        """Drop all attempts, close all connections and refuse new ones."""
+        self.crash()
+        self.has_ended = True
+        closing, self.open_calls = self.open_calls, []
+        for close in closing:
+            close()
+
 
 class Simulation:
     """Dispatchers and endpoints in virtual time, with the outcomes of submitted jobs.
@@ -275,7 +290,8 @@
     `cut_links` holds the pairs of dispatcher and endpoint that cannot connect,
     `drop_probability` is the share of calls that arrive late and go unanswered, and
     `allowed_endpoints` names the endpoints that advice allows, by job; jobs that are
-    not in it need no advice.
+    not in it need no advice. `deadly_tasks` crash each endpoint that starts them, and
+    `crashes` holds the endpoints that crashed, with the task to blame.
     """
 
     def __init__(self, seed: int = 1) -> None:
@@ -300,6 +316,9 @@
         self.drop_probability = 0.0
         self.allowed_endpoints: dict[str, set[str]] = {}
         self.advice_requests: list[calls.RequestAdvice] = []
+        self.deadly_tasks: set[str] = set()
+        self.crashes: list[tuple[str, str]] = []
+        self.is_crash_silent = False
 
     @property
     def now_ms(self) -> int:
@@ -441,6 +460,30 @@
         is_valid = self.now_ms <= int(until_ms)
         return call.task.startswith(step + ".") and name == endpoint.name and is_valid
 
+    def crash_if_deadly(self, endpoint: FakeEndpoint, task: str) -> None:
+        """Crash an endpoint soon after it started a deadly task."""
+        if task in self.deadly_tasks:
+            self.schedule_after(CRASH_DELAY_MS, lambda: self.crash(endpoint, task))
+
+    def crash(self, endpoint: FakeEndpoint, task: str = "") -> None:
+        """Crash an endpoint; its machine is back later as an endpoint of another id."""
+        if endpoint.is_unresponsive:
+            return
+        self.crashes.append((endpoint.name, task))
+        if self.is_crash_silent:
+            endpoint.crash()
+        else:
+            endpoint.end_process()
+        self.schedule_after(RESTART_MS, lambda: self.restart(endpoint))
+
+    def restart(self, former: FakeEndpoint) -> None:
+        """Start a machine's next endpoint and announce it to all dispatchers."""
+        name = f"{former.name}+"
+        replacement = self.add_endpoint(name, former.cpu_millis, former.speed)
+        replacement.born_ms = self.now_ms
+        for each in self.dispatchers:
+            self.run(each, each.on_announcement(replacement.build_announcement()))
+
     def handle_record_end(self, by: Dispatching, request: calls.RecordEnd) -> None:
         """Ignore an end for the log, as this simulation has no log."""
 
@@ -480,6 +523,8 @@
             self.run(by, on_answer(call, calls.Answer(verdict, reading)))
 
         def arrive() -> None:
+            if self.is_refusing(by.name, endpoint):
+                settle(calls.Verdict.REFUSED, None)
             if self.is_unreachable(by.name, endpoint):
                 return
             if isinstance(call, calls.Start):
@@ -564,9 +609,19 @@
                 answer = dataclasses.replace(answer, reading=reading)
             on_answer(answer)
 
+        def fail(verdict: calls.Verdict) -> None:
+            if (by.name, endpoint.name) not in self.cut_links:
+                self.schedule_after(
+                    LATENCY_MS, lambda: settle(calls.HoldFailed(verdict))
+                )
+
         def arrive() -> None:
+            if self.is_refusing(by.name, endpoint):
+                fail(calls.Verdict.REFUSED)
             if self.is_unreachable(by.name, endpoint):
                 return
+            endpoint.open_calls = endpoint.open_calls[-MAX_OPEN_CALLS:]
+            endpoint.open_calls.append(lambda: fail(calls.Verdict.CLOSED))
             verdict = endpoint.hold(call, on_result)
             if verdict is not None and not dropped_ms:
                 self.schedule_after(
@@ -587,6 +642,10 @@
         """Say whether a dispatcher cannot reach an endpoint."""
         return endpoint.is_unresponsive or (name, endpoint.name) in self.cut_links
 
+    def is_refusing(self, name: str, endpoint: FakeEndpoint) -> bool:
+        """Say whether an endpoint's host refuses a dispatcher's connections."""
+        return endpoint.has_ended and (name, endpoint.name) not in self.cut_links
+
     def record_start(self, endpoint: FakeEndpoint, call: calls.Start) -> None:
         """Record a start, and a breach if it exceeds capacity or runs a task twice."""
         job_id = call.task.partition(".")[0]
--- a/packages/core/tests/stored/test_stored_scheduler.py
+++ b/packages/core/tests/stored/test_stored_scheduler.py
@@ -332,3 +332,42 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class CrashingTaskTest(unittest.TestCase):
+    """Stored jobs with a task that crashes each endpoint that starts it."""
+
+    def setUp(self) -> None:
+        self.world = stored_simulation.StoredSimulation()
+        for number in range(8):
+            self.world.add_endpoint(f"e{number}")
+        self.dispatcher = self.world.add_dispatcher("a", 10)
+        self.world.deadly_tasks.add("j.0.0.0")
+        self.world.advance(100)
+
+    def tearDown(self) -> None:
+        self.assertEqual(self.world.breaches, [])
+
+    def test_stored_task_that_crashed_two_endpoints_is_given_up(self) -> None:
+        self.world.store_job("j", (stored_simulation.build_step(3),))
+        self.world.advance(30_000)
+        self.assertEqual(len(self.world.crashes), 2)
+        self.assertEqual(self.world.get_state("j"), "failed")
+
+    def test_crashes_are_counted_over_a_change_of_dispatcher(self) -> None:
+        self.world.store_job("j", (stored_simulation.build_step(3),))
+        while not self.world.crashes:
+            self.world.advance(20)
+        self.world.advance(1_500)
+        self.world.run(self.dispatcher, self.dispatcher.set_fence(0))
+        self.world.add_dispatcher("b", 11, known_endpoints=self.list_live())
+        self.world.advance(30_000)
+        self.assertLessEqual(len(self.world.crashes), 3)
+        self.assertEqual(self.world.get_state("j"), "failed")
+
+    def list_live(self) -> list[str]:
+        return [
+            name
+            for name, endpoint in self.world.endpoints.items()
+            if not endpoint.is_unresponsive
+        ]
