Retract a crash when the endpoint answers again

Two such partitions would have failed a stored job. A crash still counts at once, so that a change of dispatcher cannot lose it, and is taken back, in the log too, when the same incarnation answers. Weighed and ruled out: counting crashes of stored tasks only when proven.

--- a/bench/pool/simulation.py
+++ b/bench/pool/simulation.py
@@ -111,6 +111,7 @@
     ) -> None:
         self.simulation = simulation
         self.name = name
+        self.address = name
         self.cpu_millis = cpu_millis
         self.speed = speed
         self.born_ms = 1
@@ -145,7 +146,7 @@
             self.born_ms,
             self.sequence,
             "service",
-            self.name,
+            self.address,
             "domain",
             state,
             self.cpu_millis,
@@ -489,6 +490,7 @@
         name = f"{former.name}+"
         replacement = self.add_endpoint(name, former.cpu_millis, former.speed)
         replacement.born_ms = self.now_ms
+        replacement.address = former.address
         for each in self.dispatchers:
             self.run(each, each.on_announcement(replacement.build_announcement()))
 
--- a/bench/pool/stored_simulation.py
+++ b/bench/pool/stored_simulation.py
@@ -111,7 +111,7 @@
         """Commit a crash under a task to the log."""
         if by.name not in self.cut_from_log:
             crash = messages.TaskCrash(request.task, request.number, request.is_early)
-            self.commit(commands.RecordCrashes((crash,)))
+            self.commit(commands.RecordCrashes((crash,), request.is_retracted))
 
     def record_start(
         self, endpoint: simulation.FakeEndpoint, call: calls.Start
--- a/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
+++ b/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
@@ -15,6 +15,7 @@
 from knapweedbeam_core import reasons
 from knapweedbeam_core.pool import (
     calls,
+    contact,
     crashes,
     endpoints,
     jobs,
@@ -377,7 +378,7 @@
             )
             granted_ms = answer.reading.clock_ms + self.owner.bounds.lease_ms
             endpoint.lease_until_ms = max(endpoint.lease_until_ms, granted_ms)
-            self.owner.crash_handler.retract(endpoint)
+            produced += self.owner.crash_handler.retract(endpoint)
         endpoint.is_held = True
         endpoint.failed_polls = 0
         endpoint.contact.record_answer()
@@ -545,10 +546,6 @@
             return self.owner.lose_endpoint(
                 endpoint, "another incarnation answered", crashes.LossCause.CRASHED
             )
-        if endpoint.contact.is_refused and not endpoint.attempts:
-            return self.owner.crash_handler.confirm(
-                endpoint.announcement.endpoint, endpoint.announcement.born_ms
-            )
         return []
 
     # Time.
@@ -581,8 +578,8 @@
         """
         if endpoint.attempts and endpoint.are_leases_expired(now_ms):
             cause = crashes.LossCause.UNEXPLAINED
-            if endpoint.contact.is_refused:
-                cause = crashes.LossCause.CRASHED
+            if endpoint.contact.state == contact.ContactState.ENDED:
+                cause = crashes.LossCause.REFUSING
             return self.owner.lose_endpoint(endpoint, "lease has run out", cause)
         if not endpoint.attempts and now_ms - endpoint.announced_ms > FORGET_MS:
             confirmed = self.owner.crash_handler.confirm(
--- a/packages/core/src/knapweedbeam_core/pool/calls.py
+++ b/packages/core/src/knapweedbeam_core/pool/calls.py
@@ -187,11 +187,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RecordCrash:
-    """Record in the log that an endpoint crashed under a stored job's task."""
+    """Record in the log that an endpoint crashed under a stored job's task.
+
+    Or that it did not, as `is_retracted` tells, but answers again.
+    """
 
     task: str
     number: int
     is_early: bool
+    is_retracted: bool = False
 
 
 Call = Start | Stop | StartPolling | Probe | RequestAdvice
--- a/packages/core/src/knapweedbeam_core/pool/crash_handler.py
+++ b/packages/core/src/knapweedbeam_core/pool/crash_handler.py
@@ -29,7 +29,11 @@
         attempts: collections.abc.Iterable[endpoints.Attempt],
         cause: crashes.LossCause,
     ) -> dispatcher.Effects:
-        """Handle the loss of an endpoint with the attempts that may have run there."""
+        """Handle the loss of an endpoint with the attempts that may have run there.
+
+        A partition that resets connections looks like a crash. It counts as one until
+        the endpoint answers again.
+        """
         announcement = endpoint.announcement
         losses = tuple(
             self.build_loss(endpoint, attempt, attempt.owner)
@@ -46,6 +50,8 @@
         self.unexplained.add(
             announcement.endpoint, announcement.born_ms, announcement.address, losses
         )
+        if cause == crashes.LossCause.REFUSING:
+            return self.count(losses, announcement.endpoint)
         for loss in losses:
             task = self.find_task(loss)
             if task is not None:
@@ -78,13 +84,21 @@
             produced += self.confirm(endpoint, born_ms)
         return produced
 
-    def retract(self, endpoint: endpoints.Endpoint) -> None:
+    def retract(self, endpoint: endpoints.Endpoint) -> dispatcher.Effects:
         """Forget the losses of an incarnation that answers again or signed off."""
         announcement = endpoint.announcement
+        produced: dispatcher.Effects = []
         for loss in self.unexplained.take(announcement.endpoint, announcement.born_ms):
             task = self.find_task(loss)
-            if task is not None:
-                task.history.unexplained.pop(loss.number, None)
+            if task is None:
+                continue
+            task.history.unexplained.pop(loss.number, None)
+            is_early = task.history.crashes.pop(loss.number, None)
+            task.history.is_suspect = bool(task.history.crashes)
+            if is_early is not None and task.job.is_stored:
+                crash = messages.TaskCrash(task.name, loss.number, is_early)
+                produced += self.owner.stored_scheduler.record_crash(crash, True)
+        return produced
 
     def find_task(self, loss: crashes.Loss) -> jobs.Task | None:
         """Return the task of a loss if its job is still open."""
@@ -116,6 +130,7 @@
         log that of a stored job, which it also ends.
         """
         task.history.crashes[loss.number] = loss.is_early
+        task.history.is_suspect = True
         crash = messages.TaskCrash(task.name, loss.number, loss.is_early)
         produced: dispatcher.Effects = [
             log_events.TaskSuspected(
--- a/packages/core/src/knapweedbeam_core/pool/crashes.py
+++ b/packages/core/src/knapweedbeam_core/pool/crashes.py
@@ -25,6 +25,7 @@
     """What is known of an endpoint that is lost."""
 
     CRASHED = "crashed"
+    REFUSING = "refusing"  # connections are closed and refused: most probably crashed
     UNEXPLAINED = "unexplained"  # it may be cut off
     LEFT = "left"
 
@@ -47,15 +48,12 @@
 
     Both are attempt numbers, with whether contact was lost early in the attempt's run:
     `crashes` of endpoints that crashed, `unexplained` of endpoints that may be cut off.
+    A suspect was on an endpoint that most probably crashed.
     """
 
     crashes: dict[int, bool] = dataclasses.field(default_factory=dict)
     unexplained: dict[int, bool] = dataclasses.field(default_factory=dict)
-
-    @property
-    def is_suspect(self) -> bool:
-        """Return whether an endpoint crashed under the task."""
-        return bool(self.crashes)
+    is_suspect: bool = False
 
     def may_start(self, is_lasting: bool) -> bool:
         """Return whether the task is not at fault, whatever explains its losses."""
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -176,8 +176,9 @@
         endpoint = self.endpoints.get(gone.endpoint)
         if endpoint is None or endpoint.announcement.born_ms > gone.born_ms > 0:
             return []
-        self.crash_handler.retract(endpoint)
-        return self.remove_endpoint(endpoint, "left", crashes.LossCause.LEFT)
+        retracted = self.crash_handler.retract(endpoint)
+        cause = crashes.LossCause.LEFT
+        return retracted + self.remove_endpoint(endpoint, "left", cause)
 
     def remove_endpoint(
         self, endpoint: endpoints.Endpoint, why: str, cause: crashes.LossCause
--- a/packages/core/src/knapweedbeam_core/pool/jobs.py
+++ b/packages/core/src/knapweedbeam_core/pool/jobs.py
@@ -200,6 +200,7 @@
             task = self.find_task(crash.task)
             if task is not None:
                 task.history.crashes[crash.number] = crash.is_early
+                task.history.is_suspect = True
 
     def get_critical_path_ms(self) -> int:
         """Return the estimated time of the longest chain of dependent steps."""
--- a/packages/core/src/knapweedbeam_core/pool/stored_scheduler.py
+++ b/packages/core/src/knapweedbeam_core/pool/stored_scheduler.py
@@ -103,8 +103,8 @@
                 return self.close_job(job_id)
             case ledger.EndsRecorded(ends):
                 return self.on_ends_recorded(ends, local_ledger)
-            case ledger.CrashesRecorded(counted):
-                return self.on_crashes_recorded(counted, local_ledger)
+            case ledger.CrashesRecorded(counted, is_retracted):
+                return self.on_crashes_recorded(counted, is_retracted, local_ledger)
         return []
 
     @property
@@ -279,6 +279,7 @@
                 for number in entry.failures.get(failure_key, ()):
                     job.record_failure(task, number)
                 task.history.crashes.update(entry.crashes.get(name.task, {}))
+                task.history.is_suspect = bool(task.history.crashes)
 
     def close_job(self, job_id: str) -> dispatcher.Effects:
         """Stop a job that has ended in the ledger, with all of its occurrences."""
@@ -307,19 +308,29 @@
 
     # Crashes of endpoints.
 
-    def record_crash(self, crash: messages.TaskCrash) -> dispatcher.Effects:
+    def record_crash(
+        self, crash: messages.TaskCrash, is_retracted: bool = False
+    ) -> dispatcher.Effects:
         """Return an effect that records a crash under a stored task in the log."""
-        record = calls.RecordCrash(crash.task, crash.number, crash.is_early)
+        record = calls.RecordCrash(
+            crash.task, crash.number, crash.is_early, is_retracted
+        )
         self.unconfirmed_crashes[crash.task, crash.number] = record
         return [record]
 
     def on_crashes_recorded(
-        self, counted: tuple[messages.TaskCrash, ...], local_ledger: ledger.Ledger
+        self,
+        counted: tuple[messages.TaskCrash, ...],
+        is_retracted: bool,
+        local_ledger: ledger.Ledger,
     ) -> dispatcher.Effects:
         """Close the jobs that the log ended with the crashes that it recorded."""
         produced: dispatcher.Effects = []
         for crash in counted:
-            self.unconfirmed_crashes.pop((crash.task, crash.number), None)
+            key = (crash.task, crash.number)
+            record = self.unconfirmed_crashes.get(key)
+            if record is not None and record.is_retracted == is_retracted:
+                del self.unconfirmed_crashes[key]
             job_id = jobs.get_job_id(crash.task)
             entry = local_ledger.entries.get(job_id)
             if entry is None or not entry.is_open:
--- a/packages/core/src/knapweedbeam_core/stored/commands.py
+++ b/packages/core/src/knapweedbeam_core/stored/commands.py
@@ -29,9 +29,10 @@
 
 
 class RecordCrashes(msgspec.Struct, frozen=True, array_like=True, tag="crashes"):
-    """Record crashes of endpoints under tasks, whichever dispatcher saw them."""
+    """Record, or retract, crashes under tasks, whichever dispatcher saw them."""
 
     crashes: tuple[pool_messages.TaskCrash, ...]
+    is_retracted: bool = False
 
 
 class RegisterDispatcher(msgspec.Struct, frozen=True, array_like=True, tag="office"):
--- a/packages/core/src/knapweedbeam_core/stored/ledger.py
+++ b/packages/core/src/knapweedbeam_core/stored/ledger.py
@@ -90,9 +90,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CrashesRecorded:
-    """Crashes under tasks are committed in the log."""
+    """Crashes under tasks, or their retraction, are committed in the log."""
 
     crashes: tuple[pool_messages.TaskCrash, ...]
+    is_retracted: bool
 
 
 Change = Accepted | Cancelled | EndsRecorded | CrashesRecorded | DispatcherRegistered
@@ -125,10 +126,8 @@
                 return self.cancel(job_id, wall_ms)
             case commands.RecordEnds(fence, ends):
                 return self.record_ends(fence, ends, wall_ms)
-            case commands.RecordCrashes(counted):
-                for crash in counted:
-                    self.record_crash(crash, wall_ms)
-                return CrashesRecorded(counted)
+            case commands.RecordCrashes(counted, is_retracted):
+                return self.record_crashes(counted, is_retracted, wall_ms)
             case commands.RegisterDispatcher(fence, asked_ms):
                 return self.register_dispatcher(fence, asked_ms)
         return None
@@ -198,6 +197,27 @@
         ):
             self.end_job(job_id, entry, messages.Verdict.FAILED, wall_ms)
 
+    def record_crashes(
+        self,
+        counted: tuple[pool_messages.TaskCrash, ...],
+        is_retracted: bool,
+        wall_ms: int,
+    ) -> CrashesRecorded:
+        """Record crashes under tasks, or retract them."""
+        for crash in counted:
+            if is_retracted:
+                self.retract_crash(crash)
+            else:
+                self.record_crash(crash, wall_ms)
+        return CrashesRecorded(counted, is_retracted)
+
+    def retract_crash(self, crash: pool_messages.TaskCrash) -> None:
+        """Forget a crash under a task of an open job."""
+        entry = self.entries.get(jobs.get_job_id(crash.task))
+        name = jobs.parse_task_name(crash.task)
+        if entry is not None and name is not None:
+            entry.crashes.get(name.task, {}).pop(crash.number, None)
+
     def record_crash(self, crash: pool_messages.TaskCrash, wall_ms: int) -> None:
         """Record a crash under a task; end the job as failed if it is at fault."""
         job_id = jobs.get_job_id(crash.task)
--- a/packages/core/src/knapweedbeam_core/stored/messages.py
+++ b/packages/core/src/knapweedbeam_core/stored/messages.py
@@ -113,9 +113,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NoteCrashes:
-    """Crashes of endpoints under tasks that a dispatcher saw, for the log."""
+    """Crashes of endpoints under tasks that a dispatcher saw, for the log.
+
+    Or, if `is_retracted`, those of endpoints that answer again.
+    """
 
     crashes: tuple[pool_messages.TaskCrash, ...]
+    is_retracted: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/knapweedbeam_core/stored/service.py
+++ b/packages/core/src/knapweedbeam_core/stored/service.py
@@ -124,7 +124,9 @@
         """Add the crashes that a dispatcher saw to the log."""
         if not self.is_sure:
             return []
-        return self.add_command(commands.RecordCrashes(message.crashes))
+        return self.add_command(
+            commands.RecordCrashes(message.crashes, message.is_retracted)
+        )
 
     def on_begin_dispatch(self, begin: messages.BeginDispatch) -> Effects:
         """Register the dispatcher that asks to place stored jobs."""
--- a/packages/core/tests/stored/test_stored_scheduler.py
+++ b/packages/core/tests/stored/test_stored_scheduler.py
@@ -402,3 +402,20 @@
         self.world.advance(10_000)
         self.assertEqual(len(self.world.crashes), 2)
         self.assertEqual(self.world.get_state("j"), "failed")
+
+    def test_crash_is_retracted_when_the_endpoint_answers_again(self) -> None:
+        """A partition that resets connections looks like a crash."""
+        self.world.deadly_tasks.clear()
+        step = stored_simulation.build_step(1, estimate_ms=4_000)
+        self.world.store_job("j", (step,), work_ms=4_000)
+        self.world.advance(300)
+        cut_off = self.world.endpoints[self.world.starts[-1][1]]
+        cut_off.end_process()
+        self.world.advance(1_500)
+        entry = self.world.ledger.entries["j"]
+        self.assertEqual(entry.crashes, {"0.0.0": {1: True}})
+        cut_off.is_unresponsive = cut_off.has_ended = False
+        self.world.advance(500)
+        self.assertEqual(entry.crashes, {"0.0.0": {}})
+        self.world.advance(5_000)
+        self.assertEqual(self.world.get_state("j"), "complete")
--- a/packages/server/src/knapweedbeam_server/fleet/stored_jobs.py
+++ b/packages/server/src/knapweedbeam_server/fleet/stored_jobs.py
@@ -173,7 +173,7 @@
             match change:
                 case ledger.Accepted(job_id) | ledger.Cancelled(job_id):
                     self.log_job_state(job_id, current_ledger)
-                case ledger.EndsRecorded(tasks) | ledger.CrashesRecorded(tasks):
+                case ledger.EndsRecorded(tasks) | ledger.CrashesRecorded(tasks, _):
                     job_ids = {jobs.get_job_id(each.task) for each in tasks}
                     for job_id in sorted(job_ids):
                         entry = current_ledger.entries.get(job_id)
@@ -221,7 +221,8 @@
         leader = self.host.find_log_leader()
         if leader:
             crash = pool_messages.TaskCrash(effect.task, effect.number, effect.is_early)
-            self.host.send(effects.Send(leader, messages.NoteCrashes((crash,))))
+            message = messages.NoteCrashes((crash,), effect.is_retracted)
+            self.host.send(effects.Send(leader, message))
 
     # Time.
 
--- a/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
@@ -160,6 +160,7 @@
 
 struct NoteCrashes {
   crashes @0 :List(TaskCrash);
+  isRetracted @1 :Bool;
 }
 
 struct BeginDispatch {
