Refuse odd entries at the border with a typed error

An address with port 99999 or 0 was taken as an endpoint, polled ten times a second, and counted as one that others may hold, so that jobs waited 1.8 s after a change of dispatcher.

A deeply nested hello of a link was refused before, too: its size is bounded.

--- a/packages/core/src/knapweedbeam_core/tickets/ticket_codec.py
+++ b/packages/core/src/knapweedbeam_core/tickets/ticket_codec.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from knapweedbeam_core import ids, outcomes, reasons
+from knapweedbeam_core import decoding, ids, outcomes, reasons
 
 MAC_BYTES = 16
 NONCE_BYTES = 8
@@ -92,7 +92,7 @@
     """Return the ticket that packed bytes encode, or none if they are invalid."""
     try:
         body = DECODER.decode(packed)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except decoding.ERRORS:
         return None
     witness = None
     if body.witness:
--- a/packages/ctl/src/knapweedbeam_ctl/client.py
+++ b/packages/ctl/src/knapweedbeam_ctl/client.py
@@ -11,6 +11,7 @@
 import msgspec
 from geventhttpclient import response as http_responses
 
+from knapweedbeam_core import decoding
 from knapweedbeam_ctl import failures, files
 
 CONNECT_TIMEOUT_S = 3.0
@@ -100,7 +101,7 @@
     """Return the typed error in a response; reason `no_reason` if there is none."""
     try:
         body = msgspec.json.decode(response.body, type=ErrorBody)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except decoding.ERRORS:
         return failures.Refused(response.status, "no_reason", "not a typed error")
     return failures.Refused(response.status, body.reason, body.detail)
 
@@ -111,7 +112,7 @@
         return build_refusal(response)
     try:
         return msgspec.json.decode(response.body, type=model)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except decoding.ERRORS as error:
         return failures.Refused(response.status, "malformed_answer", str(error))
 
 
--- a/packages/ctl/src/knapweedbeam_ctl/commands/explain.py
+++ b/packages/ctl/src/knapweedbeam_ctl/commands/explain.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from knapweedbeam_core import decoding
 from knapweedbeam_ctl import exit_codes, failures, output
 
 # Events 7004 to 7025 report changes of the dispatcher and of the manifest in force.
@@ -43,7 +44,7 @@
             prefix, brace, rest = text.partition("{")
             try:
                 line = DECODER.decode(brace + rest)
-            except msgspec.MsgspecError:
+            except decoding.ERRORS:
                 # The platform and the interpreter write other lines to the same files.
                 continue
             # Log collectors may prefix each line with the name of the process.
--- a/packages/ctl/src/knapweedbeam_ctl/commands/submit.py
+++ b/packages/ctl/src/knapweedbeam_ctl/commands/submit.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from knapweedbeam_core import decoding
 from knapweedbeam_ctl import (
     client,
     exit_codes,
@@ -69,7 +70,7 @@
     for payload in options.payloads:
         try:
             msgspec.json.decode(payload)
-        except msgspec.DecodeError as error:
+        except decoding.ERRORS as error:
             return failures.BadFile("--payload", f"is not JSON: {error}")
         tasks.append(TaskContent(msgspec.Raw(payload.encode())))
     job = JobContent(options.service, tasks, options.job_class, options.deadline_ms)
--- a/packages/ctl/src/knapweedbeam_ctl/job_submission.py
+++ b/packages/ctl/src/knapweedbeam_ctl/job_submission.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from knapweedbeam_core import clock as clocks
+from knapweedbeam_core import decoding
 from knapweedbeam_ctl import client, failures
 
 DEFAULT_DEADLINE_MS = 30_000
@@ -76,7 +77,7 @@
     """Return the job in a body, or a failure if the body is not a job."""
     try:
         return msgspec.json.decode(content, type=JobBody)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except decoding.ERRORS as error:
         return failures.BadFile("job", str(error))
 
 
@@ -84,7 +85,7 @@
     """Return the final answer in a response, or None if it has none."""
     try:
         answer = msgspec.json.decode(response.body, type=AnswerBody)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except decoding.ERRORS:
         return None
     if answer.outcome not in FINAL_OUTCOMES:
         return None
--- a/packages/server/src/knapweedbeam_server/http/bodies.py
+++ b/packages/server/src/knapweedbeam_server/http/bodies.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from knapweedbeam_core import outcomes, reasons
+from knapweedbeam_core import decoding, outcomes, reasons
 
 Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
@@ -75,7 +75,7 @@
     """Return the validated body, or a refusal that names the invalid field."""
     try:
         return msgspec.json.decode(body, type=model)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except decoding.ERRORS as error:
         return outcomes.Refusal(reasons.Reason.INVALID, str(error))
 
 
@@ -83,6 +83,6 @@
     """Return whether `body` is one valid JSON text."""
     try:
         msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+    except decoding.ERRORS:
         return False
     return True
--- a/packages/server/src/knapweedbeam_server/http/workers.py
+++ b/packages/server/src/knapweedbeam_server/http/workers.py
@@ -6,9 +6,10 @@
 
 import msgspec
 
-from knapweedbeam_core import outcomes
+from knapweedbeam_core import outcomes, reasons
 from knapweedbeam_core.entry import parts
 from knapweedbeam_server.http import auth, bodies, replies, router
+from knapweedbeam_server.tasks import http_exchange
 
 
 class WorkerService(typing.Protocol):
@@ -55,6 +56,11 @@
         body = bodies.decode(request.body, bodies.AnnouncementBody)
         if isinstance(body, outcomes.Refusal):
             return replies.build_refusal(body)
+        try:
+            http_exchange.parse_address(body.address)
+        except ValueError as error:
+            refusal = outcomes.Refusal(reasons.Reason.INVALID, str(error))
+            return replies.build_refusal(refusal)
         announcement = parts.Announcement(
             endpoint=request.path_params[0],
             service=body.service,
--- a/packages/server/src/knapweedbeam_server/tasks/http_exchange.py
+++ b/packages/server/src/knapweedbeam_server/tasks/http_exchange.py
@@ -59,15 +59,21 @@
     head: str
 
 
+def parse_address(address: str) -> urllib.parse.SplitResult:
+    """Return the parts of a base URL; raise `ValueError` if it is not valid."""
+    url = urllib.parse.urlsplit(address)
+    if url.scheme != "http" or not url.hostname or url.port == 0:
+        raise ValueError(f"not an http address: {address[:100]}")
+    return url
+
+
 def build_target(
     address: str,
     connect_timeout_s: float = CONNECT_TIMEOUT_S,
     connections: int = MAX_CONNECTIONS,
 ) -> Target:
     """Return the target of a base URL; raise `ValueError` if it is not valid."""
-    url = urllib.parse.urlsplit(address)
-    if url.scheme != "http" or not url.hostname:
-        raise ValueError(f"not an http address: {address[:100]}")
+    url = parse_address(address)
     port = url.port or DEFAULT_PORT
     pool = geventhttpclient.connectionpool.ConnectionPool(
         url.hostname,
--- a/packages/wire/src/knapweedbeam_wire/handshake.py
+++ b/packages/wire/src/knapweedbeam_wire/handshake.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from knapweedbeam_core import ids
+from knapweedbeam_core import decoding, ids
 from knapweedbeam_wire import frames
 
 NONCE_BYTES = 16
@@ -87,7 +87,7 @@
         body = frames.recv_exactly(stream, size)
         try:
             hello = self.decoder.decode(body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except decoding.ERRORS as error:
             raise frames.LinkError("malformed hello") from error
         if len(hello.nonce) != NONCE_BYTES:
             raise frames.LinkError("hello with a nonce of the wrong size")
--- a/packages/wire/tests/test_links.py
+++ b/packages/wire/tests/test_links.py
@@ -13,7 +13,7 @@
 from knapweedbeam_core import effects, ids, outcomes
 from knapweedbeam_core.fleet import messages as fleet_messages
 from knapweedbeam_core.tickets import messages
-from knapweedbeam_wire import codec, frames, links, registry
+from knapweedbeam_wire import codec, frames, handshake, links, registry
 
 KEY = b"k" * 32
 WAIT_S = 10
@@ -189,6 +189,20 @@
         self.assertTrue(self.observers[1].arrived.wait(WAIT_S))
         self.assertEqual(len(self.observers[1].messages), 1)
 
+    def test_deeply_nested_hello_closes_only_its_connection(self) -> None:
+        first = self.open(0, "a1", "a2")
+        self.open(1, "a2", "a1")
+        self.assertTrue(self.observers[0].up.wait(WAIT_S))
+        nested = b"\x91" * handshake.MAX_HELLO_BYTES
+        with gevent.socket.create_connection(("127.0.0.1", self.ports[1])) as sock:
+            sock.sendall(frames.LENGTH.pack(len(nested)) + nested)
+            self.assertTrue(self.observers[1].arrived.wait(WAIT_S))
+        self.assertIn("malformed hello", self.observers[1].refused[0])
+        self.observers[1].arrived.clear()
+        first.send("a2", messages.BeginJob("t", "one"))
+        self.assertTrue(self.observers[1].arrived.wait(WAIT_S))
+        self.assertEqual(len(self.observers[1].messages), 1)
+
 
 class Buffer:
     """A stream that returns what was written to it."""
