Send a repeatable task to no third endpoint after two were lost under it

A loss of the endpoint counted like any failure. Now the second broken connection under a task ends its job as failed, with the reason task_crashed_endpoints. Tasks that certainly did not start, and answers that are errors, are retried as before. Jobs that are not repeatable were never sent again.

--- a/packages/core/src/knapweedbeam_core/dispatch/job_run.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/job_run.py
@@ -35,7 +35,7 @@
 
     `unstarted` is a stack of task indexes. `possible_starts` counts the starts
     that may have run a task. `avoided_endpoint` names the endpoint at which the
-    last attempt failed.
+    last attempt failed. `lost_endpoints` counts those whose connection broke under it.
     """
 
     job: jobs.Job
@@ -49,6 +49,7 @@
     size_bytes: int = 0
     possible_starts: int = 0
     retries: int = 0
+    lost_endpoints: int = 0
     avoided_endpoint: str = ""
     running: dict[int, RunningTask] = dataclasses.field(default_factory=dict)
 
--- a/packages/core/src/knapweedbeam_core/dispatch/task_ends.py
+++ b/packages/core/src/knapweedbeam_core/dispatch/task_ends.py
@@ -15,6 +15,8 @@
 
 FAILURE_PENALTY = 4.0
 MAY_STILL_RUN = frozenset({reasons.Reason.TASK_TIMEOUT})
+# A repeatable task is not sent again once the connections to this many endpoints broke.
+MAX_LOST_ENDPOINTS = 2
 
 
 class TaskEndHandler:
@@ -118,7 +120,12 @@
         if run.state == job_run.ENDED:
             return
         self.count_failure(run.job, running.endpoint)
-        if run.job.repeatable and len(run.job.tasks) == 1:
+        if reason == reasons.Reason.ENDPOINT_LOST:
+            run.lost_endpoints += 1
+        if run.lost_endpoints >= MAX_LOST_ENDPOINTS:
+            crashed = reasons.Reason.TASK_CRASHED_ENDPOINTS
+            self.state.end_job(run, outcomes.Failed(crashed))
+        elif run.job.repeatable and len(run.job.tasks) == 1:
             self.retry_task(run, running.endpoint, end.task.index, reason)
         else:
             self.state.end_job(run, outcomes.Failed(reason))
--- a/packages/core/tests/dispatch/test_dispatcher.py
+++ b/packages/core/tests/dispatch/test_dispatcher.py
@@ -175,6 +175,20 @@
             harness.end_task(harness.started[0], FAILED)
             self.assertEqual(len(harness.started), tasks + restarts)
 
+    def test_task_that_may_crash_endpoints_is_not_sent_to_a_third(self) -> None:
+        harness = Harness()
+        lost = effects.TaskFailed(reasons.Reason.ENDPOINT_LOST)
+        harness.submit("t", repeatable=True)
+        for _ in range(20):
+            for start in harness.started[:]:
+                harness.end_task(start, lost, 1)
+            harness.advance(100)
+        self.assertEqual(len(harness.started), 2)
+        self.assertEqual(
+            harness.ended["t"],
+            outcomes.Failed(reasons.Reason.TASK_CRASHED_ENDPOINTS),
+        )
+
     def test_retries_are_bounded(self) -> None:
         harness = Harness()
         harness.submit("t")
