Record a crash that a dispatcher saw before it was replaced

A crash is a fact whoever saw it, and the log takes it from any process, so a process now keeps the record until the log has it. The test failed before, with 3 crashes in place of 2.

--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -469,9 +469,9 @@
     def tick(self) -> Effects:
         """Run periodic work: attempts, stored jobs, orphaned and ended jobs."""
         self.waiting_clock.tick()
-        if not self.fence:
-            return []
         now_ms = self.clock.now_ms()
+        if not self.fence:
+            return self.stored_scheduler.resend_crashes(now_ms)
         produced = self.tracker.tick(now_ms) + self.stored_scheduler.tick(now_ms)
         for job in list(self.jobs.values()):
             if job.orphaned_ms and now_ms - job.orphaned_ms > ORPHAN_GRACE_MS:
--- a/packages/core/src/knapweedbeam_core/pool/stored_scheduler.py
+++ b/packages/core/src/knapweedbeam_core/pool/stored_scheduler.py
@@ -67,13 +67,15 @@
         self.lost_ms = 0
 
     def reset(self) -> None:
-        """Drop all state of stored jobs, as this dispatcher no longer places them."""
+        """Drop all state of stored jobs, as this dispatcher no longer places them.
+
+        Crashes that it saw are kept until the log has them: nobody else knows of them.
+        """
         self.term = 0
         self.active_since_ms = 0
         self.confirmed_ms = 0
         self.lost_ms = 0
         self.unconfirmed_ends.clear()
-        self.unconfirmed_crashes.clear()
         self.scheduled.clear()
         self.occurrences.clear()
 
@@ -375,19 +377,24 @@
     def tick(self, now_ms: int) -> dispatcher.Effects:
         """Open due occurrences, resend ends, and stop without contact to the log."""
         if not self.active_since_ms:
-            return []
+            return self.resend_crashes(now_ms)
         if now_ms - self.log_contact_ms > LOG_CONTACT_TIMEOUT_MS:
             return self.abandon("no contact with the log")
         if not self.term:
-            return []
+            return self.resend_crashes(now_ms)
         produced: dispatcher.Effects = []
         for job_id, entry in list(self.scheduled.items()):
             produced += self.add_due(job_id, entry)
         if now_ms >= self.resend_due_ms:
-            self.resend_due_ms = now_ms + RESEND_MS
             produced += self.resend_ends()
-            produced += self.unconfirmed_crashes.values()
-        return produced
+        return produced + self.resend_crashes(now_ms)
+
+    def resend_crashes(self, now_ms: int) -> dispatcher.Effects:
+        """Return effects that record the unconfirmed crashes again, if that is due."""
+        if now_ms < self.resend_due_ms:
+            return []
+        self.resend_due_ms = now_ms + RESEND_MS
+        return [*self.unconfirmed_crashes.values()]
 
     def resend_ends(self) -> dispatcher.Effects:
         """Return effects that record the unconfirmed ends again."""
--- a/packages/core/tests/stored/test_stored_scheduler.py
+++ b/packages/core/tests/stored/test_stored_scheduler.py
@@ -419,3 +419,18 @@
         self.assertEqual(entry.crashes, {"0.0.0": {}})
         self.world.advance(5_000)
         self.assertEqual(self.world.get_state("j"), "complete")
+
+    def test_replaced_dispatcher_records_a_crash_that_it_saw_without_the_log(
+        self,
+    ) -> None:
+        self.world.store_job("j", (stored_simulation.build_step(1),))
+        while not self.world.crashes:
+            self.world.advance(5)
+        self.world.cut_from_log.add("a")
+        self.world.advance(1_500)
+        self.world.run(self.dispatcher, self.dispatcher.set_fence(0))
+        self.world.cut_from_log.clear()
+        self.world.add_dispatcher("b", 11, known_endpoints=self.list_live())
+        self.world.advance(30_000)
+        self.assertEqual(len(self.world.crashes), 2)
+        self.assertEqual(self.world.get_state("j"), "failed")
