Blame no task that was started after contact with the endpoint had ended

A start was sent to an endpoint that had already crashed, within the 200 ms in which lists that came just before outweigh a closed connection, and counted as a second crash under an innocent task. And a suspect was started on an endpoint where another task had started 10 ms before, which then crashed it. Both tests failed before.

--- a/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
+++ b/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
@@ -302,6 +302,8 @@
     ) -> dispatcher.Effects:
         """Handle the answer to a start."""
         endpoint.record_reading(answer.reading)
+        if answer.reading is not None:
+            endpoint.contact.record_answer()
         endpoint.contact.record_failure(answer.verdict, self.waiting_ms)
         attempt = endpoint.attempts.get(start.task)
         if attempt is None or attempt.number != start.number:
--- a/packages/core/src/knapweedbeam_core/pool/crash_handler.py
+++ b/packages/core/src/knapweedbeam_core/pool/crash_handler.py
@@ -12,6 +12,13 @@
     from knapweedbeam_core.pool import dispatcher
 
 
+def may_have_run(endpoint: endpoints.Endpoint, attempt: endpoints.Attempt) -> bool:
+    """Return whether an attempt may have run before contact with its endpoint ended."""
+    ended_ms = endpoint.contact.failed_ms
+    is_running = attempt.state == endpoints.AttemptState.RUNNING
+    return is_running or not ended_ms or attempt.called_ms < ended_ms
+
+
 class CrashHandler:
     """The crashes that concern the jobs of one dispatcher."""
 
@@ -39,6 +46,7 @@
             self.build_loss(endpoint, attempt, attempt.owner)
             for attempt in attempts
             if attempt.owner is not None
+            and may_have_run(endpoint, attempt)
             and not attempt.owner.job.is_cancelled
             and attempt.owner.state != jobs.TaskState.DONE
         )
--- a/packages/core/src/knapweedbeam_core/pool/placing.py
+++ b/packages/core/src/knapweedbeam_core/pool/placing.py
@@ -15,6 +15,7 @@
 import math
 
 from knapweedbeam_core.pool import (
+    crashes,
     endpoints,
     jobs,
     messages,
@@ -236,13 +237,24 @@
 def choose_emptiest(
     task: jobs.Task, available: AvailableEndpoints
 ) -> endpoints.Endpoint | None:
-    """Return the endpoint with the fewest attempts among those that a task fits on."""
+    """Return the endpoint that a suspect fits on and shares with the fewest others.
+
+    Above all with few that started just now, as the next crash may be due to these.
+    """
+
+    def get_key(endpoint: endpoints.Endpoint) -> tuple[int, int]:
+        oldest_ms = available.now_ms - crashes.EARLY_MS
+        recent = sum(
+            attempt.sent_ms > oldest_ms for attempt in endpoint.attempts.values()
+        )
+        return recent, len(endpoint.attempts)
+
     candidates = [
         endpoint
         for endpoint in available.iterate(task.need.cpu_millis)
         if fits(task, endpoint)
     ]
-    return min(candidates, key=lambda found: len(found.attempts), default=None)
+    return min(candidates, key=get_key, default=None)
 
 
 def choose_endpoint(
--- a/packages/core/tests/pool/test_crashes.py
+++ b/packages/core/tests/pool/test_crashes.py
@@ -7,7 +7,16 @@
 from knapweedbeam_core import clock, effects
 from knapweedbeam_core.fleet import job_routes
 from knapweedbeam_core.manifests import manifest
-from knapweedbeam_core.pool import crashes, dispatcher, messages, open_jobs
+from knapweedbeam_core.pool import (
+    calls,
+    crashes,
+    dispatcher,
+    endpoints,
+    messages,
+    open_jobs,
+    placing,
+    resources,
+)
 
 TERMS = manifest.Terms("queue", "service", 0, 3, 1.6, 60)
 
@@ -117,6 +126,52 @@
         self.assertEqual(self.simulation.get_outcome("j"), "JobComplete")
         self.assertEqual(self.simulation.get_outcome("k"), "JobComplete")
 
+    def test_start_on_an_endpoint_that_had_crashed_before_is_not_blamed(self) -> None:
+        name = "e0"
+        endpoint = self.dispatcher.endpoints[name]
+        endpoint.contact.record_failure(calls.Verdict.CLOSED, self.simulation.now_ms)
+        for other in self.dispatcher.endpoints.values():
+            other.health.is_on_probation = False
+            if other is not endpoint:
+                other.is_held = False
+        self.simulation.advance(5)
+        self.simulation.endpoints[name].is_unresponsive = True
+        self.simulation.submit(self.dispatcher, "j", 1, 60, patience_ms=60_000)
+        self.simulation.advance(20)
+        self.assertEqual(list(endpoint.attempts), ["j.0.0.0"])
+        reborn = dataclasses.replace(
+            self.simulation.endpoints[name].build_announcement(), born_ms=99
+        )
+        self.simulation.run(self.dispatcher, self.dispatcher.on_announcement(reborn))
+        self.assertNotIn("j", self.simulation.reported_crashes)
+
+    def test_suspect_avoids_endpoints_with_tasks_that_started_just_now(self) -> None:
+        self.simulation.submit(self.dispatcher, "j", 1, 400, patience_ms=60_000)
+        self.simulation.advance(30)
+        task = self.dispatcher.jobs["j"].tasks[0][0]
+        task.history.is_suspect = True
+        now_ms = self.simulation.now_ms
+        for number, other in enumerate(self.dispatcher.endpoints.values()):
+            age_ms = 10 if number % 2 else crashes.EARLY_MS + 10
+            other.attempts[f"k.0.0.{number}"] = endpoints.Attempt(
+                f"k.0.0.{number}",
+                1,
+                None,
+                resources.Resources(),
+                endpoints.AttemptState.RUNNING,
+                now_ms - age_ms,
+            )
+        self.dispatcher.task_starter.update_orders()
+        available = placing.AvailableEndpoints(
+            self.dispatcher.task_starter.orders["service"],
+            self.dispatcher.endpoints,
+            now_ms,
+        )
+        chosen = placing.choose_emptiest(task, available)
+        assert chosen is not None
+        ages = {now_ms - each.sent_ms for each in chosen.attempts.values()}
+        self.assertGreater(min(ages), crashes.EARLY_MS)
+
     def test_crash_of_a_leaving_endpoint_is_not_held_against_its_tasks(self) -> None:
         self.simulation.submit(self.dispatcher, "j", 1, 700, patience_ms=60_000)
         self.simulation.advance(50)
