Show by a test that the next incarnation of an endpoint may run a task that is started again

A start was on its way when the executor restarted under the same id; the next incarnation ran it, and the dispatcher, which took it for the former one, acknowledged the end with that one's places before it noticed.

--- a/packages/core/tests/stored/test_stored_scheduler.py
+++ b/packages/core/tests/stored/test_stored_scheduler.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import itertools
 import unittest
 
 import msgspec
@@ -434,3 +435,33 @@
         self.world.advance(30_000)
         self.assertEqual(len(self.world.crashes), 2)
         self.assertEqual(self.world.get_state("j"), "failed")
+
+
+class NextIncarnationTest(unittest.TestCase):
+    def test_task_that_the_next_incarnation_has_done_is_not_started_again(self) -> None:
+        """The start was on its way when the endpoint restarted under the same id."""
+        world = stored_simulation.StoredSimulation()
+        endpoint = world.add_endpoint("e0")
+        world.add_dispatcher("a", 10)
+        world.advance(100)
+        world.store_job("j", (stored_simulation.build_step(6),))
+        world.advance(1_000)
+        self.assertEqual(world.get_state("j"), "complete")
+        world.store_job("k", (stored_simulation.build_step(1),))
+        while not world.dispatchers[0].endpoints["e0"].attempts:
+            world.advance(1)
+        endpoint.end_process()
+        endpoint.is_unresponsive = endpoint.has_ended = False
+        endpoint.born_ms = 2
+        endpoint.fence = 0
+        endpoint.ended = []
+        endpoint.end_numbers = itertools.count(1)
+        world.advance(300)
+        world.run(
+            world.dispatchers[0],
+            world.dispatchers[0].on_announcement(endpoint.build_announcement()),
+        )
+        world.advance(2_000)
+        self.assertEqual(world.get_state("k"), "complete")
+        starts = [start for _, _, start in world.starts if start.task == "k.0.0.0"]
+        self.assertEqual(len(starts), 1)
