Blame no task whose start was not sent yet

A start that is decided and waits to be sent has no time of its call; it counted as sent before contact ended, and a crash as one under its task. Found by reading; the test failed before.

--- a/packages/core/src/knapweedbeam_core/pool/crash_handler.py
+++ b/packages/core/src/knapweedbeam_core/pool/crash_handler.py
@@ -15,8 +15,10 @@
 def may_have_run(endpoint: endpoints.Endpoint, attempt: endpoints.Attempt) -> bool:
     """Return whether an attempt may have run before contact with its endpoint ended."""
     ended_ms = endpoint.contact.failed_ms
-    is_running = attempt.state == endpoints.AttemptState.RUNNING
-    return is_running or not ended_ms or attempt.called_ms < ended_ms
+    if attempt.state == endpoints.AttemptState.RUNNING:
+        return True
+    was_sent = attempt.called_ms > 0
+    return was_sent and (not ended_ms or attempt.called_ms < ended_ms)
 
 
 class CrashHandler:
--- a/packages/core/tests/pool/test_crashes.py
+++ b/packages/core/tests/pool/test_crashes.py
@@ -9,6 +9,7 @@
 from knapweedbeam_core.manifests import manifest
 from knapweedbeam_core.pool import (
     calls,
+    crash_handler,
     crashes,
     dispatcher,
     endpoints,
@@ -21,6 +22,33 @@
 TERMS = manifest.Terms("queue", "service", 0, 3, 1.6, 60)
 
 
+class MayHaveRunTest(unittest.TestCase):
+    def check(self, expected: bool, called_ms: int, failed_ms: int) -> None:
+        world = simulation.Simulation()
+        world.add_endpoint("e0")
+        endpoint = world.add_dispatcher("a", 10).endpoints["e0"]
+        endpoint.contact.failed_ms = failed_ms
+        attempt = endpoints.Attempt(
+            "j.0.0.0",
+            1,
+            None,
+            resources.Resources(),
+            endpoints.AttemptState.STARTING,
+            10,
+            called_ms=called_ms,
+        )
+        self.assertEqual(crash_handler.may_have_run(endpoint, attempt), expected)
+
+    def test_start_that_was_not_sent_yet_is_not_blamed(self) -> None:
+        self.check(False, 0, 0)
+        self.check(False, 0, 20)
+
+    def test_start_that_was_sent_before_contact_ended_may_be_at_fault(self) -> None:
+        self.check(True, 15, 0)
+        self.check(True, 15, 20)
+        self.check(False, 25, 20)
+
+
 class FaultTest(unittest.TestCase):
     def test_two_early_crashes_are_enough(self) -> None:
         self.assertFalse(crashes.is_at_fault({1: True}, False))
