--- a/bench/pool/simulation.py
+++ b/bench/pool/simulation.py
@@ -24,6 +24,7 @@
 CRASH_DELAY_MS = 10
 RESTART_MS = 3_000
 ANNOUNCE_INTERVAL_MS = 1_500
+# Of the holds that were sent to an endpoint, the last ones may be open.
 MAX_OPEN_CALLS = 20
 BOUNDS = attempt_tracker.ProtocolBounds(LEASE_MS, STOP_MS, ANNOUNCE_INTERVAL_MS)
 ENTRY = "entry"
@@ -133,7 +134,7 @@
         self.polls: list[
             tuple[calls.Hold, typing.Callable[[calls.HoldResult], None]]
         ] = []
-        # Called when the process ends, which closes its connections.
+        # Each closes the connection of one call when the process ends.
         self.open_calls: list[typing.Callable[[], None]] = []
 
     def build_announcement(
@@ -292,7 +293,9 @@
     `drop_probability` is the share of calls that arrive late and go unanswered, and
     `allowed_endpoints` names the endpoints that advice allows, by job; jobs that are
     not in it need no advice. `deadly_tasks` crash each endpoint that starts them, and
-    `crashes` holds the endpoints that crashed, with the task to blame.
+    `crashes` holds the endpoints that crashed, with the task to blame. If
+    `is_crash_silent`, their hosts leave calls unanswered in place of refusing them.
+    `reported_crashes` are those of which dispatchers told entry VMs, by job.
     """
 
     def __init__(self, seed: int = 1) -> None:
