Let a sign-off end no attempt, and name its incarnation

An endpoint drained, signed off to a frozen process, signed off again to another one and started again under its id; when the frozen process woke, its late sign-off made the dispatcher start the tasks of the new incarnation elsewhere, 0.82 s before their lease ended.

Cause: a DELETE was passed on without a birth time, on_endpoint_gone took that for any incarnation, and lose_endpoint queued the tasks again without waiting for the lease.

The process that receives a DELETE now adds the birth time that it knows, and the dispatcher treats a sign-off as a reason to use the endpoint no more until it answers again, not as the end of its attempts. These wait for the expired lease, as after any loss.

--- a/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
+++ b/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
@@ -94,7 +94,7 @@
         wait_ms = self.get_wait_ms(endpoint)
         if not endpoint.is_held or endpoint.failed_polls:
             wait_ms = 0
-        elif self.has_uncertain_attempts(endpoint):
+        elif endpoint.signed_off_ms or self.has_uncertain_attempts(endpoint):
             wait_ms = UNCERTAIN_POLL_MS
         endpoint.answer_due_ms = self.waiting_ms + wait_ms
         return self.build_call(endpoint, until_ms, wait_ms)
@@ -384,6 +384,7 @@
         endpoint.is_held = True
         endpoint.failed_polls = 0
         endpoint.contact.record_answer()
+        produced += self.owner.departures.on_answer(endpoint, answer)
         for end in sorted(answer.ends, key=lambda end: end.place):
             if end.place > endpoint.last_seen_end:
                 endpoint.last_seen_end = end.place
@@ -578,6 +579,9 @@
 
         One without attempts is removed after `FORGET_MS` without an announcement.
         """
+        removed = self.owner.departures.tick(endpoint, now_ms)
+        if removed:
+            return removed
         if endpoint.attempts and endpoint.are_leases_expired(now_ms):
             cause = crashes.LossCause.UNEXPLAINED
             if endpoint.contact.state == contact.ContactState.ENDED:
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -17,6 +17,7 @@
     calls,
     crash_handler,
     crashes,
+    departures,
     endpoint_index,
     endpoints,
     jobs,
@@ -78,6 +79,7 @@
         self.stored_scheduler = stored_scheduler.StoredJobScheduler(self)
         self.advice_cache = advising.AdviceCache(self)
         self.crash_handler = crash_handler.CrashHandler(self)
+        self.departures = departures.DepartureHandler(self)
         self.lost_entries: set[str] = set()
         self.task_starter = task_starter.TaskStarter(self)
         self.load_report = load_report.LoadReport()
@@ -172,13 +174,13 @@
         return produced + self.poll(replacement)
 
     def on_endpoint_gone(self, gone: messages.EndpointGone) -> Effects:
-        """Remove an endpoint that signed off, unless a newer incarnation is known."""
-        endpoint = self.endpoints.get(gone.endpoint)
-        if endpoint is None or endpoint.announcement.born_ms > gone.born_ms > 0:
-            return []
-        retracted = self.crash_handler.retract(endpoint)
-        cause = crashes.LossCause.LEFT
-        return retracted + self.remove_endpoint(endpoint, "left", cause)
+        """Handle that an endpoint signed off."""
+        return self.departures.on_gone(gone)
+
+    def get_birth_ms(self, name: str) -> int:
+        """Return when the known incarnation of an endpoint was born, 0 for none."""
+        endpoint = self.endpoints.get(name)
+        return endpoint.announcement.born_ms if endpoint is not None else 0
 
     def remove_endpoint(
         self, endpoint: endpoints.Endpoint, why: str, cause: crashes.LossCause
--- a/packages/core/src/knapweedbeam_core/pool/endpoints.py
+++ b/packages/core/src/knapweedbeam_core/pool/endpoints.py
@@ -73,6 +73,7 @@
     or it is not known whether it has to. `list_clock_ms` is the endpoint's clock in its
     newest lists. By the dispatcher's `waiting_clock`, `listed_ms` is when these
     arrived, and the answer to the open hold is due at `answer_due_ms`.
+    `signed_off_ms` is when a sign-off was handled, 0 for none or a stale one.
     """
 
     def __init__(
@@ -104,6 +105,7 @@
         self.last_seen_end = 0
         self.unacked_ends: dict[int, calls.End] = {}
         self.isolated_until_ms = 0
+        self.signed_off_ms = 0
         self.lease_until_ms = 0
         self.reading: clocks.Reading | None = None
         self.speed = speeds.Speed()
@@ -194,6 +196,7 @@
         """
         return (
             self.is_held
+            and not self.signed_off_ms
             and now_ms >= self.isolated_until_ms
             and not self.failed_polls
             and self.announcement.state == messages.EndpointState.UP
--- a/packages/core/src/knapweedbeam_core/pool/messages.py
+++ b/packages/core/src/knapweedbeam_core/pool/messages.py
@@ -52,7 +52,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointGone:
-    """An endpoint signed off for good."""
+    """An incarnation of an endpoint signed off; `born_ms` is 0 if it is not known."""
 
     endpoint: str
     born_ms: int
--- a/packages/core/src/knapweedbeam_core/pool/shards.py
+++ b/packages/core/src/knapweedbeam_core/pool/shards.py
@@ -134,9 +134,13 @@
         return self.find(announcement.endpoint).on_announcement(announcement)
 
     def on_endpoint_gone(self, gone: messages.EndpointGone) -> dispatcher.Effects:
-        """Remove an endpoint that signed off."""
+        """Handle that an endpoint signed off."""
         return self.find(gone.endpoint).on_endpoint_gone(gone)
 
+    def get_birth_ms(self, endpoint: str) -> int:
+        """Return when the known incarnation of an endpoint was born, 0 for none."""
+        return self.find(endpoint).get_birth_ms(endpoint)
+
     def list_announcements(self) -> list[messages.EndpointNews]:
         """Return the newest announcement of each endpoint, with its age."""
         return [
--- a/packages/server/src/knapweedbeam_server/fleet/announcing.py
+++ b/packages/server/src/knapweedbeam_server/fleet/announcing.py
@@ -81,8 +81,14 @@
         if event is not None:
             event.set()
 
-    def handle_departure(self, gone: messages.EndpointGone) -> None:
-        """Handle an endpoint's deregistration and forward it."""
+    def handle_departure(self, endpoint: str) -> None:
+        """Handle an endpoint's deregistration and forward it.
+
+        It does not name the incarnation, which is the one known here. A process that
+        was frozen may know an earlier one than the others.
+        """
+        birth_ms = self.host.shards.get_birth_ms(endpoint)
+        gone = messages.EndpointGone(endpoint, birth_ms)
         self.host.run(self.host.shards.on_endpoint_gone(gone))
         self.send_to_candidates(gone)
 
