Log each change of the log's members with their names

The logs named only the number of voters, so that a lost voter that still counts could not be told from a new one.

--- a/packages/server/src/knapweedbeam_server/fleet/replicated_log.py
+++ b/packages/server/src/knapweedbeam_server/fleet/replicated_log.py
@@ -87,6 +87,7 @@
         self.writes: gevent.queue.Queue[parts.Persist] = gevent.queue.Queue()
         self.applied = gevent.event.Event()
         self.logged_role: tuple[str, int, str] = ("", 0, "")
+        self.logged_members = members.Members()
 
     def start(self, supervisor: supervising.Supervisor) -> None:
         """Open the data folder and start to write to it."""
@@ -159,6 +160,7 @@
             elif isinstance(effect, parts.Persist):
                 self.writes.put(effect)
         self.log_role_change()
+        self.log_member_change()
         progress = (self.machine.batches, self.machine.restores)
         if progress != self.last_progress:
             self.last_progress = progress
@@ -186,6 +188,21 @@
             voters=len(current.wal.latest_members.voters),
         )
 
+    def log_member_change(self) -> None:
+        """Log a change of the voters or learners, whether or not it is committed."""
+        if self.replica is None:
+            return
+        current = self.replica.wal.latest_members
+        if current == self.logged_members:
+            return
+        self.logged_members = current
+        emit.emit(
+            catalogue.LOG_MEMBERS,
+            index=self.replica.wal.latest_members_index,
+            voters=" ".join(sorted(voter.name for voter in current.voters)),
+            learners=" ".join(sorted(learner.name for learner in current.learners)),
+        )
+
     def tick(self) -> None:
         """Do what is due in the replica."""
         if self.replica is not None:
--- a/packages/server/src/knapweedbeam_server/logs/catalogue.py
+++ b/packages/server/src/knapweedbeam_server/logs/catalogue.py
@@ -524,6 +524,13 @@
     "data folder in use, identity {identity}",
     "The replica takes part in the log.",
 )
+LOG_MEMBERS = Event(
+    7026,
+    "log_members",
+    Level.INFO,
+    "members at index {index}: voters {voters}, learners {learners}",
+    "The voters or the learners of the replicated log changed, as this replica knows.",
+)
 POOL_ENDPOINT_CHANGED = Event(
     7030,
     "pool_endpoint_changed",
--- a/packages/server/tests/fleet/test_replicated_log.py
+++ b/packages/server/tests/fleet/test_replicated_log.py
@@ -4,6 +4,7 @@
 import random
 import tempfile
 import unittest
+import unittest.mock
 
 import gevent
 
@@ -12,6 +13,7 @@
 from knapweedbeam_core.stored import commands
 from knapweedbeam_server import system_clock
 from knapweedbeam_server.fleet import replicated_log, supervising
+from knapweedbeam_server.logs import catalogue
 
 NAME = "127.0.0.1:7000"
 
@@ -71,6 +73,11 @@
         self.wait_for_leadership(reopened)
         self.assertEqual(reopened.machine.ledger.state.fence, 7)
 
+    def test_change_of_members_is_logged_with_their_names(self) -> None:
+        with unittest.mock.patch.object(replicated_log.emit, "emit") as emit:
+            self.wait_for_leadership(self.log)
+        emit.assert_any_call(catalogue.LOG_MEMBERS, index=0, voters=NAME, learners="")
+
 
 if __name__ == "__main__":
     unittest.main()
