Count initial control VMs only until the log has voters

Cause: update_targets passed the voters and the initial names to select_replicas, whose parity rule counted founders that were long gone. From the second replacement on, a lost voter stayed in the group for 30 s, so that the next loss left two of four without a quorum.

Ruled out: elections as such (pre-votes of both survivors ask four voters and get two), the arrival of successors (they were followers 0.4 s after their start).

--- a/packages/core/src/knapweedbeam_core/log/choosing.py
+++ b/packages/core/src/knapweedbeam_core/log/choosing.py
@@ -21,6 +21,23 @@
     since_contact_ms: int
 
 
+def find_targets(
+    voters: collections.abc.Set[str],
+    initial_names: collections.abc.Iterable[str],
+    control_vms: collections.abc.Iterable[ControlVm],
+    uptime_ms: int,
+) -> frozenset[str]:
+    """Return the names of the control VMs that should replicate the log.
+
+    The initial VMs count only until there are voters. A voter that has not been
+    contacted since this process started counts as silent for its `uptime_ms`.
+    """
+    contacted = list(control_vms)
+    names = {each.name for each in contacted}
+    uncontacted = [ControlVm(name, uptime_ms) for name in sorted(voters - names)]
+    return select_replicas(voters or set(initial_names), contacted + uncontacted)
+
+
 def select_replicas(
     voters: collections.abc.Collection[str],
     control_vms: collections.abc.Iterable[ControlVm],
--- a/packages/server/src/knapweedbeam_server/fleet/replicated_log.py
+++ b/packages/server/src/knapweedbeam_server/fleet/replicated_log.py
@@ -213,14 +213,8 @@
         if self.replica is None:
             return
         voters = {voter.name for voter in self.replica.wal.latest_members.voters}
-        contacted = {core_vm.name for core_vm in core_vms}
         uptime_ms = self.clock.now_ms() - self.started_ms
-        uncontacted = [
-            choosing.ControlVm(name, uptime_ms) for name in sorted(voters - contacted)
-        ]
-        names = choosing.select_replicas(
-            voters | set(self.initial_names), core_vms + uncontacted
-        )
+        names = choosing.find_targets(voters, self.initial_names, core_vms, uptime_ms)
         if names != self.targets:
             self.targets = names
             self.replica.set_targets(names)
