Remove silent voters down to the number that the tolerated losses need

Cause: an odd group kept each silent voter for 30 s, so that lost voters outlived their successors' arrival, and two new losses left no quorum.

Now a voter that is silent for 2 s is removed while more than 2f + 1 voters (three at least) remain. This is safe for f lost disks, as a majority of 2f + 1 is f + 1.

--- a/packages/core/src/knapweedbeam_core/log/choosing.py
+++ b/packages/core/src/knapweedbeam_core/log/choosing.py
@@ -5,10 +5,8 @@
 import collections.abc
 import dataclasses
 
-# A voter without contact for this long is removed if the number of voters is even.
-EVEN_UNRESPONSIVE_MS = 2_000
-# A voter without contact for this long is lost; longer than any expected partition.
-LOST_AFTER_MS = 30_000
+# A voter without contact for this long is removed while enough others remain.
+UNRESPONSIVE_MS = 2_000
 # With fewer voters than this, one lost disk may be the last copy of the log.
 MIN_VOTERS = 3
 
@@ -26,6 +24,7 @@
     initial_names: collections.abc.Iterable[str],
     control_vms: collections.abc.Iterable[ControlVm],
     uptime_ms: int,
+    tolerated_losses: int,
 ) -> frozenset[str]:
     """Return the names of the control VMs that should replicate the log.
 
@@ -35,36 +34,37 @@
     contacted = list(control_vms)
     names = {each.name for each in contacted}
     uncontacted = [ControlVm(name, uptime_ms) for name in sorted(voters - names)]
-    return select_replicas(voters or set(initial_names), contacted + uncontacted)
+    return select_replicas(
+        voters or set(initial_names), contacted + uncontacted, tolerated_losses
+    )
 
 
 def select_replicas(
     voters: collections.abc.Collection[str],
     control_vms: collections.abc.Iterable[ControlVm],
+    tolerated_losses: int,
 ) -> frozenset[str]:
     """Return the names of the control VMs that should replicate the log.
 
-    These are all responsive control VMs and all voters, responsive or not: a voter that
-    restarts must not lead to a smaller group, which the loss of one disk could end.
-    There are two exceptions while more than three voters remain. If their number is
-    even, an unresponsive voter is left out, because the smaller odd group tolerates one
-    more loss. A lost voter is always left out. Both are included again once they are
-    back.
+    These are all responsive control VMs and the voters. Unresponsive voters are left
+    out, the longest silent ones first, until they are back: a group without them bears
+    as many further losses or more. A majority of those that remain always outnumbers
+    the `tolerated_losses`, the disks that may be lost at once.
     """
     since_contact_ms = {each.name: each.since_contact_ms for each in control_vms}
     reachable = {
         name
         for name, age_ms in since_contact_ms.items()
-        if age_ms < EVEN_UNRESPONSIVE_MS
+        if age_ms < UNRESPONSIVE_MS
     }
     selected = set(voters)
     unresponsive = {
         name
         for name in selected
-        if since_contact_ms.get(name, 0) >= EVEN_UNRESPONSIVE_MS
+        if since_contact_ms.get(name, 0) >= UNRESPONSIVE_MS
     }
+    min_voters = max(MIN_VOTERS, 2 * tolerated_losses + 1)
     for name in sorted(unresponsive, key=lambda name: (-since_contact_ms[name], name)):
-        is_lost = since_contact_ms[name] >= LOST_AFTER_MS
-        if len(selected) > MIN_VOTERS and (is_lost or len(selected) % 2 == 0):
+        if len(selected) > min_voters:
             selected.discard(name)
     return frozenset(selected | reachable)
--- a/packages/core/tests/log/deployment.py
+++ b/packages/core/tests/log/deployment.py
@@ -81,7 +81,14 @@
     leader has acknowledged.
     """
 
-    def __init__(self, vm_count: int, founder_count: int = 3, seed: int = 1) -> None:
+    def __init__(
+        self,
+        vm_count: int,
+        founder_count: int = 3,
+        seed: int = 1,
+        tolerated_losses: int = 1,
+    ) -> None:
+        self.tolerated_losses = tolerated_losses
         self.rng = random.Random(seed)
         self.clock = clock.ManualClock(100_000, 1_700_000_000_000)
         self.vms: dict[str, ControlVm] = {}
@@ -204,7 +211,9 @@
         uptime_ms = self.now_ms - vm.started_ms
         voters = {voter.name for voter in vm.replica.wal.latest_members.voters}
         vm.replica.set_targets(
-            choosing.find_targets(voters, vm.initial_names, contacts, uptime_ms)
+            choosing.find_targets(
+                voters, vm.initial_names, contacts, uptime_ms, self.tolerated_losses
+            )
         )
 
     def deliver(self, sender: str, to: str, message: effects.Message) -> None:
--- a/packages/core/tests/log/test_replacements.py
+++ b/packages/core/tests/log/test_replacements.py
@@ -15,8 +15,12 @@
 class ReplacementTest(unittest.TestCase):
     """Control VMs that are lost for good, one after the other."""
 
-    def found(self, vm_count: int, seed: int) -> deployment.Deployment:
-        group = deployment.Deployment(vm_count, seed=seed)
+    def found(
+        self, vm_count: int, seed: int, tolerated_losses: int = 1
+    ) -> deployment.Deployment:
+        group = deployment.Deployment(
+            vm_count, seed=seed, tolerated_losses=tolerated_losses
+        )
         group.advance(CATCH_UP_MS)
         self.assertTrue(group.commit(ACK_MS))
         return group
@@ -79,6 +83,20 @@
             group.advance(1_000)
             self.assertEqual(group.get_voter_names(), sorted(group.vms))
 
+    def test_two_vms_at_once_may_be_replaced_again_and_again(self) -> None:
+        """Lost voters stayed for 30 s in a group with an odd number of them."""
+        for vm_count in (5, 6, 8):
+            group = self.found(vm_count, seed=1, tolerated_losses=2)
+            for number in range(0, 12, 2):
+                for name in list(group.vms)[:2]:
+                    group.remove(name)
+                group.advance(ARRIVAL_MS)
+                for place in range(2):
+                    group.add(f"n{number + place}")
+                group.advance(CATCH_UP_MS)
+                self.assertTrue(group.commit(ACK_MS), f"{vm_count} VMs, {number}")
+            self.restart_all(group)
+
     def test_voter_that_is_lost_right_after_a_replacement_leaves_a_quorum(self) -> None:
         """The next VM is lost as soon as the pages allow it."""
         group = self.found(3, seed=2)
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -172,6 +172,7 @@
             rng,
             self.send,
             self.on_log_applied,
+            self.settings.tolerated_losses,
         )
 
     def on_log_applied(self) -> None:
--- a/packages/server/src/knapweedbeam_server/fleet/replicated_log.py
+++ b/packages/server/src/knapweedbeam_server/fleet/replicated_log.py
@@ -70,6 +70,7 @@
         rng: random.Random,
         send: Send,
         on_applied: collections.abc.Callable[[], None],
+        tolerated_losses: int = 1,
     ) -> None:
         self.name = name
         self.initial_names = initial_names
@@ -79,6 +80,7 @@
         self.rng = rng
         self.send = send
         self.on_applied = on_applied
+        self.tolerated_losses = tolerated_losses
         self.last_progress = (0, 0)
         self.machine = machine.DeploymentStateMachine()
         self.targets: frozenset[str] = frozenset(initial_names)
@@ -214,7 +216,9 @@
             return
         voters = {voter.name for voter in self.replica.wal.latest_members.voters}
         uptime_ms = self.clock.now_ms() - self.started_ms
-        names = choosing.find_targets(voters, self.initial_names, core_vms, uptime_ms)
+        names = choosing.find_targets(
+            voters, self.initial_names, core_vms, uptime_ms, self.tolerated_losses
+        )
         if names != self.targets:
             self.targets = names
             self.replica.set_targets(names)
--- a/packages/server/src/knapweedbeam_server/fleet/settings.py
+++ b/packages/server/src/knapweedbeam_server/fleet/settings.py
@@ -17,7 +17,8 @@
     an entry VM. `seeds` are addresses of links. `data_folder` is none if the process
     stores nothing. `is_first_start` means that the whole deployment starts for the
     first time, with empty data folders. With more than `endpoints_per_shard` endpoints
-    for each, several processes share the work of dispatching.
+    for each, several processes share the work of dispatching. `tolerated_losses` is
+    how many core VMs, or their disks, may be lost at the same time.
     """
 
     name: str
@@ -30,6 +31,7 @@
     link_key: bytes
     endpoint_bounds: attempt_tracker.ProtocolBounds
     endpoints_per_shard: int = sharding.ENDPOINTS_PER_SHARD
+    tolerated_losses: int = 1
 
 
 def split_address(address: str) -> tuple[str, int]:
