Avoid split votes, and start the next change of members at once

Cause: after the loss of a leader four voters count, three of which run, and all three votes are needed. Two candidates 10 ms apart split them, the next try came 1.3 s later, and the lost voter was still in the group when the next VM was lost 4 s after its predecessor's successor.

A replica that grants a pre-vote now leaves 300 to 600 ms for the election that follows, and a leader starts the next change of members when the last one is applied, not at its next heartbeat. Safety does not depend on either: votes and the order of changes are as before.

--- a/packages/core/src/knapweedbeam_core/log/election.py
+++ b/packages/core/src/knapweedbeam_core/log/election.py
@@ -9,6 +9,9 @@
 
 ELECTION_MIN_MS = 1_000
 ELECTION_MAX_MS = 2_000
+# A replica that grants a pre-vote leaves this time for the election that follows.
+GRANTED_MIN_MS = 300
+GRANTED_MAX_MS = 600
 
 
 class Election:
@@ -46,6 +49,11 @@
         self.leader_contact_ms = self.clock.now_ms()
         self.reset_timer()
 
+    def defer_to_candidate(self) -> None:
+        """Delay the own candidacy, as two at once would split the votes."""
+        wait_ms = self.rng.randint(GRANTED_MIN_MS, GRANTED_MAX_MS)
+        self.due_ms = max(self.due_ms, self.clock.now_ms() + wait_ms)
+
     def is_due(self) -> bool:
         """Return whether the election timeout has passed."""
         return self.clock.now_ms() >= self.due_ms
--- a/packages/core/src/knapweedbeam_core/log/replica.py
+++ b/packages/core/src/knapweedbeam_core/log/replica.py
@@ -225,7 +225,9 @@
         produced += self.advance_commit()
         if self.apply_committed() and self.leader_state is not None:
             # Replicas with a message in flight learn of the commit after their reply.
-            produced += self.leader_state.send_idle(self.clock.now_ms())
+            now_ms = self.clock.now_ms()
+            produced += self.change_members(self.leader_state, now_ms)
+            produced += self.leader_state.send_idle(now_ms)
         produced += self.compact()
         if (
             self.leader_state is not None
@@ -319,6 +321,8 @@
     def on_pre_vote(self, request: messages.PreVote) -> parts.Effects:
         """Reply whether this replica would vote for the sender."""
         granted = not self.has_leader() and self.election.is_up_to_date(request)
+        if granted:
+            self.election.defer_to_candidate()
         reply = messages.PreVoteReply(self.me, request.sender, request.term, granted)
         return [effects.Send(request.sender.name, reply)]
 
--- a/packages/core/tests/log/test_replacements.py
+++ b/packages/core/tests/log/test_replacements.py
@@ -97,6 +97,15 @@
                 self.assertTrue(group.commit(ACK_MS), f"{vm_count} VMs, {number}")
             self.restart_all(group)
 
+    def test_group_of_three_bears_the_loss_of_each_new_leader(self) -> None:
+        """Two candidates at once split the votes, and the lost voter stayed."""
+        for seed in range(1, 11):
+            group = self.found(3, seed)
+            for number in range(6):
+                leader = group.find_leader()
+                assert leader is not None, f"seed {seed}, loss {number}"
+                self.replace(group, leader.name, number, is_planned=False)
+
     def test_voter_that_is_lost_right_after_a_replacement_leaves_a_quorum(self) -> None:
         """The next VM is lost as soon as the pages allow it."""
         group = self.found(3, seed=2)
