--- a/packages/core/src/knapweedbeam_core/log/choosing.py
+++ b/packages/core/src/knapweedbeam_core/log/choosing.py
@@ -53,15 +53,11 @@
     """
     since_contact_ms = {each.name: each.since_contact_ms for each in control_vms}
     reachable = {
-        name
-        for name, age_ms in since_contact_ms.items()
-        if age_ms < UNRESPONSIVE_MS
+        name for name, age_ms in since_contact_ms.items() if age_ms < UNRESPONSIVE_MS
     }
     selected = set(voters)
     unresponsive = {
-        name
-        for name in selected
-        if since_contact_ms.get(name, 0) >= UNRESPONSIVE_MS
+        name for name in selected if since_contact_ms.get(name, 0) >= UNRESPONSIVE_MS
     }
     min_voters = max(MIN_VOTERS, 2 * tolerated_losses + 1)
     for name in sorted(unresponsive, key=lambda name: (-since_contact_ms[name], name)):
