Count crashes that a replaced dispatcher records late for its successor

Cause: a successor reads the crashes of a job when it opens it; one that the replaced dispatcher recorded after that ended the job in the log if it was the last one, but was not added to the task's history. So the second, still unexplained loss counted as the first.

test_crash_that_a_predecessor_records_late_counts_for_its_successor failed before ({} for {1: True}). Now each recorded or retracted crash updates its open task.

--- a/packages/core/src/knapweedbeam_core/pool/stored_scheduler.py
+++ b/packages/core/src/knapweedbeam_core/pool/stored_scheduler.py
@@ -326,9 +326,10 @@
         is_retracted: bool,
         local_ledger: ledger.Ledger,
     ) -> dispatcher.Effects:
-        """Close the jobs that the log ended with the crashes that it recorded."""
+        """Update the tasks that crashes concern, and close the jobs that these end."""
         produced: dispatcher.Effects = []
         for crash in counted:
+            self.update_history(crash, is_retracted)
             key = (crash.task, crash.number)
             record = self.unconfirmed_crashes.get(key)
             if record is not None and record.is_retracted == is_retracted:
@@ -339,6 +340,18 @@
                 produced += self.close_job(job_id)
         return produced
 
+    def update_history(self, crash: messages.TaskCrash, is_retracted: bool) -> None:
+        """Add a crash to its task or remove it; another dispatcher may have seen it."""
+        job = self.owner.jobs.get(jobs.get_key(crash.task))
+        task = job.find_task(crash.task) if job is not None else None
+        if task is None or not task.job.is_stored:
+            return
+        if is_retracted:
+            task.history.crashes.pop(crash.number, None)
+        else:
+            task.history.crashes[crash.number] = crash.is_early
+        task.history.is_suspect = bool(task.history.crashes)
+
     # Ends that endpoints list.
 
     def may_be_stored(self, end: calls.End) -> bool:
--- a/packages/core/tests/stored/test_stored_scheduler.py
+++ b/packages/core/tests/stored/test_stored_scheduler.py
@@ -436,6 +436,23 @@
         self.assertEqual(len(self.world.crashes), 2)
         self.assertEqual(self.world.get_state("j"), "failed")
 
+    def test_crash_that_a_predecessor_records_late_counts_for_its_successor(
+        self,
+    ) -> None:
+        self.world.store_job("j", (stored_simulation.build_step(1),))
+        while not self.world.crashes:
+            self.world.advance(5)
+        self.world.cut_from_log.add("a")
+        self.world.advance(1_500)
+        self.world.run(self.dispatcher, self.dispatcher.set_fence(0))
+        live = self.list_live()
+        successor = self.world.add_dispatcher("b", 11, known_endpoints=live)
+        self.world.advance(40)
+        self.world.cut_from_log.clear()
+        self.world.advance(600)
+        (task,) = successor.jobs["j"].tasks[0]
+        self.assertEqual(task.history.crashes, {1: True})
+
 
 class NextIncarnationTest(unittest.TestCase):
     def test_task_that_the_next_incarnation_has_done_is_not_started_again(self) -> None:
