Start adopted tasks early only where all endpoints of the former dispatcher are known

A process that started 4.7 s before its domain was cut off dispatched with 17 of 24 endpoints known. Most likely a cause of the many cases at once on the users' machines, which is suspected, not shown.

Cause: holds_all_endpoints took two announcement intervals of uptime for a proof that all endpoints are known. Time behind a cut proves nothing, nor does a start during one.

Entry VMs now tell a successor which dispatchers may have had a job. Each dispatcher lists the endpoints that it uses once a second, together with the speeds that it sent before. A successor starts an adopted task early only if it has a list of each former dispatcher, not older than 3 s, and knows and holds every endpoint on it; otherwise it waits for the leases, as it did for unreachable endpoints. Stored jobs use the same rule.

--- a/bench/pool/simulation.py
+++ b/bench/pool/simulation.py
@@ -24,6 +24,8 @@
 CRASH_DELAY_MS = 10
 RESTART_MS = 3_000
 ANNOUNCE_INTERVAL_MS = 1_500
+# Interval at which dispatchers list their endpoints to their possible successors.
+LIST_INTERVAL_MS = 1_000
 # Of the holds that were sent to an endpoint, the last ones may be open.
 MAX_OPEN_CALLS = 20
 BOUNDS = attempt_tracker.ProtocolBounds(LEASE_MS, STOP_MS, ANNOUNCE_INTERVAL_MS)
@@ -77,6 +79,12 @@
     ) -> dispatcher.Effects:
         """Handle the answer to a request for advice."""
 
+    def list_speeds(self) -> messages.SpeedsLearned:
+        """Return the endpoints that may run tasks, with their speeds."""
+
+    def on_speeds(self, sender: str, learned: messages.SpeedsLearned) -> None:
+        """Store another dispatcher's endpoints."""
+
     def get_placement_pause_ms(self) -> int:
         """Return how long the next placement should wait."""
 
@@ -317,6 +325,7 @@
         self.busy_until_ms = 0.0
         self.pending_ticks: set[str] = set()
         self.tick_due_ms = self.now_ms
+        self.lists_due_ms = self.now_ms
         self.drop_probability = 0.0
         self.allowed_endpoints: dict[str, set[str]] = {}
         self.advice_requests: list[calls.RequestAdvice] = []
@@ -411,6 +420,9 @@
             patience_ms,
             attempt_base,
             hand_in,
+            former=tuple(
+                each.name for each in self.dispatchers if each.name != to.name
+            ),
         )
         self.run(to, to.on_submit(ENTRY, submit))
 
@@ -683,7 +695,10 @@
         self.clock.advance(until_ms - self.now_ms)
 
     def tick(self) -> None:
-        """Expire leases and run the dispatchers' timers."""
+        """Expire leases, run the dispatchers' timers and exchange their lists."""
+        if self.now_ms >= self.lists_due_ms:
+            self.lists_due_ms = self.now_ms + LIST_INTERVAL_MS
+            self.exchange_lists()
         for endpoint in self.endpoints.values():
             endpoint.expire()
         for each in self.dispatchers:
@@ -691,6 +706,14 @@
                 self.pending_ticks.add(each.name)
                 self.occupy(functools.partial(self.tick_dispatcher, each))
 
+    def exchange_lists(self) -> None:
+        """Tell all dispatchers which endpoints each active one uses."""
+        for sender in self.dispatchers:
+            learned = sender.list_speeds()
+            for other in self.dispatchers:
+                if learned.speeds and other is not sender:
+                    other.on_speeds(sender.name, learned)
+
     def tick_dispatcher(self, each: dispatcher.Dispatcher) -> None:
         """Run a dispatcher's timers; the next tick comes only after this one."""
         self.pending_ticks.discard(each.name)
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -25,6 +25,7 @@
     log_events,
     messages,
     placing,
+    predecessors,
     recovery_steps,
     resources,
     stored_scheduler,
@@ -79,6 +80,7 @@
         self.stored_scheduler = stored_scheduler.StoredJobScheduler(self)
         self.advice_cache = advising.AdviceCache(self)
         self.crash_handler = crash_handler.CrashHandler(self)
+        self.predecessors = predecessors.Predecessors(timer)
         self.departures = departures.DepartureHandler(self)
         self.lost_entries: set[str] = set()
         self.task_starter = task_starter.TaskStarter(self)
@@ -187,6 +189,7 @@
     ) -> Effects:
         """Remove an endpoint and requeue the tasks that ran on it."""
         self.endpoints.pop(endpoint.announcement.endpoint, None)
+        self.predecessors.forget(endpoint.announcement.endpoint)
         endpoint.mark_changed()
         return self.lose_endpoint(endpoint, why, cause)
 
@@ -222,7 +225,7 @@
         ]
 
     def list_speeds(self) -> messages.SpeedsLearned:
-        """Return the measured speeds of all endpoints that have samples."""
+        """Return the endpoints that may run tasks, with their measured speeds."""
         return messages.SpeedsLearned(
             tuple(
                 messages.LearnedSpeed(
@@ -232,17 +235,20 @@
                     endpoint.speed.samples,
                 )
                 for endpoint in self.endpoints.values()
-                if endpoint.speed.samples
+                if endpoint.is_held or endpoint.attempts
             )
         )
 
-    def on_speeds(self, learned: messages.SpeedsLearned) -> None:
-        """Store the active dispatcher's speeds in case this process succeeds it."""
+    def on_speeds(self, sender: str, learned: messages.SpeedsLearned) -> None:
+        """Store another dispatcher's endpoints in case this process succeeds it."""
+        self.predecessors.record(sender, (each.endpoint for each in learned.speeds))
         if self.fence:
             return
         for sample in learned.speeds:
             endpoint = self.endpoints.get(sample.endpoint)
-            if endpoint is not None and endpoint.announcement.born_ms == sample.born_ms:
+            if endpoint is None or not sample.samples:
+                continue
+            if endpoint.announcement.born_ms == sample.born_ms:
                 endpoint.speed.restore(sample.speed, sample.samples)
                 endpoint.mark_changed()
 
@@ -264,6 +270,20 @@
             if endpoint.announcement.service == service
         )
 
+    def may_run_elsewhere(self, job: jobs.Job) -> bool:
+        """Return whether tasks of a job may run on endpoints that are not held here.
+
+        A former dispatcher may have started them. Its leases have expired once
+        `not_before_ms` has passed.
+        """
+        if self.clock.now_ms() >= job.not_before_ms:
+            return False
+        former = [name for name in job.former if name != self.name]
+        known = self.endpoints.keys()
+        return not self.holds_all_endpoints(
+            job.terms.service
+        ) or self.predecessors.find_unknown(former, known)
+
     def has_alternative(self, endpoint: endpoints.Endpoint, task: jobs.Task) -> bool:
         """Return whether an available endpoint is large enough and at least as fast."""
         return any(
@@ -396,6 +416,7 @@
             job.restore_crashes(ended.crashes)
         if submit.attempt_base:
             job.not_before_ms = now_ms + TAKEOVER_MS
+            job.former = submit.former or predecessors.UNKNOWN
         return job
 
     def on_withdraw(self, withdraw: messages.Withdraw) -> Effects:
--- a/packages/core/src/knapweedbeam_core/pool/jobs.py
+++ b/packages/core/src/knapweedbeam_core/pool/jobs.py
@@ -145,6 +145,7 @@
         self.is_lasting = any(step.is_lasting for step in steps)
         self.orphaned_ms = 0
         self.not_before_ms = 0
+        self.former: tuple[str, ...] = ()
         self.tasks: list[list[Task]] = [
             [
                 Task(self, number, index, f"{job_id}.{occurrence}.{number}.{index}")
--- a/packages/core/src/knapweedbeam_core/pool/messages.py
+++ b/packages/core/src/knapweedbeam_core/pool/messages.py
@@ -113,7 +113,7 @@
     dispatcher. `hand_in` is the same in all copies of one submission, and differs when
     the job is submitted again. `token` is the fencing token under which the receiver
     dispatches, as its sender knows it, 0 if it does not know. `crashes` are those that
-    earlier dispatchers counted.
+    earlier dispatchers counted, `former` the names of those that may have had the job.
     """
 
     job_id: str
@@ -126,6 +126,7 @@
     hand_in: int = 0
     token: int = 0
     crashes: tuple[TaskCrash, ...] = ()
+    former: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -177,7 +178,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LearnedSpeed:
-    """The measured speed of one incarnation of an endpoint; see `speeds.Speed`."""
+    """The measured speed of one incarnation of an endpoint; see `speeds.Speed`.
+
+    It counts for nothing without `samples`.
+    """
 
     endpoint: str
     born_ms: int
@@ -187,7 +191,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SpeedsLearned:
-    """The speeds of endpoints, sent by the dispatcher to its possible successors."""
+    """The endpoints that a dispatcher uses, with their speeds, for its successors."""
 
     speeds: tuple[LearnedSpeed, ...]
 
--- a/packages/core/src/knapweedbeam_core/pool/open_jobs.py
+++ b/packages/core/src/knapweedbeam_core/pool/open_jobs.py
@@ -69,7 +69,8 @@
     its token then.
     `dispatcher_count` counts the dispatchers that may have accepted the job,
     `send_count` the messages to the present one. `hand_in` distinguishes it from the
-    same job submitted again later. `crashes` are those that dispatchers reported.
+    same job submitted again later. `crashes` are those that dispatchers reported,
+    `former` the other dispatchers that may have accepted the job.
     """
 
     job_id: str
@@ -85,6 +86,12 @@
     send_count: int = 0
     hand_in: int = 0
     crashes: tuple[messages.TaskCrash, ...] = ()
+    former: tuple[str, ...] = ()
+
+    def leave_dispatcher(self) -> None:
+        """Record that the dispatcher that it was sent to may have accepted it."""
+        if self.sent_to and self.sent_to not in self.former:
+            self.former = (*self.former, self.sent_to)
 
 
 Effects = list[effects.Send | Settled]
@@ -132,6 +139,7 @@
         now_ms = self.clock.now_ms()
         target = self.find_target(job.job_id)
         if (job.sent_to, job.sent_token) != (target.name, target.token):
+            job.leave_dispatcher()
             job.dispatcher_count += 1
             job.send_count = 0
         job.send_count += 1
@@ -149,6 +157,7 @@
             job.hand_in,
             target.token,
             job.crashes,
+            job.former,
         )
         return [effects.Send(target.name, submit)]
 
@@ -230,10 +239,12 @@
         if job is None or job.sent_to != sender:
             return []
         if sender == self.find_target(job_id).name:
-            job.sent_to = ""
-            job.sent_ms = self.clock.now_ms()
             if job.send_count == 1:
                 job.dispatcher_count -= 1
+            else:
+                job.leave_dispatcher()
+            job.sent_to = ""
+            job.sent_ms = self.clock.now_ms()
         return []
 
     def tick(self) -> Effects:
--- a/packages/core/src/knapweedbeam_core/pool/shards.py
+++ b/packages/core/src/knapweedbeam_core/pool/shards.py
@@ -159,10 +159,15 @@
             )
         )
 
-    def on_speeds(self, learned: messages.SpeedsLearned) -> None:
-        """Store speeds that other dispatchers measured."""
-        for sample in learned.speeds:
-            self.find(sample.endpoint).on_speeds(messages.SpeedsLearned((sample,)))
+    def on_speeds(self, sender: str, learned: messages.SpeedsLearned) -> None:
+        """Store the endpoints of another dispatcher, each in its shard."""
+        for owner in self.dispatchers:
+            of_shard = tuple(
+                sample
+                for sample in learned.speeds
+                if self.find(sample.endpoint) is owner
+            )
+            owner.on_speeds(sender, messages.SpeedsLearned(of_shard))
 
     # Jobs.
 
--- a/packages/core/src/knapweedbeam_core/pool/stored_scheduler.py
+++ b/packages/core/src/knapweedbeam_core/pool/stored_scheduler.py
@@ -14,7 +14,14 @@
 
 import typing
 
-from knapweedbeam_core.pool import calls, endpoints, jobs, log_events, messages
+from knapweedbeam_core.pool import (
+    calls,
+    endpoints,
+    jobs,
+    log_events,
+    messages,
+    predecessors,
+)
 from knapweedbeam_core.stored import ledger
 from knapweedbeam_core.stored import messages as stored_messages
 
@@ -160,9 +167,11 @@
                 produced += self.add(job_id, entry)
         if term > 1:
             # An earlier dispatcher may run their tasks on unreachable endpoints.
+            former = self.owner.predecessors.list_fresh() or predecessors.UNKNOWN
             for job in self.owner.jobs.values():
                 if job.is_stored:
                     job.not_before_ms = self.active_since_ms + TAKEOVER_MS
+                    job.former = former
         self.forget_unclaimed_ends()
         count = sum(entry.is_open for entry in local_ledger.entries.values())
         return [log_events.StoredDispatchStarted(fence, term, count), *produced]
--- a/packages/core/src/knapweedbeam_core/pool/task_starter.py
+++ b/packages/core/src/knapweedbeam_core/pool/task_starter.py
@@ -125,8 +125,7 @@
         too_late: list[jobs.Job] = []
         produced: dispatcher.Effects = []
         for job in queueing.sort_jobs(queued, now_ms, best_speed):
-            is_early = now_ms < job.not_before_ms
-            if is_early and not self.owner.holds_all_endpoints(service):
+            if self.owner.may_run_elsewhere(job):
                 continue
             is_refusable = not job.was_started and not job.is_stored
             if is_refusable and queueing.is_too_late(job, now_ms, best_speed):
--- a/packages/core/tests/pool/test_dispatcher.py
+++ b/packages/core/tests/pool/test_dispatcher.py
@@ -526,7 +526,7 @@
             self.simulation.advance(150)
         self.simulation.advance(1_000)
         second = self.simulation.add_dispatcher("b", 0)
-        second.on_speeds(self.first.list_speeds())
+        second.on_speeds("a", self.first.list_speeds())
         self.simulation.run(self.first, self.first.set_fence(0))
         self.simulation.run(second, second.set_fence(11))
         self.simulation.advance(50)
@@ -539,10 +539,10 @@
     def test_speeds_of_other_incarnation_or_while_active_are_ignored(self) -> None:
         learned = messages.SpeedsLearned((messages.LearnedSpeed("e0", 2, 0.4, 9),))
         standby = self.simulation.add_dispatcher("b", 0)
-        standby.on_speeds(learned)
+        standby.on_speeds("a", learned)
         self.assertEqual(standby.endpoints["e0"].speed.samples, 0)
         known = messages.SpeedsLearned((messages.LearnedSpeed("e0", 1, 0.4, 9),))
-        self.first.on_speeds(known)
+        self.first.on_speeds("b", known)
         self.assertEqual(self.first.endpoints["e0"].speed.samples, 0)
 
     def test_unclaimed_attempts_are_stopped(self) -> None:
--- a/packages/core/tests/pool/test_open_jobs.py
+++ b/packages/core/tests/pool/test_open_jobs.py
@@ -93,6 +93,33 @@
         self.open_jobs.on_not_dispatching("a", "j")
         self.assertEqual(self.get_submits(self.follow("b")), [("b", 0)])
 
+    def get_former(self, produced: open_jobs.Effects) -> tuple[str, ...]:
+        (sent,) = produced
+        assert isinstance(sent, effects.Send)
+        assert isinstance(sent.message, messages.Submit)
+        return sent.message.former
+
+    def test_successor_is_told_who_may_have_had_the_job(self) -> None:
+        self.follow("a")
+        self.assertEqual(self.get_former(self.take()), ())
+        self.assertEqual(self.get_former(self.follow("b")), ("a",))
+        self.assertEqual(self.get_former(self.follow("c")), ("a", "b"))
+        self.assertEqual(self.get_former(self.follow("a")), ("a", "b", "c"))
+
+    def test_dispatcher_that_never_accepted_the_job_is_not_named(self) -> None:
+        self.follow("a")
+        self.take()
+        self.open_jobs.on_not_dispatching("a", "j")
+        self.assertEqual(self.get_former(self.follow("b")), ())
+
+    def test_dispatcher_that_gave_up_its_role_is_named(self) -> None:
+        self.follow("a")
+        self.take()
+        self.clock.advance(open_jobs.RESEND_MS)
+        self.open_jobs.tick()
+        self.open_jobs.on_not_dispatching("a", "j")
+        self.assertEqual(self.get_former(self.follow("b")), ("a",))
+
     def test_refusal_is_uncertain_if_job_may_have_been_accepted(self) -> None:
         self.follow("a")
         self.take()
--- a/packages/server/src/knapweedbeam_server/fleet/message_router.py
+++ b/packages/server/src/knapweedbeam_server/fleet/message_router.py
@@ -60,7 +60,7 @@
             case messages.EndpointNewsHeld():
                 self.node.announcement_forwarder.handle_acknowledgement(message)
             case messages.SpeedsLearned():
-                self.node.shards.on_speeds(message)
+                self.node.shards.on_speeds(sender, message)
             case messages.EndpointGone():
                 self.node.run(self.node.shards.on_endpoint_gone(message))
             case fleet_messages.ManifestWanted(held_version):
