Follow a start that may have reached the next incarnation of an endpoint

Cause: a start names the id, not the incarnation, so the next one accepts it. The dispatcher gave up all attempts of the former incarnation and started their tasks elsewhere; and a hold with the former one's places acknowledged, unread, the ends of the next.

Attempts that the former incarnation had not listed now move to the next one as uncertain: its lists show that they run or ended, or they are stopped there and then start elsewhere. Only then does the loss of the former incarnation count as a crash. After a failed call no end is acknowledged before the same incarnation has answered. Lists of an unannounced incarnation are not used; its announcement follows at its start.

--- a/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
+++ b/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
@@ -369,10 +369,8 @@
     ) -> dispatcher.Effects:
         """Handle the attempts that an endpoint lists as running and as ended."""
         produced: dispatcher.Effects = []
-        if answer.born_ms and answer.born_ms != endpoint.announcement.born_ms:
-            return self.owner.lose_endpoint(
-                endpoint, "answered as another incarnation", crashes.LossCause.CRASHED
-            )
+        if self.owner.rebirths.on_answer(endpoint, answer):
+            return []
         endpoint.record_reading(answer.reading)
         if not endpoint.is_held:
             produced.append(
@@ -541,6 +539,7 @@
         if failed.verdict == calls.Verdict.FENCED:
             return self.on_fenced(endpoint)
         endpoint.contact.record_failure(failed.verdict, self.waiting_ms)
+        endpoint.is_same_sure = False
         has_recent_lists = self.waiting_ms - endpoint.listed_ms < FRESH_LIST_MS
         if failed.verdict.may_have_arrived and has_recent_lists:
             return []
@@ -586,6 +585,8 @@
             cause = crashes.LossCause.UNEXPLAINED
             if endpoint.contact.state == contact.ContactState.ENDED:
                 cause = crashes.LossCause.REFUSING
+            if endpoint.has_answered_reborn:
+                cause = crashes.LossCause.CRASHED
             return self.owner.lose_endpoint(endpoint, "lease has run out", cause)
         if not endpoint.attempts and now_ms - endpoint.announced_ms > FORGET_MS:
             confirmed = self.owner.crash_handler.confirm(
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -26,6 +26,7 @@
     messages,
     placing,
     predecessors,
+    rebirths,
     recovery_steps,
     resources,
     stored_scheduler,
@@ -81,6 +82,7 @@
         self.advice_cache = advising.AdviceCache(self)
         self.crash_handler = crash_handler.CrashHandler(self)
         self.predecessors = predecessors.Predecessors(timer)
+        self.rebirths = rebirths.RebirthHandler(self)
         self.departures = departures.DepartureHandler(self)
         self.lost_entries: set[str] = set()
         self.task_starter = task_starter.TaskStarter(self)
@@ -140,7 +142,7 @@
         """Handle an endpoint's announcement.
 
         An older incarnation is ignored; a newer one replaces the endpoint, and the
-        attempts of the former incarnation are lost.
+        attempts of the former incarnation are lost, unless they may run on this one.
         """
         now_ms = self.clock.now_ms()
         current = self.endpoints.get(announcement.endpoint)
@@ -160,7 +162,9 @@
                 return [event]
             return self.poll(current)
         produced: Effects = []
+        unlisted: list[endpoints.Attempt] = []
         if current is not None:
+            unlisted = self.rebirths.take_unlisted(current, announcement)
             produced += self.lose_endpoint(current, "reborn", crashes.LossCause.CRASHED)
             produced += self.crash_handler.confirm(
                 current.announcement.endpoint, current.announcement.born_ms
@@ -172,6 +176,8 @@
         if current is not None:
             replacement.is_polled = current.is_polled
         self.endpoints[announcement.endpoint] = replacement
+        for attempt in unlisted:
+            replacement.add(attempt)
         produced.append(log_events.EndpointChanged(announcement.endpoint, "found"))
         return produced + self.poll(replacement)
 
@@ -575,7 +581,7 @@
     ) -> Effects:
         """Handle the result of a probe.
 
-        A failed probe is ignored unless the endpoint has a higher fencing token.
+        A failed probe says little unless the endpoint has a higher fencing token.
         """
         endpoint = self.find_endpoint(hold.target)
         if endpoint is None or hold.fence != self.fence:
@@ -583,6 +589,7 @@
         endpoint.open_probes = max(0, endpoint.open_probes - 1)
         if isinstance(answer, calls.HoldResult):
             return self.tracker.on_hold_result(endpoint, hold, answer)
+        endpoint.is_same_sure = False
         if answer.verdict == calls.Verdict.FENCED:
             return self.tracker.on_fenced(endpoint)
         return []
--- a/packages/core/src/knapweedbeam_core/pool/endpoints.py
+++ b/packages/core/src/knapweedbeam_core/pool/endpoints.py
@@ -9,6 +9,7 @@
     calls,
     clocks,
     contact,
+    crashes,
     endpoint_index,
     health,
     jobs,
@@ -39,7 +40,9 @@
     `stop_clock_ms` is the endpoint's clock when it accepted the stop, 0 until then.
     `began_clock_ms` is that clock when the endpoint accepted the start or first listed
     the attempt as running. `is_suspect` tells that an endpoint crashed under an earlier
-    attempt of the task.
+    attempt of the task, `is_listed` that this incarnation has listed this one as
+    running. `former_loss` is set while it is not known whether the start reached the
+    former incarnation or this one.
     """
 
     task: str
@@ -56,6 +59,8 @@
     began_clock_ms: int = 0
     is_overdue: bool = False
     is_suspect: bool = False
+    is_listed: bool = False
+    former_loss: crashes.Loss | None = None
 
 
 def build_target(announcement: messages.EndpointNews) -> calls.Target:
@@ -74,6 +79,8 @@
     newest lists. By the dispatcher's `waiting_clock`, `listed_ms` is when these
     arrived, and the answer to the open hold is due at `answer_due_ms`.
     `signed_off_ms` is when a sign-off was handled, 0 for none or a stale one.
+    `is_same_sure` is false once a call failed, until this incarnation answers again:
+    the next one may have started meanwhile. `has_answered_reborn` tells that it has.
     """
 
     def __init__(
@@ -106,6 +113,8 @@
         self.unacked_ends: dict[int, calls.End] = {}
         self.isolated_until_ms = 0
         self.signed_off_ms = 0
+        self.is_same_sure = True
+        self.has_answered_reborn = False
         self.lease_until_ms = 0
         self.reading: clocks.Reading | None = None
         self.speed = speeds.Speed()
@@ -118,7 +127,12 @@
 
     @property
     def acked_end(self) -> int:
-        """Return the place up to which the endpoint may forget its ends."""
+        """Return the place up to which the endpoint may forget its ends.
+
+        It is 0 if the next incarnation may answer, which counts its ends anew.
+        """
+        if not self.is_same_sure:
+            return 0
         return min(self.unacked_ends) - 1 if self.unacked_ends else self.last_seen_end
 
     @property
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/pool/rebirths.py
@@ -0,0 +1,78 @@
+"""Attempts whose start may have reached the next incarnation of an endpoint.
+
+A start names an endpoint and not its incarnation. If the endpoint starts again at the
+same address while a start is on its way, the next incarnation may run it. Such an
+attempt stays assigned until the lists of the next incarnation tell what became of it.
+"""
+
+from __future__ import annotations
+
+import typing
+
+from knapweedbeam_core.pool import calls, crash_handler, endpoints, messages
+
+if typing.TYPE_CHECKING:
+    from knapweedbeam_core.pool import dispatcher
+
+
+class RebirthHandler:
+    """The replaced incarnations of one dispatcher's endpoints."""
+
+    def __init__(self, owner: dispatcher.Dispatcher) -> None:
+        self.owner = owner
+
+    def take_unlisted(
+        self, former: endpoints.Endpoint, announcement: messages.EndpointNews
+    ) -> list[endpoints.Attempt]:
+        """Remove and return the attempts that the next incarnation may have started.
+
+        These are all that the former one has not listed, if the address is the same.
+        """
+        if former.announcement.address != announcement.address:
+            return []
+        unlisted = [each for each in former.attempts.values() if not each.is_listed]
+        for attempt in unlisted:
+            former.remove(attempt)
+            self.reset(former, attempt)
+        return unlisted
+
+    def reset(self, former: endpoints.Endpoint, attempt: endpoints.Attempt) -> None:
+        """Make an attempt uncertain; no time of the former incarnation counts."""
+        task = attempt.owner
+        is_leaving = former.announcement.state == messages.EndpointState.LEAVING
+        if task is not None and not is_leaving and not task.job.is_cancelled:
+            if crash_handler.may_have_run(former, attempt):
+                handler = self.owner.crash_handler
+                attempt.former_loss = handler.build_loss(former, attempt, task)
+        attempt.state = endpoints.AttemptState.UNCERTAIN
+        attempt.until_ms = 0
+        attempt.called_ms = self.owner.waiting_clock.now_ms()
+        attempt.stop_sent_ms = attempt.stop_clock_ms = attempt.began_clock_ms = 0
+
+    def on_answer(
+        self, endpoint: endpoints.Endpoint, answer: calls.HoldResult
+    ) -> bool:
+        """Return whether another incarnation answered, which is not used for now.
+
+        Its announcement follows; without one, the attempts end with their leases.
+        """
+        if not answer.born_ms or answer.born_ms == endpoint.announcement.born_ms:
+            endpoint.is_same_sure = True
+            return False
+        endpoint.is_held = endpoint.is_same_sure = False
+        endpoint.has_answered_reborn = True
+        endpoint.failed_polls += 1
+        return True
+
+    def drop(
+        self, endpoint: endpoints.Endpoint, attempt: endpoints.Attempt, why: str
+    ) -> dispatcher.Effects:
+        """Drop an attempt that does not run, and requeue its task.
+
+        If the former incarnation was lost under it, that counts as a crash.
+        """
+        produced = self.owner.tracker.drop_attempt(endpoint, attempt, why)
+        if attempt.former_loss is None:
+            return produced
+        name = endpoint.announcement.endpoint
+        return produced + self.owner.crash_handler.count([attempt.former_loss], name)
--- a/packages/core/src/knapweedbeam_core/pool/reconciler.py
+++ b/packages/core/src/knapweedbeam_core/pool/reconciler.py
@@ -54,6 +54,8 @@
             endpoints.AttemptState.UNCERTAIN,
         ):
             attempt.state = endpoints.AttemptState.RUNNING
+        attempt.is_listed = True
+        attempt.former_loss = None
         if not attempt.began_clock_ms:
             attempt.began_clock_ms = answer.reading.clock_ms
         if attempt.owner is not None:
@@ -131,6 +133,7 @@
             endpoints.AttemptState.UNCLAIMED,
             self.tracker.now_ms,
             called_ms=self.tracker.waiting_ms,
+            is_listed=True,
         )
         endpoint.add(attempt)
         job = self.tracker.owner.jobs.get(jobs.get_key(running.task))
@@ -157,7 +160,7 @@
         if attempt.stop_clock_ms:
             stopped_ms = attempt.stop_clock_ms + self.tracker.owner.bounds.stop_ms
             if clock_ms > stopped_ms + ROUNDING_MS:
-                return self.tracker.drop_attempt(endpoint, attempt, "stopped")
+                return self.tracker.owner.rebirths.drop(endpoint, attempt, "stopped")
         if attempt.until_ms and clock_ms > attempt.until_ms + ROUNDING_MS:
             return self.tracker.drop_attempt(endpoint, attempt, "never started")
         is_uncertain = attempt.state == endpoints.AttemptState.UNCERTAIN
