--- a/packages/core/src/knapweedbeam_core/pool/rebirths.py
+++ b/packages/core/src/knapweedbeam_core/pool/rebirths.py
@@ -49,9 +49,7 @@
         attempt.called_ms = self.owner.waiting_clock.now_ms()
         attempt.stop_sent_ms = attempt.stop_clock_ms = attempt.began_clock_ms = 0
 
-    def on_answer(
-        self, endpoint: endpoints.Endpoint, answer: calls.HoldResult
-    ) -> bool:
+    def on_answer(self, endpoint: endpoints.Endpoint, answer: calls.HoldResult) -> bool:
         """Return whether another incarnation answered, which is not used for now.
 
         Its announcement follows; without one, the attempts end with their leases.
--- a/packages/core/tests/pool/test_rebirths.py
+++ b/packages/core/tests/pool/test_rebirths.py
@@ -20,9 +20,7 @@
         if not endpoint.is_unresponsive:
             super().crash(endpoint, task)
             self.schedule_after(QUICK_RESTART_MS, lambda: revive(endpoint))
-            self.schedule_after(
-                QUICK_RESTART_MS + 10, lambda: announce(self, endpoint)
-            )
+            self.schedule_after(QUICK_RESTART_MS + 10, lambda: announce(self, endpoint))
 
 
 def revive(endpoint: simulation.FakeEndpoint) -> None:
