--- a/packages/core/src/knapweedbeam_core/pool/rebirths.py
+++ b/packages/core/src/knapweedbeam_core/pool/rebirths.py
@@ -9,7 +9,13 @@
 
 import typing
 
-from knapweedbeam_core.pool import calls, crash_handler, endpoints, messages
+from knapweedbeam_core.pool import (
+    calls,
+    crash_handler,
+    crashes,
+    endpoints,
+    messages,
+)
 
 if typing.TYPE_CHECKING:
     from knapweedbeam_core.pool import dispatcher
@@ -38,12 +44,7 @@
 
     def reset(self, former: endpoints.Endpoint, attempt: endpoints.Attempt) -> None:
         """Make an attempt uncertain; no time of the former incarnation counts."""
-        task = attempt.owner
-        is_leaving = former.announcement.state == messages.EndpointState.LEAVING
-        if task is not None and not is_leaving and not task.job.is_cancelled:
-            if crash_handler.may_have_run(former, attempt):
-                handler = self.owner.crash_handler
-                attempt.former_loss = handler.build_loss(former, attempt, task)
+        attempt.former_loss = self.find_loss(former, attempt)
         attempt.state = endpoints.AttemptState.UNCERTAIN
         attempt.until_ms = 0
         attempt.called_ms = self.owner.waiting_clock.now_ms()
