--- a/packages/core/src/knapweedbeam_core/pool/rebirths.py
+++ b/packages/core/src/knapweedbeam_core/pool/rebirths.py
@@ -50,6 +50,18 @@
         attempt.called_ms = self.owner.waiting_clock.now_ms()
         attempt.stop_sent_ms = attempt.stop_clock_ms = attempt.began_clock_ms = 0
 
+    def find_loss(
+        self, former: endpoints.Endpoint, attempt: endpoints.Attempt
+    ) -> crashes.Loss | None:
+        """Return the loss that may have been a crash of the former incarnation."""
+        task = attempt.owner
+        is_leaving = former.announcement.state == messages.EndpointState.LEAVING
+        if task is None or is_leaving or task.job.is_cancelled:
+            return None
+        if not crash_handler.may_have_run(former, attempt):
+            return None
+        return self.owner.crash_handler.build_loss(former, attempt, task)
+
     def on_answer(self, endpoint: endpoints.Endpoint, answer: calls.HoldResult) -> bool:
         """Return whether another incarnation answered, which is not used for now.
 
