--- a/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
@@ -69,6 +69,7 @@
   handIn @7 :Int64;
   token @8 :Int64;
   crashes @9 :List(TaskCrash);
+  former @10 :List(Text);
 }
 
 struct TaskCrash {
