--- a/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
+++ b/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
@@ -539,7 +539,7 @@
         if failed.verdict == calls.Verdict.FENCED:
             return self.on_fenced(endpoint)
         endpoint.contact.record_failure(failed.verdict, self.waiting_ms)
-        endpoint.is_same_sure = False
+        endpoint.is_incarnation_sure = False
         has_recent_lists = self.waiting_ms - endpoint.listed_ms < FRESH_LIST_MS
         if failed.verdict.may_have_arrived and has_recent_lists:
             return []
@@ -585,7 +585,7 @@
             cause = crashes.LossCause.UNEXPLAINED
             if endpoint.contact.state == contact.ContactState.ENDED:
                 cause = crashes.LossCause.REFUSING
-            if endpoint.has_answered_reborn:
+            if endpoint.was_replaced:
                 cause = crashes.LossCause.CRASHED
             return self.owner.lose_endpoint(endpoint, "lease has run out", cause)
         if not endpoint.attempts and now_ms - endpoint.announced_ms > FORGET_MS:
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -288,7 +288,7 @@
         known = self.endpoints.keys()
         return not self.holds_all_endpoints(
             job.terms.service
-        ) or self.predecessors.find_unknown(former, known)
+        ) or self.predecessors.may_miss_endpoints(former, known)
 
     def has_alternative(self, endpoint: endpoints.Endpoint, task: jobs.Task) -> bool:
         """Return whether an available endpoint is large enough and at least as fast."""
@@ -589,7 +589,7 @@
         endpoint.open_probes = max(0, endpoint.open_probes - 1)
         if isinstance(answer, calls.HoldResult):
             return self.tracker.on_hold_result(endpoint, hold, answer)
-        endpoint.is_same_sure = False
+        endpoint.is_incarnation_sure = False
         if answer.verdict == calls.Verdict.FENCED:
             return self.tracker.on_fenced(endpoint)
         return []
--- a/packages/core/src/knapweedbeam_core/pool/endpoints.py
+++ b/packages/core/src/knapweedbeam_core/pool/endpoints.py
@@ -79,8 +79,8 @@
     newest lists. By the dispatcher's `waiting_clock`, `listed_ms` is when these
     arrived, and the answer to the open hold is due at `answer_due_ms`.
     `signed_off_ms` is when a sign-off was handled, 0 for none or a stale one.
-    `is_same_sure` is false once a call failed, until this incarnation answers again:
-    the next one may have started meanwhile. `has_answered_reborn` tells that it has.
+    `is_incarnation_sure` is false once a call failed, until this incarnation answers
+    again: the next one may have started meanwhile. `was_replaced` tells that it has.
     """
 
     def __init__(
@@ -113,8 +113,8 @@
         self.unacked_ends: dict[int, calls.End] = {}
         self.isolated_until_ms = 0
         self.signed_off_ms = 0
-        self.is_same_sure = True
-        self.has_answered_reborn = False
+        self.is_incarnation_sure = True
+        self.was_replaced = False
         self.lease_until_ms = 0
         self.reading: clocks.Reading | None = None
         self.speed = speeds.Speed()
@@ -131,7 +131,7 @@
 
         It is 0 if the next incarnation may answer, which counts its ends anew.
         """
-        if not self.is_same_sure:
+        if not self.is_incarnation_sure:
             return 0
         return min(self.unacked_ends) - 1 if self.unacked_ends else self.last_seen_end
 
--- a/packages/core/src/knapweedbeam_core/pool/predecessors.py
+++ b/packages/core/src/knapweedbeam_core/pool/predecessors.py
@@ -48,7 +48,7 @@
         for used in self.lists.values():
             used.names.discard(endpoint)
 
-    def find_unknown(
+    def may_miss_endpoints(
         self, former: collections.abc.Iterable[str], known: collections.abc.Set[str]
     ) -> bool:
         """Return whether a former dispatcher may have used an endpoint not in `known`.
--- a/packages/core/src/knapweedbeam_core/pool/rebirths.py
+++ b/packages/core/src/knapweedbeam_core/pool/rebirths.py
@@ -68,10 +68,10 @@
         Its announcement follows; without one, the attempts end with their leases.
         """
         if not answer.born_ms or answer.born_ms == endpoint.announcement.born_ms:
-            endpoint.is_same_sure = True
+            endpoint.is_incarnation_sure = True
             return False
-        endpoint.is_held = endpoint.is_same_sure = False
-        endpoint.has_answered_reborn = True
+        endpoint.is_held = endpoint.is_incarnation_sure = False
+        endpoint.was_replaced = True
         endpoint.failed_polls += 1
         return True
 
--- a/packages/core/tests/pool/test_predecessors.py
+++ b/packages/core/tests/pool/test_predecessors.py
@@ -12,28 +12,28 @@
         self.lists = predecessors.Predecessors(self.clock)
         self.lists.record("a", ("e0", "e1"))
 
-    def find_unknown(self, *former: str, known: str = "e0 e1 e2") -> bool:
-        return self.lists.find_unknown(former, set(known.split()))
+    def may_miss_endpoints(self, *former: str, known: str = "e0 e1 e2") -> bool:
+        return self.lists.may_miss_endpoints(former, set(known.split()))
 
     def test_all_endpoints_of_a_former_dispatcher_are_known(self) -> None:
-        self.assertFalse(self.find_unknown("a"))
-        self.assertFalse(self.find_unknown())
+        self.assertFalse(self.may_miss_endpoints("a"))
+        self.assertFalse(self.may_miss_endpoints())
 
     def test_endpoint_of_a_former_dispatcher_is_unknown(self) -> None:
-        self.assertTrue(self.find_unknown("a", known="e0 e2"))
+        self.assertTrue(self.may_miss_endpoints("a", known="e0 e2"))
 
     def test_dispatcher_without_a_list_may_have_used_any_endpoint(self) -> None:
-        self.assertTrue(self.find_unknown("a", "b"))
-        self.assertTrue(self.find_unknown(*predecessors.UNKNOWN))
+        self.assertTrue(self.may_miss_endpoints("a", "b"))
+        self.assertTrue(self.may_miss_endpoints(*predecessors.UNKNOWN))
 
     def test_old_list_proves_nothing(self) -> None:
         self.clock.advance(predecessors.FRESH_MS + 1)
-        self.assertTrue(self.find_unknown("a"))
+        self.assertTrue(self.may_miss_endpoints("a"))
         self.assertEqual(self.lists.list_fresh(), ())
 
     def test_endpoint_that_ended_need_not_be_known(self) -> None:
         self.lists.forget("e1")
-        self.assertFalse(self.find_unknown("a", known="e0"))
+        self.assertFalse(self.may_miss_endpoints("a", known="e0"))
 
     def test_old_lists_are_dropped(self) -> None:
         self.clock.advance(predecessors.FRESH_MS + 1)
