Let the owners of shards notice a lost entry VM as soon as its successor assumes

The lead noticed its entry VMs after 0.45 s; core-latacunga-a-2, an owner of a shard that is not the lead, gets their heartbeats at the slow rate and would have noticed after 2.25 s. Until then it started their lost tasks again (39.45 s) and let them run. The dispatcher inside the domain had the jobs from 39.02 s and waited for TAKEOVER_MS, 1.8 s, which assumes a loss noticed within 0.5 s: its starts at 40.87 s met runs that ended at 40.98 and were stopped at 41.16 s. Deployments with one dispatcher are not concerned, as entry VMs send to the lead at the fast rate.

Owners now ask entry VMs with open jobs that were silent for 0.8 s, which answer at once or count as lost 0.3 s later. So the jobs end some 1.9 s after a cut, and a successor, which gets them 0.35 s or more after it, starts nothing before 2.15 s. Ruled out: fast heartbeats from each entry VM to each owner (42 entry VMs and 8 core VMs: 3,360 messages a second).

--- a/packages/core/src/knapweedbeam_core/fleet/participant.py
+++ b/packages/core/src/knapweedbeam_core/fleet/participant.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import collections.abc
 import dataclasses
 
 from knapweedbeam_core import clock, effects
 from knapweedbeam_core.fleet import dispatcher_role, heartbeats, membership, messages
 
+# An owner of a shard that is not the lead gets slow heartbeats from entry VMs. It asks
+# those with open jobs earlier, as a successor waits only so long for it to stop these:
+# see `dispatcher.TAKEOVER_MS`.
+SILENT_ENTRY_MS = 800
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Update:
@@ -92,6 +98,19 @@
             return self.target
         return self.members.find_relay() or self.target
 
+    def ask_silent(self, names: collections.abc.Iterable[str]) -> None:
+        """Ask those of the entry VMs `names` that have been silent for a while."""
+        for name in names:
+            member = self.members.members.get(name)
+            if (
+                member is None
+                or not member.is_responsive
+                or member.asked_ms is not None
+            ):
+                continue
+            if self.members.get_silence_ms(member) > SILENT_ENTRY_MS:
+                self.heartbeats.ask(name)
+
     def build_heartbeats(
         self, own: messages.Presence, has_open_jobs: bool
     ) -> list[effects.Send]:
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -46,8 +46,9 @@
 RETENTION_MS = 15_000
 MAX_ENDED_JOBS = 50_000
 # A job taken over from another dispatcher may still run on endpoints that this one
-# cannot reach. The other dispatcher detects the loss of the entry VM within 0.5 s and
-# stops the job after `ORPHAN_GRACE_MS`; otherwise its leases of 1 s expire.
+# cannot reach. The other dispatcher detects the loss of the entry VM within 1.2 s and
+# stops the job after `ORPHAN_GRACE_MS`; otherwise its leases of 1 s expire. The entry
+# VM itself needs 0.35 s or more to send the job here.
 TAKEOVER_MS = 1_800
 # All endpoints count as known after this many announcement intervals. One is not
 # enough: an announcement may be lost with its link.
--- a/packages/core/src/knapweedbeam_core/pool/shards.py
+++ b/packages/core/src/knapweedbeam_core/pool/shards.py
@@ -183,6 +183,15 @@
             for effect in owner.on_withdraw(withdraw)
         ]
 
+    def list_entries(self) -> set[str]:
+        """Return the entry VMs that have open jobs here."""
+        return {
+            job.entry
+            for owner in self.list_active()
+            for job in owner.jobs.values()
+            if job.entry
+        }
+
     def on_entry_lost(self, entry: str) -> dispatcher.Effects:
         """Stop starting tasks for an unresponsive entry VM."""
         return [
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -53,6 +53,8 @@
 # A start and its end wait for the loop once each, and objectives allow about 100 ms in
 # addition to the work.
 LOGGED_LAG_MS = 50
+# A fraction of the silence after which an entry VM with open jobs is asked.
+ENTRY_CHECK_INTERVAL_MS = 100
 # Speeds change within seconds; a message takes about 40 bytes for each endpoint.
 SPEEDS_INTERVAL_MS = 1_000
 # A lost peer must be noticed within half a second: see `membership.UNRESPONSIVE_MS`.
@@ -158,6 +160,7 @@
         self.links_due_ms = 0
         self.linked_version = -1
         self.speeds_due_ms = 0
+        self.entries_due_ms = 0
 
     def build_log(self, rng: random.Random) -> replicated_log.ReplicatedLog | None:
         """Return this process's replica of the log, none without a data folder."""
@@ -316,6 +319,9 @@
         for member in update.silent:
             self.handle_silent(member)
         self.follow(update)
+        if now_ms >= self.entries_due_ms:
+            self.entries_due_ms = now_ms + ENTRY_CHECK_INTERVAL_MS
+            self.participant.ask_silent(self.shards.list_entries())
         self.send_heartbeats()
         self.run(self.shards.tick())
         self.run(self.open_jobs.tick())
