Take no sign-off for the end of an endpoint whose lists were not read

Cause: a draining endpoint without known attempts was removed at once. A dispatcher that has just taken over knows of no attempts before it has read the endpoint's lists, and a standby never does; with the endpoint its name left the lists of former dispatchers as well, so that nothing made the successor wait.

Only an endpoint that is held, or that this process does not dispatch on, is removed at once, and only a held one is dropped from the lists of former dispatchers. An endpoint that has really left is removed at the first poll that fails.

test_late_sign_off_after_a_takeover_starts_no_task_that_still_runs ('j0.0.0.0 runs twice') and test_standby_that_removes_a_draining_endpoint_still_misses_it failed before. Two tests are new that passed before: a repeated sign-off, a late announcement of the former incarnation.

--- a/packages/core/src/knapweedbeam_core/pool/departures.py
+++ b/packages/core/src/knapweedbeam_core/pool/departures.py
@@ -27,13 +27,15 @@
     def on_gone(self, gone: messages.EndpointGone) -> dispatcher.Effects:
         """Handle a sign-off, unless a newer incarnation of the endpoint is known.
 
-        An endpoint that had announced its departure is removed once it has no attempts.
-        Any other gets no tasks until it answers again, which proves the sign-off stale.
+        An endpoint that had announced its departure is removed if it runs nothing, which
+        an active dispatcher knows from its lists. Any other gets no tasks until it answers
+        again, which proves the sign-off stale.
         """
         endpoint = self.owner.endpoints.get(gone.endpoint)
         if endpoint is None or endpoint.announcement.born_ms > gone.born_ms > 0:
             return []
-        if is_leaving(endpoint) and not endpoint.attempts:
+        is_idle = not endpoint.attempts and (endpoint.is_held or not self.owner.fence)
+        if is_leaving(endpoint) and is_idle:
             return self.remove(endpoint)
         endpoint.signed_off_ms = self.owner.clock.now_ms()
         return [log_events.EndpointChanged(gone.endpoint, "signed off")]
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -194,9 +194,13 @@
     def remove_endpoint(
         self, endpoint: endpoints.Endpoint, why: str, cause: crashes.LossCause
     ) -> Effects:
-        """Remove an endpoint and requeue the tasks that ran on it."""
+        """Remove an endpoint and requeue the tasks that ran on it.
+
+        What ran on an endpoint that is not held is unknown.
+        """
         self.endpoints.pop(endpoint.announcement.endpoint, None)
-        self.predecessors.forget(endpoint.announcement.endpoint)
+        if endpoint.is_held:
+            self.predecessors.forget(endpoint.announcement.endpoint)
         endpoint.mark_changed()
         return self.lose_endpoint(endpoint, why, cause)
 
--- a/packages/core/tests/pool/test_departures.py
+++ b/packages/core/tests/pool/test_departures.py
@@ -89,6 +89,49 @@
         self.assertEqual(set(ends), {"JobComplete"})
         self.assertEqual(self.simulation.reported_crashes, {})
 
+    def test_late_sign_off_after_a_takeover_starts_no_task_that_still_runs(
+        self,
+    ) -> None:
+        """The successor has not read the lists of the draining endpoint yet."""
+        self.submit(work_ms=900)
+        running = sorted(self.endpoint.running_attempts)
+        for name in self.simulation.endpoints:
+            self.simulation.cut_links.add(("a", name))
+        self.announce(messages.EndpointState.LEAVING)
+        self.simulation.add_endpoint("idle")
+        successor = self.simulation.add_dispatcher("b", 11)
+        successor.on_speeds("a", self.dispatcher.list_speeds())
+        leaving = self.endpoint.build_announcement(messages.EndpointState.LEAVING)
+        self.simulation.run(successor, successor.on_announcement(leaving))
+        gone = messages.EndpointGone(NAME, 0)
+        self.simulation.run(successor, successor.on_endpoint_gone(gone))
+        for number in range(8):
+            job_id = f"j{number}"
+            self.simulation.submit(successor, job_id, 1, 900, attempt_base=100)
+        self.simulation.advance(600)
+        started = {start.task for _, _, start in self.simulation.starts[8:]}
+        self.assertEqual(started & set(running), set())
+
+    def test_standby_that_removes_a_draining_endpoint_still_misses_it(self) -> None:
+        """Its dispatcher lists the endpoint, so that a successor waits."""
+        standby = self.simulation.add_dispatcher("b", 0)
+        standby.on_speeds("a", self.dispatcher.list_speeds())
+        leaving = self.endpoint.build_announcement(messages.EndpointState.LEAVING)
+        standby.on_announcement(leaving)
+        standby.on_endpoint_gone(messages.EndpointGone(NAME, 0))
+        known = standby.endpoints.keys()
+        self.assertTrue(standby.predecessors.may_miss_endpoints(("a",), known))
+
+    def test_repeated_sign_off_changes_nothing(self) -> None:
+        self.submit(work_ms=700)
+        for _ in range(3):
+            self.sign_off()
+            self.simulation.advance(200)
+        self.simulation.advance(1_500)
+        self.assertEqual(len(self.simulation.starts), 8)
+        self.assertFalse(self.endpoint.is_unresponsive)
+        self.assertIn(NAME, self.dispatcher.endpoints)
+
     def test_sign_off_of_an_unknown_endpoint_is_ignored(self) -> None:
         gone = messages.EndpointGone("unknown", 0)
         self.assertEqual(self.dispatcher.on_endpoint_gone(gone), [])
--- a/packages/core/tests/pool/test_rebirths.py
+++ b/packages/core/tests/pool/test_rebirths.py
@@ -93,6 +93,19 @@
         self.world.advance(1_000)
         self.assertEqual(self.world.get_outcome("j"), "JobComplete")
 
+    def test_late_announcement_of_the_former_incarnation_starts_nothing(self) -> None:
+        self.world.submit(self.dispatcher, "j", work_ms=700)
+        self.world.advance(50)
+        endpoint = self.world.endpoints[self.world.starts[0][1]]
+        late = endpoint.build_announcement()
+        endpoint.born_ms += 1
+        announce(self.world, endpoint)
+        starts = len(self.world.starts)
+        self.world.run(self.dispatcher, self.dispatcher.on_announcement(late))
+        known = self.dispatcher.endpoints[endpoint.name]
+        self.assertEqual(known.announcement.born_ms, endpoint.born_ms)
+        self.assertEqual(len(self.world.starts), starts)
+
     def test_crashes_before_the_first_list_are_counted(self) -> None:
         """Else a deadly task would crash endpoints that return at once without end."""
         self.world.deadly_tasks.add("j.0.0.0")
