--- a/packages/core/src/knapweedbeam_core/pool/shards.py
+++ b/packages/core/src/knapweedbeam_core/pool/shards.py
@@ -160,14 +160,18 @@
         )
 
     def on_speeds(self, sender: str, learned: messages.SpeedsLearned) -> None:
-        """Store the endpoints of another dispatcher, each in its shard."""
+        """Store the endpoints of another dispatcher, each in its shard.
+
+        A shard that it names no endpoint of keeps its last list: tasks may still run.
+        """
         for owner in self.dispatchers:
             of_shard = tuple(
                 sample
                 for sample in learned.speeds
                 if self.find(sample.endpoint) is owner
             )
-            owner.on_speeds(sender, messages.SpeedsLearned(of_shard))
+            if of_shard:
+                owner.on_speeds(sender, messages.SpeedsLearned(of_shard))
 
     # Jobs.
 
--- a/packages/core/tests/pool/test_shards.py
+++ b/packages/core/tests/pool/test_shards.py
@@ -182,6 +182,16 @@
         self.assertEqual(process.find("i-3").endpoints["i-3"].speed.value, 0.5)
         self.assertEqual(process.find("i-4").endpoints["i-4"].health.faults, 1)
 
+    def test_owner_that_gave_up_a_shard_may_still_have_used_its_endpoints(self) -> None:
+        """Its next list names none of them; a task may run on one all the same."""
+        process = Owners(1).processes["b"]
+        process.set_tokens(2, {})
+        used = messages.LearnedSpeed("i-3", 1, 1.0, 0)
+        process.on_speeds("x", messages.SpeedsLearned((used,)))
+        process.on_speeds("x", messages.SpeedsLearned(()))
+        predecessors = process.find("i-3").predecessors
+        self.assertTrue(predecessors.may_miss_endpoints(("x",), set()))
+
 
 if __name__ == "__main__":
     unittest.main()
