--- a/packages/core/src/knapweedbeam_core/pool/departures.py
+++ b/packages/core/src/knapweedbeam_core/pool/departures.py
@@ -27,9 +27,9 @@
     def on_gone(self, gone: messages.EndpointGone) -> dispatcher.Effects:
         """Handle a sign-off, unless a newer incarnation of the endpoint is known.
 
-        An endpoint that had announced its departure is removed if it runs nothing, which
-        an active dispatcher knows from its lists. Any other gets no tasks until it answers
-        again, which proves the sign-off stale.
+        An endpoint that had announced its departure is removed if it runs nothing,
+        which an active dispatcher knows from its lists. Any other gets no tasks until
+        it answers again, which proves the sign-off stale.
         """
         endpoint = self.owner.endpoints.get(gone.endpoint)
         if endpoint is None or endpoint.announcement.born_ms > gone.born_ms > 0:
--- a/packages/core/tests/pool/test_rebirths.py
+++ b/packages/core/tests/pool/test_rebirths.py
@@ -93,7 +93,7 @@
         self.world.advance(1_000)
         self.assertEqual(self.world.get_outcome("j"), "JobComplete")
 
-    def test_late_announcement_of_the_former_incarnation_starts_nothing(self) -> None:
+    def test_late_announcement_of_the_former_incarnation_is_ignored(self) -> None:
         self.world.submit(self.dispatcher, "j", work_ms=700)
         self.world.advance(50)
         endpoint = self.world.endpoints[self.world.starts[0][1]]
