--- a/packages/core/tests/log/deployment.py
+++ b/packages/core/tests/log/deployment.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import dataclasses
 import random
 
+from control import cluster
+
 from knapweedbeam_core import clock, effects
 from knapweedbeam_core.entry import parts
-from knapweedbeam_core.log import choosing, records, replica
+from knapweedbeam_core.log import choosing, members, replica
 
 STEP_MS = 10
 UPDATE_MS = 200
@@ -33,36 +34,14 @@
         self.commands = state.split(b"\n") if state else []
 
 
-@dataclasses.dataclass
-class Disk:
-    """Synced records, and batches that are lost with the power."""
-
-    identity: str
-    records: list[bytes] = dataclasses.field(default_factory=list)
-    snapshot: bytes = b""
-    snapshot_index: int = 0
-    pending: list[tuple[int, parts.Persist]] = dataclasses.field(default_factory=list)
-
-    def load(self) -> records.RestoredState:
-        return records.RestoredState(
-            self.identity, self.snapshot, self.snapshot_index, tuple(self.records)
-        )
-
-    def sync(self, persist: parts.Persist) -> None:
-        if persist.snapshot:
-            self.snapshot = persist.snapshot
-            self.snapshot_index = persist.snapshot_index
-            self.records = []
-        self.records += persist.records
-
-
 class ControlVm:
     """One control VM; `heard_ms` is when it last heard each of the others."""
 
     def __init__(self, name: str, initial_names: tuple[str, ...]) -> None:
         self.name = name
         self.initial_names = initial_names
-        self.disk = Disk(f"disk of {name}")
+        self.id = members.ReplicaId(name, f"disk of {name}")
+        self.disk = cluster.Disk(self.id.identity)
         self.machine = CommandList()
         self.replica: replica.Replica | None = None
         self.started_ms = 0
@@ -78,7 +57,7 @@
     """Control VMs in virtual time, which fail, return and are replaced.
 
     The first `founder_count` of them found the log; `committed` are the commands that a
-    leader has acknowledged.
+    leader has acknowledged. The VMs in `cut_off` hear only each other.
     """
 
     def __init__(
@@ -94,6 +73,7 @@
         self.vms: dict[str, ControlVm] = {}
         self.messages: list[tuple[int, str, str, effects.Message]] = []
         self.committed: list[bytes] = []
+        self.cut_off: frozenset[str] = frozenset()
         self.proposed = 0
         self.update_due_ms = 0
         founders = tuple(f"v{number}" for number in range(founder_count))
@@ -117,7 +97,7 @@
         vm.heard_ms = {}
         vm.machine = CommandList()
         vm.replica = replica.Replica(
-            vm.disk.identity and self.get_id(vm),
+            vm.id,
             vm.initial_names,
             vm.disk.load(),
             vm.machine,
@@ -125,22 +105,26 @@
             random.Random(self.rng.random()),
         )
 
-    def get_id(self, vm: ControlVm) -> replica.members.ReplicaId:
-        """Return the identity of a VM's replica."""
-        return replica.members.ReplicaId(vm.name, vm.disk.identity)
-
     def kill(self, *names: str) -> None:
         """Cut the power of VMs: what was not synced is lost."""
         for name in names:
             vm = self.vms[name]
             vm.replica = None
-            vm.disk.pending.clear()
+            vm.disk.crash(self.rng)
 
     def remove(self, name: str) -> None:
         """Remove a VM for good."""
         self.kill(name)
         del self.vms[name]
 
+    def cut(self, *names: str) -> None:
+        """Cut VMs off from all others, or end the cut if none is named."""
+        self.cut_off = frozenset(names)
+
+    def is_connected(self, name: str, other: str) -> bool:
+        """Return whether two VMs hear each other."""
+        return (name in self.cut_off) == (other in self.cut_off)
+
     def get_running(self) -> list[ControlVm]:
         """Return the VMs that run."""
         return [vm for vm in self.vms.values() if vm.replica is not None]
@@ -201,7 +185,8 @@
         """Tell a replica which control VMs should replicate the log."""
         assert vm.replica is not None
         for other in self.get_running():
-            if self.now_ms - max(other.started_ms, vm.started_ms) >= DISCOVERY_MS:
+            is_known = self.now_ms - max(other.started_ms, vm.started_ms) > DISCOVERY_MS
+            if is_known and self.is_connected(vm.name, other.name):
                 vm.heard_ms[other.name] = self.now_ms
         vm.heard_ms[vm.name] = self.now_ms
         contacts = [
@@ -219,13 +204,15 @@
     def deliver(self, sender: str, to: str, message: effects.Message) -> None:
         """Deliver a message if its receiver runs."""
         vm = self.vms.get(to)
-        if vm is not None and vm.replica is not None and sender in self.vms:
+        if vm is None or not self.is_connected(sender, to):
+            return
+        if vm.replica is not None:
             self.carry_out(vm, vm.replica.on_message(message))  # type: ignore[arg-type]
 
     def finish_syncs(self, vm: ControlVm) -> None:
         """Complete the writes whose sync is over."""
-        while vm.disk.pending and vm.disk.pending[0][0] <= self.now_ms:
-            _, persist = vm.disk.pending.pop(0)
+        while vm.disk.unsynced and vm.disk.unsynced[0][0] <= self.now_ms:
+            _, persist = vm.disk.unsynced.pop(0)
             vm.disk.sync(persist)
             assert vm.replica is not None
             self.carry_out(vm, vm.replica.persisted(persist.batch))
@@ -238,4 +225,4 @@
                 self.messages.append((due_ms, vm.name, effect.to, effect.message))
             elif isinstance(effect, parts.Persist):
                 due_ms = self.now_ms + self.rng.randint(*SYNC_MS)
-                vm.disk.pending.append((due_ms, effect))
+                vm.disk.unsynced.append((due_ms, effect))
--- a/packages/core/tests/log/test_replacements.py
+++ b/packages/core/tests/log/test_replacements.py
@@ -10,6 +10,8 @@
 # `ackMs` of both users.
 ACK_MS = 4_000
 ARRIVAL_MS = 1_000
+# The longest cut of the core in the users' troubles.
+CUT_MS = 7_000
 
 
 class ReplacementTest(unittest.TestCase):
@@ -54,6 +56,28 @@
             self.assertTrue(group.commit(ACK_MS), where)
         self.restart_all(group)
 
+    def play_mixed(self, vm_count: int, seed: int, count: int) -> None:
+        """Play replacements, cuts, splits into halves and restarts of all VMs."""
+        rng = random.Random(seed)
+        group = self.found(vm_count, seed)
+        for number in range(count):
+            names = sorted(group.vms)
+            rng.shuffle(names)
+            kind = rng.choice(("planned", "lost", "lost", "cut", "split", "restart"))
+            match kind:
+                case "planned" | "lost":
+                    self.replace(group, names[0], number, kind == "planned")
+                case "cut" | "split":
+                    group.cut(*names[: 1 if kind == "cut" else vm_count // 2])
+                    group.advance(CUT_MS)
+                    group.cut()
+                    group.advance(CATCH_UP_MS)
+                case "restart":
+                    self.restart_all(group)
+            where = f"{vm_count} VMs, seed {seed}, {number}: {kind}"
+            self.assertTrue(group.commit(ACK_MS), where)
+        self.restart_all(group)
+
     def restart_all(self, group: deployment.Deployment) -> None:
         names = list(group.vms)
         group.kill(*names)
@@ -76,6 +100,11 @@
             for seed in range(1, 6):
                 self.play(vm_count, seed, 6)
 
+    def test_replacements_among_cuts_and_restarts_leave_a_quorum(self) -> None:
+        for vm_count in (3, 4, 6, 8):
+            for seed in range(1, 6):
+                self.play_mixed(vm_count, seed, 6)
+
     def test_group_of_three_removes_a_lost_voter_once_its_successor_votes(self) -> None:
         group = self.found(3, seed=1)
         for number, name in enumerate(("v0", "v1", "n0", "v2", "n1")):
