--- a/bench/pool/simulation.py
+++ b/bench/pool/simulation.py
@@ -285,6 +285,15 @@
         self.polls.clear()
         self.is_unresponsive = True
 
+    def revive(self) -> None:
+        """Start the next incarnation under the same id and address, without state."""
+        self.is_unresponsive = self.has_ended = False
+        self.born_ms += 1
+        self.sequence = self.fence = self.until_ms = 0
+        self.ended = []
+        self.highest_ended = {}
+        self.end_numbers = itertools.count(1)
+
     def end_process(self) -> None:
         """Drop all attempts, close all connections and refuse new ones."""
         self.crash()
--- a/packages/core/src/knapweedbeam_core/fleet/participant.py
+++ b/packages/core/src/knapweedbeam_core/fleet/participant.py
@@ -10,7 +10,7 @@
 
 # An owner of a shard that is not the lead gets slow heartbeats from entry VMs. It asks
 # those with open jobs earlier, as a successor waits only so long for it to stop these:
-# see `dispatcher.TAKEOVER_MS`.
+# see `takeover.TAKEOVER_MS`.
 SILENT_ENTRY_MS = 800
 
 
--- a/packages/core/src/knapweedbeam_core/fleet/sharding.py
+++ b/packages/core/src/knapweedbeam_core/fleet/sharding.py
@@ -32,7 +32,7 @@
 GROWTH_STEP = 1.5
 # Owners that have more than others give shards to them after this time, but not to a
 # process that just started: it may not know all endpoints yet, and lets jobs of other
-# dispatchers wait. See `Dispatcher.holds_all_endpoints`.
+# dispatchers wait. See `Takeover.holds_all_endpoints`.
 BALANCE_MS = 500
 MATURE_MS = 10_000
 # Pause between two tokens for a shard whose endpoints refuse them.
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -30,6 +30,7 @@
     recovery_steps,
     resources,
     stored_scheduler,
+    takeover,
     task_starter,
 )
 
@@ -45,14 +46,6 @@
 # Ended jobs are kept this long so that a late copy of the request starts nothing.
 RETENTION_MS = 15_000
 MAX_ENDED_JOBS = 50_000
-# A job taken over from another dispatcher may still run on endpoints that this one
-# cannot reach. The other dispatcher detects the loss of the entry VM within 1.2 s and
-# stops the job after `ORPHAN_GRACE_MS`; otherwise its leases of 1 s expire. The entry
-# VM itself needs 0.35 s or more to send the job here.
-TAKEOVER_MS = 1_800
-# All endpoints count as known after this many announcement intervals. One is not
-# enough: an announcement may be lost with its link.
-MIN_ANNOUNCEMENTS = 2
 # Tasks of an unresponsive entry VM keep running this long in case the job is submitted
 # again. Meanwhile none of its other tasks is started.
 ORPHAN_GRACE_MS = 600
@@ -69,8 +62,6 @@
         self.clock = timer
         self.waiting_clock = waiting_clock.WaitingClock(timer)
         self.started_ms = timer.now_ms()
-        # Until then tasks of its jobs may run on endpoints of other shards.
-        self.uncertain_until_ms = 0
         self.fence = 0
         self.endpoints: dict[str, endpoints.Endpoint] = {}
         self.endpoint_index = endpoint_index.EndpointIndex()
@@ -82,7 +73,7 @@
         self.stored_scheduler = stored_scheduler.StoredJobScheduler(self)
         self.advice_cache = advising.AdviceCache(self)
         self.crash_handler = crash_handler.CrashHandler(self)
-        self.predecessors = predecessors.Predecessors(timer)
+        self.takeover = takeover.Takeover(self)
         self.rebirths = rebirths.RebirthHandler(self)
         self.departures = departures.DepartureHandler(self)
         self.lost_entries: set[str] = set()
@@ -162,23 +153,8 @@
                     return [event, *self.tracker.evacuate(current)]
                 return [event]
             return self.poll(current)
-        produced: Effects = []
-        unlisted: list[endpoints.Attempt] = []
-        if current is not None:
-            unlisted = self.rebirths.take_unlisted(current, announcement)
-            produced += self.lose_endpoint(current, "reborn", crashes.LossCause.CRASHED)
-            produced += self.crash_handler.confirm(
-                current.announcement.endpoint, current.announcement.born_ms
-            )
-        produced += self.crash_handler.confirm_replaced(announcement)
-        replacement = endpoints.Endpoint(
-            announcement, now_ms - announcement.age_ms, self.endpoint_index
-        )
-        if current is not None:
-            replacement.is_polled = current.is_polled
+        replacement, produced = self.rebirths.replace(current, announcement)
         self.endpoints[announcement.endpoint] = replacement
-        for attempt in unlisted:
-            replacement.add(attempt)
         produced.append(log_events.EndpointChanged(announcement.endpoint, "found"))
         return produced + self.poll(replacement)
 
@@ -200,7 +176,7 @@
         """
         self.endpoints.pop(endpoint.announcement.endpoint, None)
         if endpoint.is_held:
-            self.predecessors.forget(endpoint.announcement.endpoint)
+            self.takeover.predecessors.forget(endpoint.announcement.endpoint)
         endpoint.mark_changed()
         return self.lose_endpoint(endpoint, why, cause)
 
@@ -252,7 +228,9 @@
 
     def on_speeds(self, sender: str, learned: messages.SpeedsLearned) -> None:
         """Store another dispatcher's endpoints in case this process succeeds it."""
-        self.predecessors.record(sender, (each.endpoint for each in learned.speeds))
+        self.takeover.predecessors.record(
+            sender, (each.endpoint for each in learned.speeds)
+        )
         if self.fence:
             return
         for sample in learned.speeds:
@@ -263,38 +241,6 @@
                 endpoint.speed.restore(sample.speed, sample.samples)
                 endpoint.mark_changed()
 
-    def holds_all_endpoints(self, service: str) -> bool:
-        """Return whether every endpoint of a service is held.
-
-        An endpoint that cannot be reached may be held by another dispatcher, and so
-        may one whose announcement has not arrived since this process started.
-        """
-        now_ms = self.clock.now_ms()
-        uptime_ms = now_ms - self.started_ms
-        if uptime_ms < MIN_ANNOUNCEMENTS * self.bounds.announce_ms:
-            return False
-        if now_ms < self.uncertain_until_ms:
-            return False
-        return all(
-            endpoint.is_held and not endpoint.failed_polls
-            for endpoint in self.endpoints.values()
-            if endpoint.announcement.service == service
-        )
-
-    def may_run_elsewhere(self, job: jobs.Job) -> bool:
-        """Return whether tasks of a job may run on endpoints that are not held here.
-
-        A former dispatcher may have started them. Its leases have expired once
-        `not_before_ms` has passed.
-        """
-        if self.clock.now_ms() >= job.not_before_ms:
-            return False
-        former = [name for name in job.former if name != self.name]
-        known = self.endpoints.keys()
-        return not self.holds_all_endpoints(
-            job.terms.service
-        ) or self.predecessors.may_miss_endpoints(former, known)
-
     def has_alternative(self, endpoint: endpoints.Endpoint, task: jobs.Task) -> bool:
         """Return whether an available endpoint is large enough and at least as fast."""
         return any(
@@ -384,7 +330,7 @@
         ):
             return False
         has_endpoints = any(True for _ in self.iterate_service(service))
-        return has_endpoints and self.holds_all_endpoints(service)
+        return has_endpoints and self.takeover.holds_all_endpoints(service)
 
     def list_endpoints_of_job(self, job_id: str) -> list[endpoints.Endpoint]:
         """Return the known endpoints that have attempts of a job."""
@@ -426,7 +372,7 @@
         if ended is not None:
             job.restore_crashes(ended.crashes)
         if submit.attempt_base:
-            job.not_before_ms = now_ms + TAKEOVER_MS
+            job.not_before_ms = now_ms + takeover.TAKEOVER_MS
             job.former = submit.former or predecessors.UNKNOWN
         return job
 
--- a/packages/core/src/knapweedbeam_core/pool/rebirths.py
+++ b/packages/core/src/knapweedbeam_core/pool/rebirths.py
@@ -27,6 +27,32 @@
     def __init__(self, owner: dispatcher.Dispatcher) -> None:
         self.owner = owner
 
+    def replace(
+        self,
+        former: endpoints.Endpoint | None,
+        announcement: messages.EndpointNews,
+    ) -> tuple[endpoints.Endpoint, dispatcher.Effects]:
+        """Return the endpoint of a new incarnation and the effects of its start.
+
+        Attempts of the former one are lost, unless they may run on this one.
+        """
+        owner = self.owner
+        announced_ms = owner.clock.now_ms() - announcement.age_ms
+        endpoint = endpoints.Endpoint(announcement, announced_ms, owner.endpoint_index)
+        produced: dispatcher.Effects = []
+        unlisted: list[endpoints.Attempt] = []
+        if former is not None:
+            endpoint.is_polled = former.is_polled
+            unlisted = self.take_unlisted(former, announcement)
+            produced += owner.lose_endpoint(former, "reborn", crashes.LossCause.CRASHED)
+            produced += owner.crash_handler.confirm(
+                former.announcement.endpoint, former.announcement.born_ms
+            )
+        produced += owner.crash_handler.confirm_replaced(announcement)
+        for attempt in unlisted:
+            endpoint.add(attempt)
+        return endpoint, produced
+
     def take_unlisted(
         self, former: endpoints.Endpoint, announcement: messages.EndpointNews
     ) -> list[endpoints.Attempt]:
--- a/packages/core/src/knapweedbeam_core/pool/shards.py
+++ b/packages/core/src/knapweedbeam_core/pool/shards.py
@@ -17,6 +17,7 @@
     endpoints,
     messages,
     placing,
+    takeover,
 )
 
 
@@ -53,7 +54,7 @@
         """Divide the known endpoints into another number of shards.
 
         Tasks of one job may run on endpoints that now are in other shards, where they
-        are stopped as unclaimed: see `dispatcher.TAKEOVER_MS`.
+        are stopped as unclaimed: see `takeover.TAKEOVER_MS`.
         """
         known = self.list_endpoints()
         produced: dispatcher.Effects = []
@@ -64,9 +65,10 @@
             dispatcher.Dispatcher(self.name, self.bounds, self.clock)
             for _ in range(count)
         ]
+        now_ms = self.clock.now_ms()
         for owner in self.dispatchers:
             owner.started_ms = self.started_ms
-            owner.uncertain_until_ms = self.clock.now_ms() + dispatcher.TAKEOVER_MS
+            owner.takeover.uncertain_until_ms = now_ms + takeover.TAKEOVER_MS
             has_stored_jobs = primary.stored_scheduler.has_stored_jobs
             owner.stored_scheduler.has_stored_jobs = has_stored_jobs
         for endpoint in known:
--- a/packages/core/src/knapweedbeam_core/pool/stored_scheduler.py
+++ b/packages/core/src/knapweedbeam_core/pool/stored_scheduler.py
@@ -167,7 +167,9 @@
                 produced += self.add(job_id, entry)
         if term > 1:
             # An earlier dispatcher may run their tasks on unreachable endpoints.
-            former = self.owner.predecessors.list_fresh() or predecessors.UNKNOWN
+            former = (
+                self.owner.takeover.predecessors.list_fresh() or predecessors.UNKNOWN
+            )
             for job in self.owner.jobs.values():
                 if job.is_stored:
                     job.not_before_ms = self.active_since_ms + TAKEOVER_MS
--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/pool/takeover.py
@@ -0,0 +1,64 @@
+"""Decides whether tasks of a job may run where this dispatcher does not see them.
+
+A job taken over from another dispatcher may still run on endpoints that this one does
+not know or cannot reach.
+"""
+
+from __future__ import annotations
+
+import typing
+
+from knapweedbeam_core.pool import jobs, predecessors
+
+if typing.TYPE_CHECKING:
+    from knapweedbeam_core.pool import dispatcher
+
+# The other dispatcher detects the loss of the entry VM within 1.2 s and stops the job
+# after `dispatcher.ORPHAN_GRACE_MS`; otherwise its leases of 1 s expire. The entry VM
+# itself needs 0.35 s or more to send the job here.
+TAKEOVER_MS = 1_800
+# All endpoints count as known after this many announcement intervals. One is not
+# enough: an announcement may be lost with its link.
+MIN_ANNOUNCEMENTS = 2
+
+
+class Takeover:
+    """What one dispatcher knows of the dispatchers before it and their endpoints.
+
+    Until `uncertain_until_ms` tasks of its jobs may run on endpoints of other shards.
+    """
+
+    def __init__(self, owner: dispatcher.Dispatcher) -> None:
+        self.owner = owner
+        self.predecessors = predecessors.Predecessors(owner.clock)
+        self.uncertain_until_ms = 0
+
+    def holds_all_endpoints(self, service: str) -> bool:
+        """Return whether every known endpoint of a service is held.
+
+        An endpoint that cannot be reached may be held by another dispatcher, and so
+        may one whose announcement has not arrived since this process started.
+        """
+        now_ms = self.owner.clock.now_ms()
+        uptime_ms = now_ms - self.owner.started_ms
+        if uptime_ms < MIN_ANNOUNCEMENTS * self.owner.bounds.announce_ms:
+            return False
+        if now_ms < self.uncertain_until_ms:
+            return False
+        return all(
+            endpoint.is_held and not endpoint.failed_polls
+            for endpoint in self.owner.iterate_service(service)
+        )
+
+    def may_run_elsewhere(self, job: jobs.Job) -> bool:
+        """Return whether tasks of a job may run on endpoints that are not held here.
+
+        A former dispatcher may have started them. Its leases have expired once
+        `not_before_ms` has passed.
+        """
+        if self.owner.clock.now_ms() >= job.not_before_ms:
+            return False
+        if not self.holds_all_endpoints(job.terms.service):
+            return True
+        former = [name for name in job.former if name != self.owner.name]
+        return self.predecessors.may_miss_endpoints(former, self.owner.endpoints.keys())
--- a/packages/core/tests/fleet/test_participant.py
+++ b/packages/core/tests/fleet/test_participant.py
@@ -10,7 +10,7 @@
     messages,
     participant,
 )
-from knapweedbeam_core.pool import dispatcher
+from knapweedbeam_core.pool import dispatcher, takeover
 
 TICK_MS = 20
 STOP_MS = 50
@@ -71,7 +71,7 @@
         """It noticed after 2.3 s, and tasks ran twice when a domain was cut off."""
         silent_ms = self.run_until_silent(has_jobs=True, is_answering=False)
         ended_ms = silent_ms + dispatcher.ORPHAN_GRACE_MS + TICK_MS + STOP_MS
-        self.assertLess(ended_ms, CHANGE_MS + dispatcher.TAKEOVER_MS)
+        self.assertLess(ended_ms, CHANGE_MS + takeover.TAKEOVER_MS)
 
     def test_entry_vm_that_answers_is_not_silent(self) -> None:
         silent_ms = self.run_until_silent(has_jobs=True, is_answering=True)
--- a/packages/core/tests/pool/test_departures.py
+++ b/packages/core/tests/pool/test_departures.py
@@ -120,7 +120,7 @@
         standby.on_announcement(leaving)
         standby.on_endpoint_gone(messages.EndpointGone(NAME, 0))
         known = standby.endpoints.keys()
-        self.assertTrue(standby.predecessors.may_miss_endpoints(("a",), known))
+        self.assertTrue(standby.takeover.predecessors.may_miss_endpoints(("a",), known))
 
     def test_repeated_sign_off_changes_nothing(self) -> None:
         self.submit(work_ms=700)
--- a/packages/core/tests/pool/test_dispatcher.py
+++ b/packages/core/tests/pool/test_dispatcher.py
@@ -5,7 +5,7 @@
 from bench.pool import simulation
 from knapweedbeam_core import effects
 from knapweedbeam_core.manifests import manifest
-from knapweedbeam_core.pool import dispatcher, endpoints, messages
+from knapweedbeam_core.pool import endpoints, messages, takeover
 
 
 class JobTest(unittest.TestCase):
@@ -499,7 +499,7 @@
         for name in self.simulation.endpoints:
             self.simulation.cut_links.add(("b", name))
         self.simulation.submit(second, "j", 20, 900, age_ms=100, attempt_base=100)
-        self.simulation.advance(dispatcher.TAKEOVER_MS - 500)
+        self.simulation.advance(takeover.TAKEOVER_MS - 500)
         self.assertFalse(
             any(e.running_attempts for e in self.simulation.endpoints.values())
         )
--- a/packages/core/tests/pool/test_open_jobs.py
+++ b/packages/core/tests/pool/test_open_jobs.py
@@ -99,6 +99,16 @@
         assert isinstance(sent.message, messages.Submit)
         return sent.message.former
 
+    def get_former_after_a_refusal(self, resends: int) -> tuple[str, ...]:
+        """Let `a` refuse a job as not dispatching; return what `b` is told."""
+        self.follow("a")
+        self.take()
+        for _ in range(resends):
+            self.clock.advance(open_jobs.RESEND_MS)
+            self.open_jobs.tick()
+        self.open_jobs.on_not_dispatching("a", "j")
+        return self.get_former(self.follow("b"))
+
     def test_successor_is_told_who_may_have_had_the_job(self) -> None:
         self.follow("a")
         self.assertEqual(self.get_former(self.take()), ())
@@ -107,18 +117,10 @@
         self.assertEqual(self.get_former(self.follow("a")), ("a", "b", "c"))
 
     def test_dispatcher_that_never_accepted_the_job_is_not_named(self) -> None:
-        self.follow("a")
-        self.take()
-        self.open_jobs.on_not_dispatching("a", "j")
-        self.assertEqual(self.get_former(self.follow("b")), ())
+        self.assertEqual(self.get_former_after_a_refusal(resends=0), ())
 
     def test_dispatcher_that_gave_up_its_role_is_named(self) -> None:
-        self.follow("a")
-        self.take()
-        self.clock.advance(open_jobs.RESEND_MS)
-        self.open_jobs.tick()
-        self.open_jobs.on_not_dispatching("a", "j")
-        self.assertEqual(self.get_former(self.follow("b")), ("a",))
+        self.assertEqual(self.get_former_after_a_refusal(resends=1), ("a",))
 
     def test_refusal_is_uncertain_if_job_may_have_been_accepted(self) -> None:
         self.follow("a")
--- a/packages/core/tests/pool/test_rebirths.py
+++ b/packages/core/tests/pool/test_rebirths.py
@@ -1,6 +1,5 @@
 from __future__ import annotations
 
-import itertools
 import unittest
 
 from bench.pool import simulation, stored_simulation
@@ -19,20 +18,10 @@
         """Crash an endpoint and start its next incarnation soon."""
         if not endpoint.is_unresponsive:
             super().crash(endpoint, task)
-            self.schedule_after(QUICK_RESTART_MS, lambda: revive(endpoint))
+            self.schedule_after(QUICK_RESTART_MS, endpoint.revive)
             self.schedule_after(QUICK_RESTART_MS + 10, lambda: announce(self, endpoint))
 
 
-def revive(endpoint: simulation.FakeEndpoint) -> None:
-    """Start the next incarnation of an endpoint, without state."""
-    endpoint.is_unresponsive = endpoint.has_ended = False
-    endpoint.born_ms += 1
-    endpoint.sequence = endpoint.fence = endpoint.until_ms = 0
-    endpoint.ended = []
-    endpoint.highest_ended = {}
-    endpoint.end_numbers = itertools.count(1)
-
-
 def announce(world: simulation.Simulation, endpoint: simulation.FakeEndpoint) -> None:
     """Announce an endpoint to all dispatchers."""
     for each in world.dispatchers:
@@ -58,26 +47,24 @@
         self.assertEqual(self.world.starts, [])
         endpoint = self.world.endpoints[used[0].announcement.endpoint]
         endpoint.end_process()
-        revive(endpoint)
+        endpoint.revive()
         return endpoint
 
-    def test_start_that_reached_the_next_incarnation_runs_nowhere_else(self) -> None:
-        endpoint = self.restart_under_a_start(work_ms=700)
-        self.world.advance(50)
+    def check_one_start(self, work_ms: int, announced_after_ms: int) -> None:
+        endpoint = self.restart_under_a_start(work_ms)
+        self.world.advance(announced_after_ms)
         announce(self.world, endpoint)
         self.world.advance(1_500)
         self.assertEqual(len(self.world.starts), 1)
         self.assertEqual(self.world.get_outcome("j"), "JobComplete")
 
+    def test_start_that_reached_the_next_incarnation_runs_nowhere_else(self) -> None:
+        self.check_one_start(work_ms=700, announced_after_ms=50)
+
     def test_lists_of_the_next_incarnation_before_its_announcement_start_nothing(
         self,
     ) -> None:
-        endpoint = self.restart_under_a_start(work_ms=400)
-        self.world.advance(250)
-        announce(self.world, endpoint)
-        self.world.advance(1_500)
-        self.assertEqual(len(self.world.starts), 1)
-        self.assertEqual(self.world.get_outcome("j"), "JobComplete")
+        self.check_one_start(work_ms=400, announced_after_ms=250)
 
     def test_start_that_was_lost_with_the_former_incarnation_is_sent_again(
         self,
@@ -87,7 +74,7 @@
             self.world.advance(1)
         endpoint = self.world.endpoints[self.world.starts[0][1]]
         endpoint.end_process()
-        revive(endpoint)
+        endpoint.revive()
         self.world.advance(20)
         announce(self.world, endpoint)
         self.world.advance(1_000)
--- a/packages/core/tests/pool/test_shards.py
+++ b/packages/core/tests/pool/test_shards.py
@@ -189,7 +189,7 @@
         used = messages.LearnedSpeed("i-3", 1, 1.0, 0)
         process.on_speeds("x", messages.SpeedsLearned((used,)))
         process.on_speeds("x", messages.SpeedsLearned(()))
-        predecessors = process.find("i-3").predecessors
+        predecessors = process.find("i-3").takeover.predecessors
         self.assertTrue(predecessors.may_miss_endpoints(("x",), set()))
 
 
--- a/packages/core/tests/stored/test_stored_scheduler.py
+++ b/packages/core/tests/stored/test_stored_scheduler.py
@@ -1,6 +1,5 @@
 from __future__ import annotations
 
-import itertools
 import unittest
 
 import msgspec
@@ -421,15 +420,19 @@
         self.world.advance(5_000)
         self.assertEqual(self.world.get_state("j"), "complete")
 
-    def test_replaced_dispatcher_records_a_crash_that_it_saw_without_the_log(
-        self,
-    ) -> None:
+    def replace_after_a_crash_without_the_log(self) -> None:
+        """Let the dispatcher see a crash while it is cut from the log, then stop it."""
         self.world.store_job("j", (stored_simulation.build_step(1),))
         while not self.world.crashes:
             self.world.advance(5)
         self.world.cut_from_log.add("a")
         self.world.advance(1_500)
         self.world.run(self.dispatcher, self.dispatcher.set_fence(0))
+
+    def test_replaced_dispatcher_records_a_crash_that_it_saw_without_the_log(
+        self,
+    ) -> None:
+        self.replace_after_a_crash_without_the_log()
         self.world.cut_from_log.clear()
         self.world.add_dispatcher("b", 11, known_endpoints=self.list_live())
         self.world.advance(30_000)
@@ -439,12 +442,7 @@
     def test_crash_that_a_predecessor_records_late_counts_for_its_successor(
         self,
     ) -> None:
-        self.world.store_job("j", (stored_simulation.build_step(1),))
-        while not self.world.crashes:
-            self.world.advance(5)
-        self.world.cut_from_log.add("a")
-        self.world.advance(1_500)
-        self.world.run(self.dispatcher, self.dispatcher.set_fence(0))
+        self.replace_after_a_crash_without_the_log()
         live = self.list_live()
         successor = self.world.add_dispatcher("b", 11, known_endpoints=live)
         self.world.advance(40)
@@ -468,11 +466,7 @@
         while not world.dispatchers[0].endpoints["e0"].attempts:
             world.advance(1)
         endpoint.end_process()
-        endpoint.is_unresponsive = endpoint.has_ended = False
-        endpoint.born_ms = 2
-        endpoint.fence = 0
-        endpoint.ended = []
-        endpoint.end_numbers = itertools.count(1)
+        endpoint.revive()
         world.advance(300)
         world.run(
             world.dispatchers[0],
