Stop an uncertain start whose job ends with the former incarnation

Callers would see wasted work (rule UNASKED at worst): a task of a job that was given up runs on. If the loss of the former incarnation ends the job, its attempts that moved to the next one were not among those that the end of a job stops, as they were not assigned at that moment. They are marked as unwanted now, and stopped once listed.

test_start_of_a_job_that_ends_with_the_restart_is_stopped failed before.

--- a/packages/core/src/knapweedbeam_core/pool/rebirths.py
+++ b/packages/core/src/knapweedbeam_core/pool/rebirths.py
@@ -50,6 +50,9 @@
             )
         produced += owner.crash_handler.confirm_replaced(announcement)
         for attempt in unlisted:
+            # Its job may have ended with the former incarnation.
+            task = attempt.owner
+            attempt.is_unwanted |= task is not None and task.job.is_cancelled
             endpoint.add(attempt)
         return endpoint, produced
 
--- a/packages/core/tests/pool/test_rebirths.py
+++ b/packages/core/tests/pool/test_rebirths.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import dataclasses
 import unittest
 
 from bench.pool import simulation, stored_simulation
@@ -93,6 +94,28 @@
         self.assertEqual(known.announcement.born_ms, endpoint.born_ms)
         self.assertEqual(len(self.world.starts), starts)
 
+    def test_start_of_a_job_that_ends_with_the_restart_is_stopped(self) -> None:
+        """The listed task was the second one lost, so that its job is given up."""
+        self.world.submit(self.dispatcher, "j", work_ms=900)
+        self.world.advance(100)
+        (task,) = self.dispatcher.jobs["j"].tasks[0]
+        task.history.crashes[99] = True
+        name = self.world.starts[0][1]
+        for other in self.world.endpoints:
+            if other != name:
+                self.world.cut_links.add(("a", other))
+        self.world.advance(400)
+        endpoint = self.world.endpoints[name]
+        attempt = self.dispatcher.endpoints[name].attempts[task.name]
+        unlisted = dataclasses.replace(attempt, task="j.0.0.9", is_listed=False)
+        self.dispatcher.endpoints[name].add(unlisted)
+        endpoint.end_process()
+        endpoint.revive()
+        announce(self.world, endpoint)
+        self.assertEqual(self.world.get_outcome("j"), "JobFailed")
+        known = self.dispatcher.endpoints[name].attempts["j.0.0.9"]
+        self.assertTrue(known.is_unwanted)
+
     def test_crashes_before_the_first_list_are_counted(self) -> None:
         """Else a deadly task would crash endpoints that return at once without end."""
         self.world.deadly_tasks.add("j.0.0.0")
