Never use a fencing token again once its term has ended

Cause: while leads and their tables meet again, a process follows one that doesn't name it, forgets its jobs and attempts, and a moment later gets its shard back with the same token. Entry VMs know a dispatcher's memory by its token: they saw no change, sent the jobs with attempt base 0 and named no former dispatcher, so nothing made the process wait for its own former runs. The class: a name for a memory that outlives the memory.

A token now stands for one term (fleet.terms). One that is named again, or that is lower than the token of an ended term, counts as refused, so that the lead replaces it; entry VMs then send their open jobs with a higher attempt base and name the process as a former dispatcher. Ruled out as the place of the fix: the memory of entry VMs, since they can't see a change that lasts less than a heartbeat.

test_owner_that_follows_another_lead_for_a_moment_gets_a_new_token failed before: the token came back 20 ms after it had been given up.

--- a/packages/core/src/knapweedbeam_core/fleet/sharding.py
+++ b/packages/core/src/knapweedbeam_core/fleet/sharding.py
@@ -20,7 +20,7 @@
 import zlib
 
 from knapweedbeam_core import clock
-from knapweedbeam_core.fleet import dispatcher_role, membership, messages
+from knapweedbeam_core.fleet import dispatcher_role, membership, messages, terms
 
 ENDPOINTS_PER_SHARD = 60
 # The endpoints of a deployment that starts announce themselves within this time.
@@ -74,7 +74,8 @@
     """The division of the endpoints, as one process decides or learns of it.
 
     `table` is the division in force here, empty while one process dispatches alone.
-    `refused` are tokens of this process that endpoints refused.
+    `refused` are tokens of this process that it can't use: endpoints refused them, or
+    their term has ended. The lead replaces them.
     """
 
     def __init__(
@@ -93,6 +94,7 @@
         self.endpoints_per_shard = endpoints_per_shard
         self.table: Table = ()
         self.refused: set[int] = set()
+        self.terms = terms.Terms()
         self.is_lead = False
         self.has_had_stored_jobs = False
         self.lead_heard_ms = timer.now_ms()
@@ -113,10 +115,17 @@
             self.decide(own, work)
         if self.refused:
             self.refused &= {each.token for each in self.table if self.is_own(each)}
+        self.refused |= self.terms.update(
+            max(1, len(self.table)), self.list_named_tokens()
+        )
         return self.table
 
     def list_own_tokens(self) -> dict[int, int]:
         """Return this process's fencing token for each of its shards."""
+        return self.terms.tokens
+
+    def list_named_tokens(self) -> dict[int, int]:
+        """Return the tokens that the division names for this process, by shard."""
         if not self.table:
             return {0: self.role.generation} if self.role.generation else {}
         return {
@@ -135,6 +144,7 @@
         if not any(each.token == token and self.is_own(each) for each in self.table):
             return False
         self.refused.add(token)
+        self.terms.update(len(self.table), self.list_named_tokens())
         return True
 
     # Other processes than the lead.
--- a/packages/core/tests/fleet/test_sharding.py
+++ b/packages/core/tests/fleet/test_sharding.py
@@ -302,6 +302,27 @@
         self.assertGreater(process.sharding.list_own_tokens()[2], owner.token)
         self.assertEqual(process.sharding.refused, set())
 
+    def test_owner_that_follows_another_lead_for_a_moment_gets_a_new_token(
+        self,
+    ) -> None:
+        """It used the same token with an empty memory, and tasks ran twice."""
+        owner = self.deployment.get_lead().sharding.table[2]
+        process = self.deployment.processes[owner.name]
+        self.assertFalse(process.role.generation)
+        other = messages.ShardOwner("c9", 9, owner.token + 1)
+        presence = Process("c9", True, self.deployment.clock, 9).build_presence()
+        claim = dataclasses.replace(
+            presence, generation=owner.token + 1, shards=(other,) * 6
+        )
+        process.members.record_heartbeat(claim)
+        self.deployment.advance(TICK_MS)
+        self.assertEqual(process.sharding.list_own_tokens(), {})
+        process.members.record_heartbeat(presence)
+        self.deployment.advance(TICK_MS)
+        self.assertNotIn(owner.token, process.sharding.list_own_tokens().values())
+        self.deployment.advance(600)
+        self.assertGreater(process.sharding.list_own_tokens()[2], owner.token)
+
     def test_the_first_stored_job_ends_the_division(self) -> None:
         table = self.deployment.get_lead().sharding.table
         tokens = [owner.token for owner in table]
