Log why, where and under which token attempts are stopped, claimed and lost

- 7061 pool_attempt_stopped: each stop by a decision, with its reason and token.
Stops because a job ended are not written, as 7050 and 7052 say so.
- 7062 pool_attempt_claimed: each attempt that a job claims, with the job's attempt base and former dispatchers.
- 7063 pool_job_taken_over: a job that has an attempt base or former dispatchers, or that comes as new while endpoints list its attempts.
The usual job writes nothing new.
- 7031 names the token, the age of the clock reading, the rest of the lease granted here and the other dispatchers that used the endpoint; 7054 shard, token and attempt numbers; 7013 the shard; 7016 the owners' tokens.
- Metrics knapweedbeam_stops by reason and knapweedbeam_claims.

No decision changes. remove_endpoint forgets the users of an endpoint after the loss is handled, so that 7031 can name them; nothing between reads them.

--- a/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
+++ b/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
@@ -24,6 +24,7 @@
     polling,
     probing,
     reconciler,
+    run_reports,
     speeds,
 )
 
@@ -167,14 +168,23 @@
         )
 
     def stop_attempt(
-        self, endpoint: endpoints.Endpoint, attempt: endpoints.Attempt
-    ) -> calls.Stop:
-        """Return a call that stops an attempt."""
+        self,
+        endpoint: endpoints.Endpoint,
+        attempt: endpoints.Attempt,
+        reason: log_events.StopReason,
+    ) -> dispatcher.Effects:
+        """Return a call that stops an attempt, and the log event for it."""
+        if attempt.stop_sent_ms:
+            reason = log_events.StopReason.AGAIN
         attempt.is_unwanted = True
         attempt.stop_sent_ms = self.waiting_ms
-        return calls.Stop(
+        stop = calls.Stop(
             endpoint.target, attempt.task, attempt.number, self.owner.fence
         )
+        return [
+            stop,
+            *run_reports.report_stop(self.owner, endpoint, attempt, reason),
+        ]
 
     def stop_job(self, job: jobs.Job) -> dispatcher.Effects:
         """Stop all attempts of a job; those still starting, once they have answered."""
@@ -185,19 +195,22 @@
                     continue
                 attempt.is_unwanted = True
                 if attempt.state != endpoints.AttemptState.STARTING:
-                    produced.append(self.stop_attempt(endpoint, attempt))
+                    produced += self.stop_attempt(
+                        endpoint, attempt, log_events.StopReason.JOB_ENDED
+                    )
         return produced
 
     # Jobs that another dispatcher or another entry VM had before.
 
     def adopt_attempts(self, job: jobs.Job) -> dispatcher.Effects:
         """Assign the unclaimed attempts and ends of a job that was just submitted."""
+        produced: dispatcher.Effects = []
         prefix = f"{job.job_id}.{job.occurrence}."
         for endpoint in self.owner.list_endpoints_of_job(job.job_id):
             for attempt in list(endpoint.attempts.values()):
                 if attempt.task.startswith(prefix):
-                    self.claim_attempt(job, endpoint, attempt)
-        return self.process_unacked_ends(job)
+                    produced += self.claim_attempt(job, endpoint, attempt)
+        return produced + self.process_unacked_ends(job)
 
     def process_unacked_ends(self, job: jobs.Job) -> dispatcher.Effects:
         """Handle the ends that were listed before their job was submitted."""
@@ -212,11 +225,11 @@
 
     def claim_attempt(
         self, job: jobs.Job, endpoint: endpoints.Endpoint, attempt: endpoints.Attempt
-    ) -> None:
+    ) -> dispatcher.Effects:
         """Assign an attempt to the task of a job that it runs."""
         task = job.find_task(attempt.task)
         if task is None:
-            return
+            return []
         job.was_started = True
         task.last_attempt = max(task.last_attempt, attempt.number)
         if task.state == jobs.TaskState.WAITING:
@@ -228,6 +241,7 @@
         if attempt.state == endpoints.AttemptState.UNCLAIMED:
             attempt.state = endpoints.AttemptState.RUNNING
         endpoint.add(attempt)
+        return [run_reports.build_claimed(self.owner, endpoint, attempt, job)]
 
     def requeue_attempt(
         self, attempt: endpoints.Attempt, endpoint: endpoints.Endpoint, why: str
@@ -264,7 +278,9 @@
                 if attempt.state == endpoints.AttemptState.STARTING:
                     attempt.is_unwanted = True
                 elif not attempt.stop_sent_ms:
-                    produced.append(self.stop_attempt(endpoint, attempt))
+                    produced += self.stop_attempt(
+                        endpoint, attempt, log_events.StopReason.GANG
+                    )
         return produced
 
     def evacuate(self, endpoint: endpoints.Endpoint) -> dispatcher.Effects:
@@ -274,12 +290,15 @@
         none of it.
         """
         return [
-            self.stop_attempt(endpoint, attempt)
+            effect
             for attempt in endpoint.attempts.values()
             if attempt.owner is not None
             and (attempt.owner.spec.is_lasting or attempt.owner.spec.keeps_progress)
             and attempt.state != endpoints.AttemptState.STARTING
             and not attempt.stop_sent_ms
+            for effect in self.stop_attempt(
+                endpoint, attempt, log_events.StopReason.EVACUATED
+            )
         ]
 
     def drop_attempt(
@@ -338,7 +357,7 @@
         if attempt.state == endpoints.AttemptState.STARTING:
             attempt.state = endpoints.AttemptState.RUNNING
         if attempt.is_unwanted and not attempt.stop_sent_ms:
-            return [self.stop_attempt(endpoint, attempt)]
+            return self.stop_attempt(endpoint, attempt, log_events.StopReason.UNWANTED)
         return []
 
     def on_stop_answer(
@@ -599,9 +618,12 @@
     def stop_unclaimed(self, endpoint: endpoints.Endpoint) -> dispatcher.Effects:
         """Stop attempts whose jobs were not submitted within `CLAIM_TIMEOUT_MS`."""
         return [
-            self.stop_attempt(endpoint, attempt)
+            effect
             for attempt in endpoint.attempts.values()
             if attempt.state == endpoints.AttemptState.UNCLAIMED
             and not attempt.is_unwanted
             and self.waiting_ms - attempt.called_ms > CLAIM_TIMEOUT_MS
+            for effect in self.stop_attempt(
+                endpoint, attempt, log_events.StopReason.UNCLAIMED
+            )
         ]
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -29,6 +29,7 @@
     rebirths,
     recovery_steps,
     resources,
+    run_reports,
     stored_scheduler,
     takeover,
     task_starter,
@@ -63,6 +64,7 @@
         self.waiting_clock = waiting_clock.WaitingClock(timer)
         self.started_ms = timer.now_ms()
         self.fence = 0
+        self.shard = 0
         self.endpoints: dict[str, endpoints.Endpoint] = {}
         self.endpoint_index = endpoint_index.EndpointIndex()
         self.jobs: dict[str, jobs.Job] = {}
@@ -105,7 +107,7 @@
         for endpoint in list(self.endpoints.values()):
             self.add_known_endpoint(endpoint)
         produced: Effects = [
-            log_events.DispatcherRoleChanged(fence, len(self.endpoints))
+            log_events.DispatcherRoleChanged(fence, len(self.endpoints), self.shard)
         ]
         for endpoint in self.endpoints.values():
             produced += self.poll(endpoint)
@@ -175,24 +177,19 @@
         What ran on an endpoint that is not held is unknown.
         """
         self.endpoints.pop(endpoint.announcement.endpoint, None)
-        if endpoint.is_held:
-            self.takeover.predecessors.forget(endpoint.announcement.endpoint)
+        was_held = endpoint.is_held
         endpoint.mark_changed()
-        return self.lose_endpoint(endpoint, why, cause)
+        produced = self.lose_endpoint(endpoint, why, cause)
+        if was_held:
+            self.takeover.predecessors.forget(endpoint.announcement.endpoint)
+        return produced
 
     def lose_endpoint(
         self, endpoint: endpoints.Endpoint, why: str, cause: crashes.LossCause
     ) -> Effects:
         """Mark an endpoint as not held and requeue the tasks that ran on it."""
         lost = list(endpoint.attempts.values())
-        produced: Effects = [
-            log_events.EndpointLost(
-                endpoint.announcement.endpoint,
-                why,
-                len(lost),
-                endpoint.contact.state.value,
-            )
-        ]
+        produced: Effects = [run_reports.build_endpoint_lost(self, endpoint, why)]
         endpoint.is_held = False
         for attempt in lost:
             endpoint.remove(attempt)
@@ -302,6 +299,10 @@
         job = self.build_job(sender, submit, ended)
         self.add_job(job)
         self.load_report.record_arrival(job)
+        return [*run_reports.report_taken(self, job), *self.take_job(job)]
+
+    def take_job(self, job: jobs.Job) -> Effects:
+        """Fail or refuse a new job that cannot run, or adopt its attempts."""
         if job.has_task_at_fault:
             return self.crash_handler.fail_if_at_fault(job)
         if self.can_never_fit(job):
--- a/packages/core/src/knapweedbeam_core/pool/log_events.py
+++ b/packages/core/src/knapweedbeam_core/pool/log_events.py
@@ -6,14 +6,31 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
+
+
+class StopReason(enum.StrEnum):
+    """Why a dispatcher stops an attempt."""
+
+    AGAIN = "still runs after a stop"
+    DONE = "task is done"
+    ELSEWHERE = "task is placed elsewhere"
+    EVACUATED = "endpoint leaves"
+    GANG = "gang lost an attempt"
+    JOB_ENDED = "job ended"
+    OVERDUE = "overdue"
+    UNCERTAIN = "uncertain start"
+    UNCLAIMED = "unclaimed"
+    UNWANTED = "unwanted when it answered"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DispatcherRoleChanged:
-    """The process became the active dispatcher with `fence`, or stopped if it is 0."""
+    """The process became the dispatcher of a shard with `fence`, or stopped if 0."""
 
     fence: int
     endpoints: int
+    shard: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,13 +45,20 @@
 class EndpointLost:
     """An endpoint was lost with `attempts` running on it.
 
-    `contact` is how contact ended: see `contact.ContactState`.
+    `contact` is how contact ended: see `contact.ContactState`. `reading_age_ms` is the
+    age of the newest reading of the endpoint's clock, -1 for none. `lease_left_ms` is
+    the rest of the longest lease that this dispatcher granted, negative once it has
+    expired, 0 without a reading. `users` are other dispatchers known to have used it.
     """
 
     endpoint: str
     why: str
     attempts: int
     contact: str
+    fence: int
+    reading_age_ms: int
+    lease_left_ms: int
+    users: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,7 +80,9 @@
 class TasksPlaced:
     """Tasks of a job were started on `endpoints`; `left` of its ready tasks still wait.
 
-    `age_ms` is the job's age, `slack_ms` the time left until its objective.
+    `age_ms` is the job's age, `slack_ms` the time left until its objective. `starts`
+    names each task without its job, and the attempt's number, in the order of
+    `endpoints`.
     """
 
     job_id: str
@@ -64,6 +90,9 @@
     left: int
     age_ms: int
     slack_ms: int
+    shard: int
+    fence: int
+    starts: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,6 +120,52 @@
     state: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptStopped:
+    """The dispatcher decided to stop an attempt, not because its job ended.
+
+    `reason` is a `StopReason`.
+    """
+
+    task: str
+    number: int
+    endpoint: str
+    reason: str
+    fence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptClaimed:
+    """A job claimed an attempt that this dispatcher did not start under its token.
+
+    `attempt_base` and `former` are those of the job.
+    """
+
+    task: str
+    number: int
+    endpoint: str
+    attempt_base: int
+    former: str
+    fence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobTakenOver:
+    """A dispatcher took a job that may have run before.
+
+    `runs` of its attempts are listed by endpoints here. Without sight of all endpoints
+    of the `former` dispatchers it starts nothing for `wait_ms`.
+    """
+
+    job_id: str
+    entry: str
+    attempt_base: int
+    former: str
+    runs: int
+    wait_ms: int
+    fence: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TaskSuspected:
     """An endpoint crashed under an attempt of a task, for the `crashes`-th time.
@@ -179,6 +254,9 @@
     | TasksPlaced
     | JobEnded
     | AttemptLost
+    | AttemptStopped
+    | AttemptClaimed
+    | JobTakenOver
     | TaskSuspected
     | EndpointCoolingDown
     | EndpointFenced
--- a/packages/core/src/knapweedbeam_core/pool/predecessors.py
+++ b/packages/core/src/knapweedbeam_core/pool/predecessors.py
@@ -48,6 +48,12 @@
         for used in self.lists.values():
             used.names.discard(endpoint)
 
+    def list_users(self, endpoint: str) -> list[str]:
+        """Return the dispatchers whose newest list, fresh or not, has an endpoint."""
+        return sorted(
+            name for name, used in self.lists.items() if endpoint in used.names
+        )
+
     def may_miss_endpoints(
         self, former: collections.abc.Iterable[str], known: collections.abc.Set[str]
     ) -> bool:
--- a/packages/core/src/knapweedbeam_core/pool/reconciler.py
+++ b/packages/core/src/knapweedbeam_core/pool/reconciler.py
@@ -4,7 +4,7 @@
 
 import typing
 
-from knapweedbeam_core.pool import calls, endpoints, jobs, resources
+from knapweedbeam_core.pool import calls, endpoints, jobs, log_events, resources
 
 if typing.TYPE_CHECKING:
     from knapweedbeam_core.pool import attempt_tracker, dispatcher
@@ -64,7 +64,9 @@
             return self.check_overdue(endpoint, attempt, answer)
         if self.tracker.waiting_ms - attempt.stop_sent_ms < STOP_RETRY_MS:
             return []
-        return [self.tracker.stop_attempt(endpoint, attempt)]
+        return self.tracker.stop_attempt(
+            endpoint, attempt, log_events.StopReason.UNWANTED
+        )
 
     def check_overdue(
         self,
@@ -100,7 +102,9 @@
                 return produced
             task.left_endpoint = endpoint.announcement.endpoint
         task.move_count += 1
-        return [*produced, self.tracker.stop_attempt(endpoint, attempt)]
+        return produced + self.tracker.stop_attempt(
+            endpoint, attempt, log_events.StopReason.OVERDUE
+        )
 
     def record_overdue(
         self, endpoint: endpoints.Endpoint, job: jobs.Job
@@ -141,9 +145,11 @@
         if job is None or task is None:
             return []
         if task.state == jobs.TaskState.WAITING:
-            self.tracker.claim_attempt(job, endpoint, attempt)
-            return []
-        return [self.tracker.stop_attempt(endpoint, attempt)]
+            return self.tracker.claim_attempt(job, endpoint, attempt)
+        reason = log_events.StopReason.ELSEWHERE
+        if task.state == jobs.TaskState.DONE:
+            reason = log_events.StopReason.DONE
+        return self.tracker.stop_attempt(endpoint, attempt, reason)
 
     def reconcile_missing(
         self,
@@ -167,5 +173,7 @@
         is_old = self.tracker.waiting_ms - attempt.called_ms > UNCERTAIN_START_MS
         is_due = self.tracker.waiting_ms - attempt.stop_sent_ms > STOP_RETRY_MS
         if is_uncertain and is_old and is_due:
-            return [self.tracker.stop_attempt(endpoint, attempt)]
+            return self.tracker.stop_attempt(
+                endpoint, attempt, log_events.StopReason.UNCERTAIN
+            )
         return []
--- a/packages/core/src/knapweedbeam_core/pool/shards.py
+++ b/packages/core/src/knapweedbeam_core/pool/shards.py
@@ -66,7 +66,8 @@
             for _ in range(count)
         ]
         now_ms = self.clock.now_ms()
-        for owner in self.dispatchers:
+        for shard, owner in enumerate(self.dispatchers):
+            owner.shard = shard
             owner.started_ms = self.started_ms
             owner.takeover.uncertain_until_ms = now_ms + takeover.TAKEOVER_MS
             has_stored_jobs = primary.stored_scheduler.has_stored_jobs
--- a/packages/core/src/knapweedbeam_core/pool/task_starter.py
+++ b/packages/core/src/knapweedbeam_core/pool/task_starter.py
@@ -11,11 +11,11 @@
     crashes,
     endpoints,
     jobs,
-    log_events,
     placement_order,
     placing,
     queueing,
     recovery_steps,
+    run_reports,
     start_window,
 )
 
@@ -165,7 +165,7 @@
     ) -> dispatcher.Effects:
         """Start the tasks of a job that fit, and request advice where it is missing."""
         produced: dispatcher.Effects = []
-        used_endpoints: list[str] = []
+        starts: list[calls.Start] = []
         blocked_steps: set[int] = set()
         for task in list(job.waiting):
             if not self.start_window.count_free(now_ms):
@@ -184,21 +184,21 @@
                 produced += started
                 if not started:
                     produced += self.owner.advice_cache.request(task, suitable, now_ms)
-                used_endpoints += [start.target.endpoint for start in started]
+                starts += started
                 continue
             endpoint = placing.choose_endpoint(task, allowed, now_ms, best_speed)
             if endpoint is not None:
-                produced.append(self.start(task, endpoint, now_ms))
-                used_endpoints.append(endpoint.announcement.endpoint)
+                starts.append(self.start(task, endpoint, now_ms))
+                produced.append(starts[-1])
                 continue
             produced += self.owner.advice_cache.request(task, suitable, now_ms)
             if not task.failures:
                 blocked_steps.add(task.step)
-        if used_endpoints:
+        if starts:
             produced += self.owner.recovery_steps.record(
                 recovery_steps.Step.FIRST_TASK_STARTED, now_ms
             )
-            produced.append(self.build_log_event(job, used_endpoints, now_ms))
+            produced.append(run_reports.build_placed(self.owner, job, starts, now_ms))
         return produced
 
     def start_gang(
@@ -246,18 +246,6 @@
         task.last_attempt = last_attempt
         task.job.requeue(task)
 
-    def build_log_event(
-        self, job: jobs.Job, used_endpoints: list[str], now_ms: int
-    ) -> log_events.TasksPlaced:
-        """Return the log event for tasks that were just started."""
-        return log_events.TasksPlaced(
-            job.job_id,
-            " ".join(used_endpoints),
-            len(job.waiting),
-            now_ms - job.born_ms,
-            job.due_ms - now_ms,
-        )
-
     def refuse(
         self, job: jobs.Job, reason: reasons.Reason, backlog_ms: float
     ) -> dispatcher.Effects:
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -85,6 +85,9 @@
     log_events.JobRejoined: catalogue.POOL_JOB_REJOINED,
     log_events.JobWithdrawn: catalogue.POOL_JOB_WITHDRAWN,
     log_events.AttemptLost: catalogue.POOL_ATTEMPT_LOST,
+    log_events.AttemptStopped: catalogue.POOL_ATTEMPT_STOPPED,
+    log_events.AttemptClaimed: catalogue.POOL_ATTEMPT_CLAIMED,
+    log_events.JobTakenOver: catalogue.POOL_JOB_TAKEN_OVER,
     log_events.TaskSuspected: catalogue.POOL_TASK_SUSPECTED,
     log_events.StoredDispatchStarted: catalogue.STORED_OFFICE,
     log_events.StoredDispatchStopped: catalogue.STORED_LEFT,
@@ -271,6 +274,7 @@
         event = CATALOGUE_EVENTS[type(log_event)]
         emit.emit_record(event, log_event)
         self.telemetry.count_event(event.name)
+        self.telemetry.count_run_event(log_event)
         if isinstance(log_event, log_events.EndpointFenced):
             self.handle_refused_token(log_event.fence)
 
@@ -359,6 +363,7 @@
             count=max(1, len(table)),
             lead=bool(self.dispatcher_role.generation),
             owners=" ".join(owner.name for owner in table),
+            fences=" ".join(str(owner.token) for owner in table),
             endpoints=self.shards.count_endpoints(),
         )
 
--- a/packages/server/src/knapweedbeam_server/fleet/telemetry.py
+++ b/packages/server/src/knapweedbeam_server/fleet/telemetry.py
@@ -5,7 +5,7 @@
 import prometheus_client
 import prometheus_client.exposition
 
-from knapweedbeam_core.pool import shards
+from knapweedbeam_core.pool import log_events, shards
 from knapweedbeam_server.fleet import loop_monitor
 
 # Objectives lie between 0.1 and 2 s; callers are lost after 3 s.
@@ -40,6 +40,17 @@
             ["event"],
             registry=self.registry,
         )
+        self.stops = prometheus_client.Counter(
+            "knapweedbeam_stops",
+            "Stops of attempts, by reason; not those because a job ended.",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.claims = prometheus_client.Counter(
+            "knapweedbeam_claims",
+            "Attempts of another token that a job claimed.",
+            registry=self.registry,
+        )
         self.endpoint_calls = prometheus_client.Counter(
             "knapweedbeam_orders",
             "Orders to endpoints, by kind and end.",
@@ -80,6 +91,14 @@
         """Count a decision."""
         self.decisions.labels(name).inc()
 
+    def count_run_event(self, log_event: log_events.LogEvent) -> None:
+        """Count a stop or a claim of an attempt; other events are none of these."""
+        match log_event:
+            case log_events.AttemptStopped():
+                self.stops.labels(log_event.reason).inc()
+            case log_events.AttemptClaimed():
+                self.claims.inc()
+
     def count_call(self, kind: str, outcome: str) -> None:
         """Count a call to an endpoint."""
         self.endpoint_calls.labels(kind, outcome).inc()
--- a/packages/server/src/knapweedbeam_server/logs/catalogue.py
+++ b/packages/server/src/knapweedbeam_server/logs/catalogue.py
@@ -451,8 +451,8 @@
     7013,
     "office",
     Level.INFO,
-    "dispatching under token {fence} with {endpoints} endpoints known",
-    "The process is the active dispatcher; with token 0 it no longer is.",
+    "dispatching under token {fence} with {endpoints} endpoints known, shard {shard}",
+    "The process is the active dispatcher of the shard; with token 0 it no longer is.",
 )
 RECOVERY_STEP_REACHED = Event(
     7014,
@@ -476,7 +476,8 @@
     7016,
     "shards_divided",
     Level.INFO,
-    "{endpoints} endpoints in {count} shards, owners {owners}; lead: {lead}",
+    "{endpoints} endpoints in {count} shards, owners {owners} with tokens {fences}; "
+    "lead: {lead}",
     "Each owner dispatches on its shard. One shard without an owner means that the "
     "active dispatcher has all endpoints.",
 )
@@ -542,9 +543,12 @@
     7031,
     "pool_endpoint_lost",
     Level.WARNING,
-    "endpoint {endpoint} lost: {why}, contact {contact}, {attempts} attempts lost",
+    "endpoint {endpoint} lost: {why}, contact {contact}, {attempts} attempts lost; "
+    "token {fence}, clock read {reading_age_ms} ms ago, lease left {lease_left_ms} ms, "
+    "also used by {users}",
     "Its tasks are started again on other endpoints. A process that ended closes its "
-    "connections and refuses new ones; a partition most often leaves calls silent.",
+    "connections and refuses new ones; a partition most often leaves calls silent. The "
+    "lease is the one that this dispatcher granted; another one may have renewed it.",
 )
 POOL_ENDPOINT_RESTS = Event(
     7032,
@@ -632,8 +636,37 @@
     "pool_tasks_placed",
     Level.INFO,
     "job {job_id} at age {age_ms} ms, slack {slack_ms} ms: started on {endpoints}; "
-    "{left} tasks wait",
-    "Tasks were started on these endpoints, one name per task.",
+    "{left} tasks wait; shard {shard}, token {fence}, attempts {starts}",
+    "Tasks were started on these endpoints, one name per task. The attempts are in the "
+    "same order: occurrence, step and index of the task, then the attempt's number.",
+)
+POOL_ATTEMPT_STOPPED = Event(
+    7061,
+    "pool_attempt_stopped",
+    Level.INFO,
+    "attempt {number} of task {task} on {endpoint} is stopped under token {fence}: "
+    "{reason}",
+    "A decision of the dispatcher; stops because a job ended are not written. "
+    "`unclaimed` and `task is placed elsewhere` concern attempts that this process did "
+    "not start under this token.",
+)
+POOL_ATTEMPT_CLAIMED = Event(
+    7062,
+    "pool_attempt_claimed",
+    Level.INFO,
+    "attempt {number} of task {task} on {endpoint} claimed under token {fence}; "
+    "attempt base {attempt_base}, former dispatchers {former}",
+    "The attempt was started under another token and goes on for this dispatcher.",
+)
+POOL_JOB_TAKEN_OVER = Event(
+    7063,
+    "pool_job_taken_over",
+    Level.INFO,
+    "job {job_id} of {entry} taken over under token {fence}: attempt base "
+    "{attempt_base}, former dispatchers {former}, {runs} attempts listed, waits "
+    "up to {wait_ms} ms",
+    "The job may have run before. Without sight of all endpoints of the former "
+    "dispatchers nothing of it is started while it waits.",
 )
 ENDPOINT_CALL_LOAD = Event(
     7057,
