--- a/bench/pool/simulation.py
+++ b/bench/pool/simulation.py
@@ -413,6 +413,7 @@
         priority: int = 0,
         queue: str = "queue",
         hand_in: int = 0,
+        token: int = 0,
     ) -> None:
         """Submit a job of one step to a dispatcher."""
         self.work_ms[job_id] = work_ms
@@ -429,6 +430,7 @@
             patience_ms,
             attempt_base,
             hand_in,
+            token,
             former=tuple(
                 each.name for each in self.dispatchers if each.name != to.name
             ),
--- a/packages/core/tests/pool/test_shards.py
+++ b/packages/core/tests/pool/test_shards.py
@@ -4,7 +4,8 @@
 import unittest
 
 from bench.pool import simulation
-from knapweedbeam_core.fleet import sharding
+from knapweedbeam_core.fleet import dispatcher_role, membership, sharding
+from knapweedbeam_core.fleet import messages as fleet_messages
 from knapweedbeam_core.manifests import manifest
 from knapweedbeam_core.pool import messages, shards
 
@@ -195,3 +196,58 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class Follower:
+    """Process `a`, which owns the shards that the lead it follows gives to it."""
+
+    def __init__(self) -> None:
+        self.owners = Owners(1)
+        self.process = self.owners.processes["a"]
+        timer = self.owners.simulation.clock
+        self.members = membership.Membership("a", True, (), timer)
+        self.role = dispatcher_role.DispatcherRole(self.members, 1, timer)
+        self.sharding = sharding.Sharding(self.members, self.role, 1, timer)
+
+    def follow(self, lead: str, owners: str, tokens: list[int]) -> None:
+        table = tuple(
+            fleet_messages.ShardOwner(name, 1, token)
+            for name, token in zip(owners, tokens, strict=True)
+        )
+        presence = fleet_messages.Presence(
+            lead, True, "domain", "", True, False, 50, 50, lead, "", 1, shards=table
+        )
+        self.members.record_heartbeat(presence)
+        self.role.following = dispatcher_role.Choice(lead, 50)
+        self.sharding.update(presence, sharding.Work(ENDPOINTS, True, False))
+        produced = self.process.set_tokens(2, self.sharding.list_own_tokens())
+        self.owners.simulation.run(self.process, produced)
+
+    def submit(self, job_id: str, work_ms: int, token: int) -> None:
+        """Send a job as an entry VM does that has seen no change."""
+        self.owners.simulation.submit(
+            self.process,
+            job_id,
+            4,
+            work_ms,
+            patience_ms=20_000,
+            slack_factor=50,
+            token=token,
+        )
+
+
+class ReturningTokenTest(unittest.TestCase):
+    def test_shard_given_back_with_its_token_runs_no_task_twice(self) -> None:
+        follower = Follower()
+        played = follower.owners.simulation
+        follower.follow("lead", "aa", [21, 21])
+        played.advance(200)
+        follower.submit("long", 900, 21)
+        follower.submit("short", 120, 21)
+        played.advance(100)
+        follower.follow("other", "bb", [22, 22])
+        played.advance(20)
+        follower.follow("lead", "aa", [21, 21])
+        follower.submit("long", 900, 21)
+        played.advance(3_000)
+        self.assertEqual(played.breaches, [])
