--- a/packages/core/tests/pool/test_shards.py
+++ b/packages/core/tests/pool/test_shards.py
@@ -194,9 +194,6 @@
         self.assertTrue(predecessors.may_miss_endpoints(("x",), set()))
 
 
-if __name__ == "__main__":
-    unittest.main()
-
 
 class Follower:
     """Process `a`, which owns the shards that the lead it follows gives to it."""
@@ -251,3 +248,7 @@
         follower.submit("long", 900, 21)
         played.advance(3_000)
         self.assertEqual(played.breaches, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
