Remember the jobs of a process over its terms and divisions

Cause: set_fence and divide dropped all that the process knew of its jobs. Entry VMs name the former dispatchers of a job only if they sent it there themselves; one that gets the job for the first time sends it as new (attempt base 0), and may_run_elsewhere leaves out the process's own name. The class is that of the token that returns: the memory ends before what it is about.

pool.job_memory keeps ended jobs, and those open when a term ends, for 15 s, one memory for all terms and shards of a process. A job that ran under another token continues its attempt numbers, counts as started (so that it isn't refused as not run), and waits until all endpoints are held or TAKEOVER_MS have passed. A job that is really new waits for nothing. Ruled out: letting all jobs wait after each takeover, which delays every new job in a domain that was just cut off.

--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import collections
 import collections.abc
 import dataclasses
 
@@ -20,6 +19,7 @@
     departures,
     endpoint_index,
     endpoints,
+    job_memory,
     jobs,
     load_report,
     log_events,
@@ -44,9 +44,6 @@
 )
 Effects = list[Effect]
 
-# Ended jobs are kept this long so that a late copy of the request starts nothing.
-RETENTION_MS = 15_000
-MAX_ENDED_JOBS = 50_000
 # Tasks of an unresponsive entry VM keep running this long in case the job is submitted
 # again. Meanwhile none of its other tasks is started.
 ORPHAN_GRACE_MS = 600
@@ -56,7 +53,11 @@
     """Places the jobs of all entry VMs on the endpoints that it holds."""
 
     def __init__(
-        self, name: str, bounds: attempt_tracker.ProtocolBounds, timer: clock.Clock
+        self,
+        name: str,
+        bounds: attempt_tracker.ProtocolBounds,
+        timer: clock.Clock,
+        memory: job_memory.JobMemory | None = None,
     ) -> None:
         self.name = name
         self.bounds = bounds
@@ -70,7 +71,7 @@
         self.jobs: dict[str, jobs.Job] = {}
         # The open jobs with waiting tasks; those without are removed by the placement.
         self.queue: dict[str, jobs.Job] = {}
-        self.ended: collections.OrderedDict[str, EndedJob] = collections.OrderedDict()
+        self.ended = memory or job_memory.JobMemory(timer)
         self.tracker = attempt_tracker.AttemptTracker(self)
         self.stored_scheduler = stored_scheduler.StoredJobScheduler(self)
         self.advice_cache = advising.AdviceCache(self)
@@ -88,17 +89,19 @@
     def set_fence(self, fence: int) -> Effects:
         """Become active with a fencing token, or stop dispatching if it is 0.
 
-        All jobs and attempts are dropped; endpoints keep their speed and health.
+        All attempts are dropped, and so are all jobs but for what is to be known if they
+        are submitted again; endpoints keep their speed and health.
         """
         if fence == self.fence:
             return []
+        for job in self.jobs.values():
+            self.remember(job, None)
         self.fence = fence
         self.jobs.clear()
         self.queue.clear()
         self.stored_scheduler.reset()
         self.advice_cache.reset()
         self.crash_handler.reset()
-        self.ended.clear()
         self.lost_entries.clear()
         self.load_report.reset()
         self.task_starter.start_window.clear()
@@ -349,7 +352,10 @@
         )
 
     def build_job(
-        self, sender: str, submit: messages.Submit, ended: EndedJob | None
+        self,
+        sender: str,
+        submit: messages.Submit,
+        ended: job_memory.EndedJob | None,
     ) -> jobs.Job:
         """Return the job for a submission.
 
@@ -357,6 +363,7 @@
         """
         now_ms = self.clock.now_ms()
         base = max(submit.attempt_base, ended.last_attempt if ended else 0)
+        ran_before = ended is not None and ended.fence != self.fence and base > 0
         job = jobs.Job(
             submit.job_id,
             sender,
@@ -372,8 +379,9 @@
         job.restore_crashes(submit.crashes)
         if ended is not None:
             job.restore_crashes(ended.crashes)
-        if submit.attempt_base:
+        if submit.attempt_base or ran_before:
             job.not_before_ms = now_ms + takeover.TAKEOVER_MS
+        if submit.attempt_base:
             job.former = submit.former or predecessors.UNKNOWN
         return job
 
@@ -383,27 +391,18 @@
         if job is None:
             return []
         produced = self.end_job(job, None)
-        self.ended[job.key].hand_in = job.hand_in
+        ended = self.ended.get(job.key)
+        if ended is not None:
+            ended.hand_in = job.hand_in
         return [log_events.JobWithdrawn(job.job_id), *produced]
 
-    def end_job(self, job: jobs.Job, outcome: Outcome | None) -> Effects:
+    def end_job(self, job: jobs.Job, outcome: job_memory.Outcome | None) -> Effects:
         """End a job: notify its entry VM, stop its attempts and keep its outcome.
 
         `outcome` is None if nobody is to be notified.
         """
         del self.jobs[job.key]
-        last = max(task.last_attempt for tasks in job.tasks for task in tasks)
-        refusal = outcome if isinstance(outcome, messages.JobRefused) else None
-        self.ended[job.key] = EndedJob(
-            None if refusal else outcome,
-            max(last, job.attempt_base),
-            self.clock.now_ms(),
-            refusal,
-            job.hand_in if refusal else 0,
-            job.list_crashes(),
-        )
-        if len(self.ended) > MAX_ENDED_JOBS:
-            self.ended.popitem(last=False)
+        last = self.remember(job, outcome)
         job.is_cancelled = True
         self.load_report.record_end(job, outcome, self.clock.now_ms())
         self.advice_cache.forget(job)
@@ -421,6 +420,22 @@
             )
         return produced + self.tracker.stop_job(job)
 
+    def remember(self, job: jobs.Job, outcome: job_memory.Outcome | None) -> int:
+        """Keep what is to be known of a job; return its last attempt, 0 for none."""
+        last = max(task.last_attempt for tasks in job.tasks for task in tasks)
+        refusal = outcome if isinstance(outcome, messages.JobRefused) else None
+        ended = job_memory.EndedJob(
+            None if refusal else outcome,
+            max(last, job.attempt_base),
+            self.clock.now_ms(),
+            self.fence,
+            refusal,
+            job.hand_in if refusal else 0,
+            job.list_crashes(),
+        )
+        self.ended.record(job.key, ended)
+        return last
+
     def on_entry_lost(self, entry: str) -> Effects:
         """Stop starting tasks for an unresponsive entry VM.
 
@@ -451,13 +466,13 @@
         """Run periodic work: attempts, stored jobs, orphaned and ended jobs."""
         self.waiting_clock.tick()
         now_ms = self.clock.now_ms()
+        self.ended.forget_old()
         if not self.fence:
             return self.stored_scheduler.resend_crashes(now_ms)
         produced = self.tracker.tick(now_ms) + self.stored_scheduler.tick(now_ms)
         for job in list(self.jobs.values()):
             if job.orphaned_ms and now_ms - job.orphaned_ms > ORPHAN_GRACE_MS:
                 produced += self.end_job(job, None)
-        self.forget_ended(now_ms)
         produced += self.load_report.build(self.queue.values(), now_ms)
         return produced + self.record_recovery(now_ms)
 
@@ -477,14 +492,6 @@
             produced += steps.record(recovery_steps.Step.BACKLOG_DONE, now_ms)
         return produced
 
-    def forget_ended(self, now_ms: int) -> None:
-        """Remove ended jobs whose retention time is over."""
-        while self.ended:
-            oldest = next(iter(self.ended.values()))
-            if now_ms - oldest.ended_ms <= RETENTION_MS:
-                return
-            self.ended.popitem(last=False)
-
     def place(self) -> Effects:
         """Start the waiting tasks that fit and refuse jobs that are too late.
 
@@ -614,24 +621,3 @@
             if endpoint.is_held:
                 free = free.plus(endpoint.free)
         return free
-
-
-Outcome = messages.JobComplete | messages.JobFailed | messages.JobRefused
-
-
-@dataclasses.dataclass(slots=True)
-class EndedJob:
-    """The result of an ended job, kept to answer late copies of its request.
-
-    `outcome` is None for a job that was withdrawn, orphaned or refused. Copies with the
-    `hand_in` of a withdrawn or refused request start nothing (0 for none); the same job
-    submitted again has another `hand_in` and may run. `crashes` are those under its
-    tasks.
-    """
-
-    outcome: Outcome | None
-    last_attempt: int
-    ended_ms: int
-    refusal: messages.JobRefused | None = None
-    hand_in: int = 0
-    crashes: tuple[messages.TaskCrash, ...] = ()
--- a/packages/core/src/knapweedbeam_core/pool/shards.py
+++ b/packages/core/src/knapweedbeam_core/pool/shards.py
@@ -15,6 +15,7 @@
     calls,
     dispatcher,
     endpoints,
+    job_memory,
     messages,
     placing,
     takeover,
@@ -31,7 +32,8 @@
         self.bounds = bounds
         self.clock = timer
         self.started_ms = timer.now_ms()
-        self.dispatchers = [dispatcher.Dispatcher(name, bounds, timer)]
+        self.memory = job_memory.JobMemory(timer)
+        self.dispatchers = [dispatcher.Dispatcher(name, bounds, timer, self.memory)]
 
     # Shards and roles.
 
@@ -62,7 +64,7 @@
             produced += owner.set_fence(0)
         primary = self.dispatchers[0]
         self.dispatchers = [
-            dispatcher.Dispatcher(self.name, self.bounds, self.clock)
+            dispatcher.Dispatcher(self.name, self.bounds, self.clock, self.memory)
             for _ in range(count)
         ]
         now_ms = self.clock.now_ms()
