Let an open job stay in its shard, and accept it where it fits

Callers could see a task run twice, or a job that is never taken: the shard of a job was found again for each copy of its submission, from the endpoints known at that moment. When a large enough endpoint joined the shard of its id, the next copy (each 700 ms) started the job there too; where the two shards have different tokens the job was answered with NotDispatching for ever.

An open job now stays in the shard that took it, and the token of a submission is compared with that of the shard of its id, which is the one that entry VMs know. Ruled out: moving the job, as its attempts would have to move with it.

test_open_job_that_is_sent_again_stays_in_its_shard and test_job_that_fits_only_in_another_shard_is_taken_there failed before.

--- a/packages/core/src/knapweedbeam_core/pool/shards.py
+++ b/packages/core/src/knapweedbeam_core/pool/shards.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import collections.abc
+import dataclasses
 
 from knapweedbeam_core import clock
 from knapweedbeam_core.fleet import sharding
@@ -79,17 +80,20 @@
         return produced
 
     def find(self, name: str) -> dispatcher.Dispatcher:
-        """Return the dispatcher of the shard of an endpoint."""
+        """Return the dispatcher of the shard of an endpoint, or of a job's id."""
         return self.dispatchers[sharding.get_shard(name, len(self.dispatchers))]
 
     def find_shard(self, submit: messages.Submit) -> int:
         """Return the shard that a job belongs to.
 
         It is another one than that of its id if a task fits on no endpoint there, and
-        on some endpoint elsewhere.
+        on some endpoint elsewhere. An open job stays where it is.
         """
         count = len(self.dispatchers)
         home = sharding.get_shard(submit.job_id, count)
+        for shard, owner in enumerate(self.dispatchers):
+            if submit.job_id in owner.jobs:
+                return shard
         for offset in range(count):
             shard = (home + offset) % count
             owner = self.dispatchers[shard]
@@ -181,8 +185,15 @@
     # Jobs.
 
     def on_submit(self, sender: str, submit: messages.Submit) -> dispatcher.Effects:
-        """Handle a job that an entry VM holds open."""
-        return self.dispatchers[self.find_shard(submit)].on_submit(sender, submit)
+        """Handle a job that an entry VM holds open.
+
+        Its token is that of the shard of its id, also where it belongs to another one.
+        """
+        owner = self.dispatchers[self.find_shard(submit)]
+        home = self.find(submit.job_id)
+        if owner is not home and submit.token and submit.token == home.fence:
+            submit = dataclasses.replace(submit, token=owner.fence)
+        return owner.on_submit(sender, submit)
 
     def on_withdraw(self, withdraw: messages.Withdraw) -> dispatcher.Effects:
         """Stop a job that its caller no longer waits for."""
