Show the runs of each task that has more than one in explain

knapweedctl explain printed lines by time only, so that whether two runs of a task overlapped had to be worked out by hand. After the lines it now lists the runs of each such task: start, end, endpoint, attempt, token, the process that started it, and which other runs it overlaps with. 'with' needs a line that shows the earlier run after the start of the later one; 'perhaps with' says that no line tells that it had ended. JSON stays a list of the lines. Lines without the attempts of 7054, or cut short, add no runs.

Reading log files moves to log_lines, which both modules use. The tests of the runs could not pass before, as nothing was printed after the lines.

--- a/packages/ctl/src/knapweedbeam_ctl/commands/explain.py
+++ b/packages/ctl/src/knapweedbeam_ctl/commands/explain.py
@@ -3,62 +3,26 @@
 from __future__ import annotations
 
 import collections.abc
-import dataclasses
 import pathlib
 
-import msgspec
-
-from knapweedbeam_core import decoding
 from knapweedbeam_ctl import exit_codes, failures, output
+from knapweedbeam_ctl.commands import explain_runs, log_lines
 
 # Events 7004 to 7025 report changes of the dispatcher and of the manifest in force.
 # Those between a request's first and last line may explain its outcome.
 CONTEXT_EVENTS = range(7004, 7026)
 
 
-class LogLine(msgspec.Struct, frozen=True):
-    """One line of a process's log, without the fields that are not needed here."""
-
-    time: str
-    event: int
-    name: str
-    message: str
-    fields: dict[str, str | int | float | bool] = {}
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SourceLine:
-    """A log line and its source: the file, with the process if it is known."""
-
-    line: LogLine
-    source: str
-
-
-DECODER = msgspec.json.Decoder(LogLine)
-
-
-def read_lines(path: pathlib.Path) -> collections.abc.Iterator[SourceLine]:
-    """Yield the log lines of a file; text before the first brace is not decoded."""
-    with path.open(encoding="utf-8", errors="replace") as file:
-        for text in file:
-            prefix, brace, rest = text.partition("{")
-            try:
-                line = DECODER.decode(brace + rest)
-            except decoding.ERRORS:
-                # The platform and the interpreter write other lines to the same files.
-                continue
-            # Log collectors may prefix each line with the name of the process.
-            yield SourceLine(line, " ".join([path.name, *prefix.split()[-1:]]))
-
-
-def is_about(line: LogLine, request: str) -> bool:
+def is_about(line: log_lines.LogLine, request: str) -> bool:
     """Return whether a line is about a request or one of its tasks."""
     if line.fields.get("job_id") == request:
         return True
     return str(line.fields.get("task", "")).startswith(f"{request}.")
 
 
-def select_lines(entries: list[SourceLine], request: str) -> list[SourceLine]:
+def select_lines(
+    entries: list[log_lines.SourceLine], request: str
+) -> list[log_lines.SourceLine]:
     """Return the lines about a request and its context events, sorted by time.
 
     Context events count if they come from the same sources, between the request's
@@ -83,11 +47,14 @@
 def show(
     request: str, paths: collections.abc.Sequence[pathlib.Path], as_json: bool
 ) -> exit_codes.ExitCode:
-    """Print the lines of the log files about a request."""
-    entries: list[SourceLine] = []
+    """Print the lines of the log files about a request.
+
+    After them come the runs of each task that has more than one, but not as JSON.
+    """
+    entries: list[log_lines.SourceLine] = []
     for path in paths:
         try:
-            entries += read_lines(path)
+            entries += log_lines.read_lines(path)
         except OSError as error:
             bad = failures.BadFile(str(path), str(error.strerror))
             return output.print_failure(bad, as_json)
@@ -97,4 +64,6 @@
     else:
         for entry in selected:
             print(entry.line.time, entry.source, entry.line.event, entry.line.message)
+        for text in explain_runs.build_lines(explain_runs.find_runs(selected, request)):
+            print(text)
     return exit_codes.ExitCode.OK if selected else exit_codes.ExitCode.UNKNOWN
