--- a/packages/ctl/tests/commands/test_explain.py
+++ b/packages/ctl/tests/commands/test_explain.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 import io
 import json
 import pathlib
@@ -8,6 +9,7 @@
 import tempfile
 import unittest
 
+from knapweedbeam_core.pool import log_events
 from knapweedbeam_ctl import exit_codes
 from knapweedbeam_ctl.commands import explain
 
@@ -222,6 +224,18 @@
         old = build_line(2, 7054, job_id="ab12", endpoints="e0")
         self.assertNotIn("task ", self.explain(core=[cut, old]))
 
+    def test_lines_have_the_fields_that_dispatchers_write(self) -> None:
+        kinds: dict[str, type[log_events.LogEvent]] = {
+            build_start(1, "e0", 1): log_events.TasksPlaced,
+            build_attempt(1, 7053, "e0", 1, why="", age_ms=1): log_events.AttemptLost,
+            build_attempt(1, 7061, "e0", 1, reason=""): log_events.AttemptStopped,
+            build_attempt(1, 7062, "e0", 1, fence=1): log_events.AttemptClaimed,
+            build_line(1, 7050, job_id="", outcome=""): log_events.JobEnded,
+        }
+        for line, kind in kinds.items():
+            names = {field.name for field in dataclasses.fields(kind)}
+            self.assertLessEqual(set(json.loads(line)["fields"]), names)
+
     def test_runs_are_not_part_of_the_json(self) -> None:
         path = self.folder / "core.log"
         path.write_text("\n".join([build_start(1, "e0", 1), build_start(2, "e1", 1)]))
