Answer a submission of a job, and not the job

An answer to an earlier submission that came late was taken for that to the next one, and the withdrawal by an entry VM that a caller had left ended the job that another one held open.

The three messages carry the `hand_in` of the submission that they are about; others are ignored. A job that is submitted again while it is open belongs to the newest submission. 0 stands for any, as before. JobComplete and JobFailed are true for each submission and stay as they are.

The assertion in test_job_that_fits_only_in_another_shard_is_taken_there names the hand-in now: without it, it would match no message at all.

--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -89,8 +89,8 @@
     def set_fence(self, fence: int) -> Effects:
         """Become active with a fencing token, or stop dispatching if it is 0.
 
-        All attempts are dropped, and so are all jobs but for what is to be known if they
-        are submitted again; endpoints keep their speed and health.
+        All jobs and attempts are dropped, but for what is to be known of jobs that are
+        submitted again; endpoints keep their speed and health.
         """
         if fence == self.fence:
             return []
@@ -284,7 +284,8 @@
         is forgotten.
         """
         if not self.fence or submit.token not in (0, self.fence):
-            return [effects.Send(sender, messages.NotDispatching(submit.job_id, ""))]
+            refused = messages.NotDispatching(submit.job_id, "", submit.hand_in)
+            return [effects.Send(sender, refused)]
         self.on_entry_recovered(sender)
         ended = self.ended.get(submit.job_id)
         if ended is not None and ended.outcome is not None:
@@ -295,6 +296,7 @@
         open_job = self.jobs.get(submit.job_id)
         if open_job is not None:
             open_job.orphaned_ms = 0
+            open_job.hand_in = submit.hand_in
             if open_job.entry == sender:
                 return []
             open_job.entry = sender
@@ -386,9 +388,12 @@
         return job
 
     def on_withdraw(self, withdraw: messages.Withdraw) -> Effects:
-        """Stop a job that its caller no longer waits for."""
+        """Stop a job that its caller no longer waits for.
+
+        A later submission of the same job stays open.
+        """
         job = self.jobs.get(withdraw.job_id)
-        if job is None:
+        if job is None or withdraw.hand_in not in (0, job.hand_in):
             return []
         produced = self.end_job(job, None)
         ended = self.ended.get(job.key)
--- a/packages/core/src/knapweedbeam_core/pool/job_memory.py
+++ b/packages/core/src/knapweedbeam_core/pool/job_memory.py
@@ -1,7 +1,7 @@
 """The jobs that ended or were given up at one process, over all its terms and shards.
 
-A caller may submit a job again, by another entry VM that knows of no earlier dispatcher.
-A process that lost the role meanwhile still knows what it started.
+A caller may submit a job again at another entry VM, which knows of no earlier
+dispatcher. A process that lost the role meanwhile still knows what it started.
 """
 
 from __future__ import annotations
--- a/packages/core/src/knapweedbeam_core/pool/messages.py
+++ b/packages/core/src/knapweedbeam_core/pool/messages.py
@@ -131,9 +131,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Withdraw:
-    """The caller no longer waits for the job."""
+    """The caller no longer waits for the job; `hand_in` is that of the submission."""
 
     job_id: str
+    hand_in: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -161,19 +162,27 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobRefused:
-    """No task of the job was started, and none will be."""
+    """No task of the job was started, and none will be.
+
+    That is said of the submission with `hand_in`, 0 for any.
+    """
 
     job_id: str
     reason: reasons.Reason
     retry_after_ms: int
+    hand_in: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotDispatching:
-    """The sender does not dispatch; the process `following` may know which one does."""
+    """The sender does not dispatch; the process `following` may know which one does.
+
+    It did not take the submission with `hand_in`, 0 for any.
+    """
 
     job_id: str
     following: str
+    hand_in: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/knapweedbeam_core/pool/open_jobs.py
+++ b/packages/core/src/knapweedbeam_core/pool/open_jobs.py
@@ -198,7 +198,8 @@
         job = self.jobs.pop(job_id, None)
         if job is None or not job.sent_to:
             return []
-        return [effects.Send(job.sent_to, messages.Withdraw(job_id))]
+        withdraw = messages.Withdraw(job_id, job.hand_in)
+        return [effects.Send(job.sent_to, withdraw)]
 
     def on_task_crashed(self, crashed: messages.TaskCrashed) -> None:
         """Keep a crash under a task of an open job for its next dispatcher."""
@@ -223,22 +224,28 @@
         job = self.jobs.get(refused.job_id)
         if job is None or job.sent_to != sender:
             return []
+        if refused.hand_in not in (0, job.hand_in):
+            return []
         del self.jobs[refused.job_id]
         outcome: Outcome = Refused(refused.reason, refused.retry_after_ms)
         if job.dispatcher_count > 1:
             outcome = Unknown(reasons.Reason.OUTCOME_UNKNOWN)
         return [Settled(refused.job_id, outcome)]
 
-    def on_not_dispatching(self, sender: str, job_id: str) -> Effects:
+    def on_not_dispatching(
+        self, sender: str, answer: messages.NotDispatching
+    ) -> Effects:
         """Let a job wait, as the process that it was sent to does not dispatch.
 
         That process never accepted the job if it was sent there only once; otherwise
         it may have been active before.
         """
-        job = self.jobs.get(job_id)
+        job = self.jobs.get(answer.job_id)
         if job is None or job.sent_to != sender:
             return []
-        if sender == self.find_target(job_id).name:
+        if answer.hand_in not in (0, job.hand_in):
+            return []
+        if sender == self.find_target(answer.job_id).name:
             if job.send_count == 1:
                 job.dispatcher_count -= 1
             else:
--- a/packages/core/src/knapweedbeam_core/pool/queueing.py
+++ b/packages/core/src/knapweedbeam_core/pool/queueing.py
@@ -94,4 +94,4 @@
     `backlog_ms` is how long the work ahead of it takes.
     """
     retry_after_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, int(backlog_ms)))
-    return messages.JobRefused(job.job_id, reason, retry_after_ms)
+    return messages.JobRefused(job.job_id, reason, retry_after_ms, job.hand_in)
--- a/packages/core/tests/pool/test_former_terms.py
+++ b/packages/core/tests/pool/test_former_terms.py
@@ -136,7 +136,7 @@
             "j", terms, "", (step,), 0, 1_000, 0, 1, (21, 22)[home]
         )
         produced = self.process.on_submit(simulation.ENTRY, submit)
-        refusal = messages.NotDispatching("j", "")
+        refusal = messages.NotDispatching("j", "", 1)
         self.assertNotIn(effects.Send(simulation.ENTRY, refusal), produced)
 
     def send_large_job(self) -> None:
--- a/packages/core/tests/pool/test_open_jobs.py
+++ b/packages/core/tests/pool/test_open_jobs.py
@@ -83,7 +83,9 @@
         sent = 0
         for _ in range(50):
             for number in range(30):
-                self.open_jobs.on_not_dispatching("a", f"j{number}")
+                self.open_jobs.on_not_dispatching(
+                    "a", messages.NotDispatching(f"j{number}", "")
+                )
             self.clock.advance(20)
             sent += len(self.get_submits(self.open_jobs.tick()))
         self.assertLessEqual(sent, 30 * 11)
@@ -91,7 +93,7 @@
     def test_job_that_was_not_accepted_keeps_attempt_base(self) -> None:
         self.follow("a")
         self.take()
-        self.open_jobs.on_not_dispatching("a", "j")
+        self.open_jobs.on_not_dispatching("a", messages.NotDispatching("j", ""))
         self.assertEqual(self.get_submits(self.follow("b")), [("b", 0)])
 
     def get_former(self, produced: open_jobs.Effects) -> tuple[str, ...]:
@@ -107,7 +109,7 @@
         for _ in range(resends):
             self.clock.advance(open_jobs.RESEND_MS)
             self.open_jobs.tick()
-        self.open_jobs.on_not_dispatching("a", "j")
+        self.open_jobs.on_not_dispatching("a", messages.NotDispatching("j", ""))
         return self.get_former(self.follow("b"))
 
     def test_successor_is_told_who_may_have_had_the_job(self) -> None:
@@ -128,7 +130,7 @@
         self.take()
         self.clock.advance(open_jobs.RESEND_MS)
         self.open_jobs.tick()
-        self.open_jobs.on_not_dispatching("a", "j")
+        self.open_jobs.on_not_dispatching("a", messages.NotDispatching("j", ""))
         self.assertEqual(
             self.get_submits(self.follow("b")),
             [("b", 100)],
@@ -251,7 +253,7 @@
         self.deliver(made, self.take(1_000))
         self.world.advance(20)
         self.assertEqual(len(self.world.starts), 1)
-        self.open_jobs.on_not_dispatching("a", late.job_id)
+        self.open_jobs.on_not_dispatching("a", late)
         sent = self.get_submit(self.open_jobs.follow(job_routes.Target("b")))
         self.assertGreater(sent.attempt_base, 0)
         self.assertEqual(sent.former, ("a",))
--- a/packages/core/tests/pool/test_shards.py
+++ b/packages/core/tests/pool/test_shards.py
@@ -194,7 +194,6 @@
         self.assertTrue(predecessors.may_miss_endpoints(("x",), set()))
 
 
-
 class Follower:
     """Process `a`, which owns the shards that the lead it follows gives to it."""
 
--- a/packages/server/src/knapweedbeam_server/fleet/message_router.py
+++ b/packages/server/src/knapweedbeam_server/fleet/message_router.py
@@ -51,8 +51,8 @@
             case messages.JobRefused():
                 self.node.run(self.node.open_jobs.on_refused(sender, message))
                 self.node.run(self.node.relay.return_outcome(message))
-            case messages.NotDispatching(job_id, _):
-                self.node.run(self.node.open_jobs.on_not_dispatching(sender, job_id))
+            case messages.NotDispatching():
+                self.node.run(self.node.open_jobs.on_not_dispatching(sender, message))
             case messages.EndpointNews():
                 self.node.announcement_forwarder.handle_forwarded_announcement(
                     sender, message
--- a/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
@@ -85,6 +85,7 @@
 
 struct Withdraw {
   jobId @0 :Text;
+  handIn @1 :Int64;
 }
 
 struct JobComplete {
@@ -100,11 +101,13 @@
   jobId @0 :Text;
   reason @1 :Text;
   retryAfterMs @2 :Int64;
+  handIn @3 :Int64;
 }
 
 struct NotDispatching {
   jobId @0 :Text;
   following @1 :Text;
+  handIn @2 :Int64;
 }
 
 struct StoredJob {
