Replace refused tokens of several shards at once

A shard whose token is refused, or whose term has ended, has no owner until the lead names a new token. The pause of 300 ms between two tokens was one for all shards, so that the shards that needed one just after another waited for it: after a partition several do, within some ticks. The pause is counted for each shard now; its purpose, not to answer each refusal of one shard with a token, is kept.

test_refused_tokens_of_two_shards_are_replaced_at_once failed before.

--- a/packages/core/src/knapweedbeam_core/fleet/sharding.py
+++ b/packages/core/src/knapweedbeam_core/fleet/sharding.py
@@ -101,7 +101,7 @@
         self.resize_wanted_ms: int | None = None
         self.wanted_count = 1
         self.unbalanced_ms: int | None = None
-        self.reissued_ms = -REFUSED_PAUSE_MS
+        self.reissued_ms: dict[int, int] = {}
 
     def update(self, own: messages.Presence, work: Work) -> Table:
         """Decide on the division if this process is the lead, or learn of it."""
@@ -243,7 +243,6 @@
     def find_replacements(self, candidates: Candidates) -> Changes:
         """Return a new owner for each shard whose owner is lost, or was refused."""
         now_ms = self.clock.now_ms()
-        may_reissue = now_ms - self.reissued_ms >= REFUSED_PAUSE_MS
         counts = self.count_by_owner(candidates, {})
         changes: Changes = {}
         for shard, owner in enumerate(self.table):
@@ -252,8 +251,10 @@
                 name = min(counts, key=lambda each: self.rank(each, counts[each]))
                 counts[name] += 1
                 changes[shard] = candidates[name]
-            elif may_reissue and owner.token in self.get_refused(presence):
-                self.reissued_ms = now_ms
+            elif owner.token not in self.get_refused(presence):
+                continue
+            elif now_ms >= self.reissued_ms.get(shard, 0) + REFUSED_PAUSE_MS:
+                self.reissued_ms[shard] = now_ms
                 changes[shard] = presence
         return changes
 
--- a/packages/core/tests/fleet/test_sharding.py
+++ b/packages/core/tests/fleet/test_sharding.py
@@ -334,6 +334,15 @@
         self.assertGreater(process.sharding.list_own_tokens()[2], owner.token)
         self.assertEqual(process.sharding.refused, set())
 
+    def test_refused_tokens_of_two_shards_are_replaced_at_once(self) -> None:
+        """The second shard waited for the pause of the first one, without an owner."""
+        for shard in (2, 4):
+            owner = self.deployment.get_lead().sharding.table[shard]
+            process = self.deployment.processes[owner.name]
+            self.assertTrue(process.sharding.handle_refused_token(owner.token))
+            self.deployment.advance(3 * TICK_MS)
+            self.assertIn(shard, process.sharding.list_own_tokens())
+
     def test_owner_that_follows_another_lead_for_a_moment_gets_a_new_token(
         self,
     ) -> None:
