Show that a division starts jobs that come as new a second time

divide sets uncertain_until_ms, but may_run_elsewhere asks for it only before not_before_ms, which is 0 for a job with attempt base 0. Its runs lie on endpoints of another shard, whose lists its dispatcher never sees; they are stopped as unclaimed 250 ms later. All links are up.

--- a/packages/core/tests/pool/test_former_terms.py
+++ b/packages/core/tests/pool/test_former_terms.py
@@ -4,7 +4,8 @@
 
 from bench.pool import simulation
 from knapweedbeam_core.fleet import messages as fleet_messages
-from knapweedbeam_core.pool import dispatcher
+from knapweedbeam_core.fleet import sharding
+from knapweedbeam_core.pool import dispatcher, shards
 
 
 def run_on_one_endpoint(
@@ -45,6 +46,48 @@
         self.assertEqual(world.breaches, [])
 
 
+class DivisionTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.world = simulation.Simulation()
+        for number in range(12):
+            self.world.add_endpoint(f"i-{number}")
+        self.process = shards.ShardedDispatcher(
+            "a", simulation.BOUNDS, self.world.clock
+        )
+        self.process.started_ms -= 10_000
+        self.process.dispatchers[0].started_ms = self.process.started_ms
+        self.announce(*self.world.endpoints)
+        self.world.dispatchers.append(self.process)
+
+    def announce(self, *names: str) -> None:
+        for name in names:
+            announcement = self.world.endpoints[name].build_announcement()
+            self.world.run(self.process, self.process.on_announcement(announcement))
+
+    def assign(self, *tokens: int) -> None:
+        produced = self.process.set_tokens(len(tokens), dict(enumerate(tokens)))
+        self.world.run(self.process, produced)
+
+    def test_job_that_comes_as_new_after_a_division_starts_no_task_twice(self) -> None:
+        """Its caller submits it again, at another entry VM."""
+        self.assign(10)
+        self.world.advance(400)
+        job_ids = [f"j{n}" for n in range(9) if sharding.get_shard(f"j{n}", 2) == 1]
+        for job_id in job_ids:
+            self.world.submit(self.process, job_id, work_ms=2_000)
+        self.world.advance(50)
+        self.assign(21, 22)
+        for job_id in job_ids:
+            self.world.submit(self.process, job_id, work_ms=2_000, hand_in=2)
+        self.world.advance(1_000)
+        self.assertEqual(self.world.breaches, [])
+
+    def send_large_job(self) -> None:
+        self.world.submit(
+            self.process, "j", 1, 2_000, 80_000, patience_ms=9_000, hand_in=1
+        )
+
+
 def build_entry() -> fleet_messages.Presence:
     """Return the state of an entry VM that sends heartbeats at the fast rate."""
     return fleet_messages.Presence(
