Show that the shard of an open job changes with the known endpoints

find_shard chooses another shard than that of the job's id if a task fits on no endpoint there. An endpoint that joins or leaves changes the choice, and the copy that the entry VM sends each 700 ms goes to another shard of the process, where it is a new job. Shards that were assigned together have one token, so the token in Submit does not stop it. Where the tokens differ, the token is that of the job's home shard, and the shard where it fits answers NotDispatching each time: the job waits until its caller gives up.

--- a/packages/core/tests/pool/test_former_terms.py
+++ b/packages/core/tests/pool/test_former_terms.py
@@ -3,9 +3,11 @@
 import unittest
 
 from bench.pool import simulation
+from knapweedbeam_core import effects
 from knapweedbeam_core.fleet import messages as fleet_messages
 from knapweedbeam_core.fleet import sharding
-from knapweedbeam_core.pool import dispatcher, shards
+from knapweedbeam_core.manifests import manifest
+from knapweedbeam_core.pool import dispatcher, messages, shards
 
 
 def run_on_one_endpoint(
@@ -82,6 +84,42 @@
         self.world.advance(1_000)
         self.assertEqual(self.world.breaches, [])
 
+    def test_open_job_that_is_sent_again_stays_in_its_shard(self) -> None:
+        """Meanwhile an endpoint that is large enough joins the shard of its id."""
+        self.assign(21, 21)
+        self.world.advance(3_000)
+        large = {sharding.get_shard(f"large-{n}", 2): f"large-{n}" for n in range(8)}
+        home = sharding.get_shard("j", 2)
+        self.world.add_endpoint(large[1 - home], 96_000)
+        self.announce(large[1 - home])
+        self.world.advance(3_000)
+        self.send_large_job()
+        self.world.advance(300)
+        self.assertEqual(len(self.world.starts), 1)
+        self.world.add_endpoint(large[home], 96_000)
+        self.announce(large[home])
+        self.world.advance(400)
+        self.send_large_job()
+        self.world.advance(100)
+        self.assertEqual(self.world.breaches, [])
+
+    def test_job_that_fits_only_in_another_shard_is_taken_there(self) -> None:
+        """It names the token of the shard of its id; the other shard has another."""
+        large = {sharding.get_shard(f"large-{n}", 2): f"large-{n}" for n in range(8)}
+        home = sharding.get_shard("j", 2)
+        self.world.add_endpoint(large[1 - home], 96_000)
+        self.announce(large[1 - home])
+        self.assign(21, 22)
+        self.world.advance(400)
+        step = messages.SubmittedStep(1, 80_000, 64, 0, 60, (), "", "", 0)
+        terms = manifest.Terms("queue", "service", 0, 3, 1.6, 60)
+        submit = messages.Submit(
+            "j", terms, "", (step,), 0, 1_000, 0, 1, (21, 22)[home]
+        )
+        produced = self.process.on_submit(simulation.ENTRY, submit)
+        refusal = messages.NotDispatching("j", "")
+        self.assertNotIn(effects.Send(simulation.ENTRY, refusal), produced)
+
     def send_large_job(self) -> None:
         self.world.submit(
             self.process, "j", 1, 2_000, 80_000, patience_ms=9_000, hand_in=1
