Show that the next owner does not wait for runs of a job that comes as new

Callers see a task run twice (rule TWICE).

The wait for runs of former dispatchers depends on what the entry VM knows of them. An entry VM that gets the job for the first time, as its caller went to another one, knows of none. The run lives until its lease ends, up to 1 s after the former owner was lost.

--- a/packages/core/tests/pool/test_former_terms.py
+++ b/packages/core/tests/pool/test_former_terms.py
@@ -47,6 +47,16 @@
         world.advance(1_500)
         self.assertEqual(world.breaches, [])
 
+    def test_job_that_comes_as_new_at_the_next_owner_starts_no_task_twice(self) -> None:
+        """The former owner is gone; its successor does not reach one endpoint."""
+        world, _, name = run_on_one_endpoint()
+        world.cut_links |= {("b", name)} | {("a", each) for each in world.endpoints}
+        second = world.add_dispatcher("b", 11)
+        world.advance(200)
+        world.submit(second, "j", work_ms=900, hand_in=2)
+        world.advance(1_500)
+        self.assertEqual(world.breaches, [])
+
 
 class DivisionTest(unittest.TestCase):
     def setUp(self) -> None:
