Show that an owner starts runs again that a cut-off dispatcher has claimed

A test that fails (KNOWN-RED). Callers see a task run twice (rule TWICE).

are_leases_expired counts the leases that this process granted. A dispatcher inside a cut domain that claims a run renews the same lease. The owner outside relies on losing the entry VM first. One of the ten phases of the test shows it. takeover.TAKEOVER_MS does not concern this side.

--- a/packages/core/tests/pool/test_former_terms.py
+++ b/packages/core/tests/pool/test_former_terms.py
@@ -4,8 +4,8 @@
 
 from bench.pool import simulation
 from knapweedbeam_core import effects
+from knapweedbeam_core.fleet import membership, participant, sharding
 from knapweedbeam_core.fleet import messages as fleet_messages
-from knapweedbeam_core.fleet import sharding
 from knapweedbeam_core.manifests import manifest
 from knapweedbeam_core.pool import dispatcher, messages, shards
 
@@ -136,6 +136,27 @@
         )
 
 
+class ClaimedRunTest(unittest.TestCase):
+    def test_run_that_a_cut_off_dispatcher_claimed_is_not_started_outside(self) -> None:
+        """The owner outside counts the entry VM as lost only after its own lease."""
+        lost_ms = participant.SILENT_ENTRY_MS + membership.REPLY_TIMEOUT_MS
+        for offset_ms in range(0, 250, 25):
+            world, outside, inner = run_on_one_endpoint(2_000)
+            world.advance(offset_ms)
+            world.cut_links |= {("a", inner)}
+            world.cut_links |= {("b", name) for name in world.endpoints} - {
+                ("b", inner)
+            }
+            inside = world.add_dispatcher("b", 0)
+            world.advance(450)
+            world.run(inside, inside.set_fence(11))
+            world.submit(inside, "j", 1, 2_000, attempt_base=100)
+            world.advance(lost_ms - 450)
+            world.run(outside, outside.on_entry_lost(simulation.ENTRY))
+            world.advance(1_000)
+            self.assertEqual(world.breaches, [], offset_ms)
+
+
 def build_entry() -> fleet_messages.Presence:
     """Return the state of an entry VM that sends heartbeats at the fast rate."""
     return fleet_messages.Presence(
