Show that a late lead loses endpoints before it loses their entry VM

A test that fails (KNOWN-RED). Callers see a task run twice (rule TWICE).

A member's silence is measured by WaitingClock, which passes 30 ms a tick at most, and leases by the clock. At ticks of 100 ms the lead starts the task again 1,201 ms after the cut, before its entry VM counts as lost. The order that takeovers rely on holds only while the process is on time.

--- a/packages/core/tests/pool/test_former_terms.py
+++ b/packages/core/tests/pool/test_former_terms.py
@@ -156,6 +156,26 @@
             world.advance(1_000)
             self.assertEqual(world.breaches, [], offset_ms)
 
+    def test_late_lead_starts_no_run_again_that_another_dispatcher_claimed(
+        self,
+    ) -> None:
+        """It counts members as silent by a clock that slows down, its leases do not."""
+        for tick_ms in (20, 100):
+            world, outside, inner = run_on_one_endpoint(2_000)
+            members = membership.Membership("a", True, (), world.clock)
+            members.record_heartbeat(build_entry())
+            world.cut_links |= {("a", inner), ("b", "e1"), ("b", "e2")}
+            inside = world.add_dispatcher("b", 0)
+            for passed_ms in range(0, 1_500, tick_ms):
+                if passed_ms == 500:
+                    world.run(inside, inside.set_fence(11))
+                    world.submit(inside, "j", 1, 2_000, attempt_base=100)
+                world.advance(tick_ms, tick_ms)
+                members.tick()
+                if members.take_silent():
+                    world.run(outside, outside.on_entry_lost(simulation.ENTRY))
+            self.assertEqual(world.breaches, [], tick_ms)
+
 
 def build_entry() -> fleet_messages.Presence:
     """Return the state of an entry VM that sends heartbeats at the fast rate."""
