Show that a job which runs is refused as not run after a new token

A test that fails (KNOWN-RED). A caller is told 503 "not run" and the job runs (rule REFUSED).

Job.was_started is false for a job with attempt base 0, unless its attempt is listed already. After a new token nothing is listed yet, and a job that is too late is refused at the next placement.

--- a/packages/core/tests/pool/test_former_terms.py
+++ b/packages/core/tests/pool/test_former_terms.py
@@ -57,6 +57,15 @@
         world.advance(1_500)
         self.assertEqual(world.breaches, [])
 
+    def test_job_that_runs_from_a_former_token_is_not_refused_as_not_run(self) -> None:
+        world, made, name = run_on_one_endpoint()
+        world.cut_links.add(("a", name))
+        world.run(made, made.set_fence(11))
+        world.submit(made, "j", work_ms=900, patience_ms=100, hand_in=2)
+        world.advance(50)
+        self.assertTrue(world.endpoints[name].running_attempts)
+        self.assertNotEqual(world.get_outcome("j"), "JobRefused")
+
 
 class DivisionTest(unittest.TestCase):
     def setUp(self) -> None:
