Show that a late refusal ends a later submission of the same job

Each copy of a refused submission is refused again, and JobRefused names the job alone. If the caller has submitted the job again meanwhile, the second refusal ends that submission.

--- a/packages/core/tests/pool/test_open_jobs.py
+++ b/packages/core/tests/pool/test_open_jobs.py
@@ -2,10 +2,11 @@
 
 import unittest
 
+from bench.pool import simulation
 from knapweedbeam_core import clock, effects, reasons
 from knapweedbeam_core.fleet import job_routes, sharding
 from knapweedbeam_core.manifests import manifest
-from knapweedbeam_core.pool import messages, open_jobs
+from knapweedbeam_core.pool import dispatcher, messages, open_jobs
 
 TERMS = manifest.Terms("q", "service", 0, 3, 1.6, 60)
 QUEUE = manifest.Queue("h", "/p/", 1_500, TERMS)
@@ -171,5 +172,57 @@
         self.assertEqual(self.open_jobs.on_ended("b", done), [])
 
 
+class FormerHandInTest(unittest.TestCase):
+    """A caller submits a job again while answers to its first submission are late."""
+
+    def setUp(self) -> None:
+        self.world = simulation.Simulation()
+        self.world.add_endpoint("e0")
+        self.open_jobs = open_jobs.OpenJobs(self.world.clock)
+        self.open_jobs.follow(job_routes.Target("a"))
+
+    def take(self, cpu_millis: int) -> messages.Submit:
+        """Submit a job of one task; return what its dispatcher is sent."""
+        step = messages.SubmittedStep(1, cpu_millis, 64, 0, 60, (), "", "", 0)
+        self.world.work_ms["j"] = 60
+        self.world.cpu_millis["j"] = cpu_millis
+        return self.get_submit(
+            self.open_jobs.submit("j", QUEUE, "spec", (step,), 3_000)
+        )
+
+    def get_submit(self, produced: open_jobs.Effects) -> messages.Submit:
+        (sent,) = produced
+        assert isinstance(sent, effects.Send)
+        assert isinstance(sent.message, messages.Submit)
+        return sent.message
+
+    def deliver(
+        self, to: dispatcher.Dispatcher, submit: messages.Submit
+    ) -> list[effects.Message]:
+        """Let a dispatcher handle a submission; return its answers."""
+        produced = to.on_submit(simulation.ENTRY, submit)
+        self.world.run(to, produced)
+        return [each.message for each in produced if isinstance(each, effects.Send)]
+
+    def test_refusal_of_an_earlier_submission_does_not_end_the_next_one(self) -> None:
+        """The first one was sent twice, and so it was refused twice."""
+        made = self.world.add_dispatcher("a", 10)
+        self.world.advance(50)
+        first = self.take(80_000)
+        (refused,) = self.deliver(made, first)
+        assert isinstance(refused, messages.JobRefused)
+        self.open_jobs.on_refused("a", refused)
+        large = self.world.add_endpoint("large", 96_000)
+        self.world.run(made, made.on_announcement(large.build_announcement()))
+        self.world.advance(400)
+        second = self.take(80_000)
+        (late,) = self.deliver(made, first)
+        assert isinstance(late, messages.JobRefused)
+        self.deliver(made, second)
+        self.world.advance(20)
+        self.assertEqual(len(self.world.starts), 1)
+        self.assertEqual(self.open_jobs.on_refused("a", late), [])
+
+
 if __name__ == "__main__":
     unittest.main()
