Show that a late NotDispatching hides a dispatcher that took the job

NotDispatching names the job alone. It is taken for the answer to the newest submission, whose send count is 1, so that the dispatcher that accepted this one is no longer counted or named.

--- a/packages/core/tests/pool/test_open_jobs.py
+++ b/packages/core/tests/pool/test_open_jobs.py
@@ -223,6 +223,22 @@
         self.assertEqual(len(self.world.starts), 1)
         self.assertEqual(self.open_jobs.on_refused("a", late), [])
 
+    def test_late_answer_to_an_earlier_submission_hides_no_dispatcher(self) -> None:
+        """The job was accepted meanwhile; its next dispatcher has to know by whom."""
+        made = self.world.add_dispatcher("a", 0)
+        (late,) = self.deliver(made, self.take(1_000))
+        assert isinstance(late, messages.NotDispatching)
+        self.open_jobs.withdraw("j")
+        self.world.run(made, made.set_fence(10))
+        self.world.advance(400)
+        self.deliver(made, self.take(1_000))
+        self.world.advance(20)
+        self.assertEqual(len(self.world.starts), 1)
+        self.open_jobs.on_not_dispatching("a", late.job_id)
+        sent = self.get_submit(self.open_jobs.follow(job_routes.Target("b")))
+        self.assertGreater(sent.attempt_base, 0)
+        self.assertEqual(sent.former, ("a",))
+
 
 if __name__ == "__main__":
     unittest.main()
