Show that a withdrawal ends the job of another entry VM

A test that fails (KNOWN-RED).

Withdraw names the job alone. If its caller has submitted it at another entry VM before the first one notices that the caller left, the job of the second one is stopped without an answer.

--- a/packages/core/tests/pool/test_open_jobs.py
+++ b/packages/core/tests/pool/test_open_jobs.py
@@ -223,6 +223,23 @@
         self.assertEqual(len(self.world.starts), 1)
         self.assertEqual(self.open_jobs.on_refused("a", late), [])
 
+    def test_withdrawal_of_an_earlier_submission_leaves_the_next_one_open(self) -> None:
+        """The caller submits the job at another entry VM, and then closes the first."""
+        made = self.world.add_dispatcher("a", 10)
+        self.world.advance(50)
+        self.deliver(made, self.take(1_000))
+        former = self.open_jobs
+        self.world.advance(10)
+        self.open_jobs = open_jobs.OpenJobs(self.world.clock)
+        self.open_jobs.follow(job_routes.Target("a"))
+        self.deliver(made, self.take(1_000))
+        for sent in former.withdraw("j"):
+            assert isinstance(sent, effects.Send)
+            assert isinstance(sent.message, messages.Withdraw)
+            self.world.run(made, made.on_withdraw(sent.message))
+        self.world.advance(100)
+        self.assertEqual(self.world.get_outcome("j"), "JobComplete")
+
     def test_late_answer_to_an_earlier_submission_hides_no_dispatcher(self) -> None:
         """The job was accepted meanwhile; its next dispatcher has to know by whom."""
         made = self.world.add_dispatcher("a", 0)
