Show that a refused token is used again when its table comes back

A test that fails (KNOWN-RED).

Sharding.refused is cut down to the tokens of the table in force. A table of another lead clears it, and when the first table comes back the process dispatches with a token that endpoints refuse.

--- a/packages/core/tests/fleet/test_sharding.py
+++ b/packages/core/tests/fleet/test_sharding.py
@@ -209,6 +209,25 @@
         self.deployment.advance(100)
         self.assert_each_shard_has_one_owner()
 
+    def test_a_refused_token_stays_refused_while_two_leads_alternate(self) -> None:
+        timer = clock.ManualClock(0, 1_700_000_000_000)
+        own = messages.ShardOwner("c0", 1, 50)
+        process = Process("c0", True, timer, 1)
+
+        def follow(lead: str, generation: int, table: sharding.Table) -> None:
+            presence = Process(lead, True, timer, generation).build_presence()
+            process.members.record_heartbeat(
+                dataclasses.replace(presence, generation=generation, shards=table)
+            )
+            process.role.following = dispatcher_role.Choice(lead, generation)
+            process.sharding.update(process.build_presence(), WORK)
+
+        follow("c1", 40, (own, own))
+        self.assertTrue(process.sharding.handle_refused_token(50))
+        follow("c2", 41, (messages.ShardOwner("c2", 41, 60),) * 2)
+        follow("c1", 40, (own, own))
+        self.assertEqual(process.sharding.list_own_tokens(), {})
+
     def test_a_process_that_returned_gets_a_shard_again(self) -> None:
         self.deployment.processes["c3"].is_up = False
         self.deployment.advance(3_000)
