Show that a lead that wakes decides by what it knew before

Jobs of a shard are dropped and start again; with the tests of new tokens also twice.

Members stay live over a pause, as silence is measured by WaitingClock, but the waits of decisions (SETTLE_MS, MAX_PAUSE_WAIT_MS, BALANCE_MS) are measured by the clock and are over at once. The new token holds the present second of the wall clock, so it is higher than those that the successor gave out during the pause, and endpoints refuse the rightful owners.

--- a/packages/core/tests/fleet/test_sharding.py
+++ b/packages/core/tests/fleet/test_sharding.py
@@ -228,6 +228,19 @@
         follow("c1", 40, (own, own))
         self.assertEqual(process.sharding.list_own_tokens(), {})
 
+    def test_a_frozen_lead_that_wakes_divides_nothing_by_what_it_knew(self) -> None:
+        """The deployment grew just before; its successor has divided it since."""
+        deployment = Deployment(6, 3, dataclasses.replace(WORK, endpoint_count=0))
+        deployment.advance(1_500)
+        former = deployment.get_lead()
+        deployment.work = WORK
+        deployment.advance(100)
+        former.is_up = False
+        deployment.advance(4_000)
+        former.is_up = True
+        deployment.advance(TICK_MS)
+        self.assertEqual(former.sharding.table, ())
+
     def test_a_process_that_returned_gets_a_shard_again(self) -> None:
         self.deployment.processes["c3"].is_up = False
         self.deployment.advance(3_000)
