Show that an owner without a lead works on beyond the takeover

Callers see a task run twice (rule TWICE). It takes two cut links: from the lead to the owner, and from the next owner to an endpoint.

The owner gives up its shards UNRESPONSIVE_MS + LEAD_TIMEOUT_MS after it last heard the lead. It keeps the jobs of an entry VM that follows the lead, as the newest state that it has of the lead still names it. takeover.TAKEOVER_MS covers owners that lose the entry VM, not this one.

--- a/packages/core/tests/pool/test_former_terms.py
+++ b/packages/core/tests/pool/test_former_terms.py
@@ -185,6 +185,21 @@
                     world.run(outside, outside.on_entry_lost(simulation.ENTRY))
             self.assertEqual(world.breaches, [], tick_ms)
 
+    def test_owner_that_hears_no_lead_stops_before_its_jobs_start_elsewhere(
+        self,
+    ) -> None:
+        """It still hears the entry VM, which has gone over to the next owner."""
+        world, former, name = run_on_one_endpoint(5_000)
+        world.cut_links.add(("b", name))
+        second = world.add_dispatcher("b", 0)
+        world.advance(membership.UNRESPONSIVE_MS)
+        world.run(second, second.set_fence(11))
+        world.submit(second, "j", 1, 5_000, attempt_base=100, patience_ms=20_000)
+        world.advance(sharding.LEAD_TIMEOUT_MS)
+        world.run(former, former.set_fence(0))
+        world.advance(1_500)
+        self.assertEqual(world.breaches, [])
+
 
 def build_entry() -> fleet_messages.Presence:
     """Return the state of an entry VM that sends heartbeats at the fast rate."""
