Show that a reply to a request before a restart answers another one

A test that fails (KNOWN-RED). A caller can be told the state of another job (rule MIXED), or that a job is stored which is not (rule LOST), within some seconds after an entry VM started again.

Told carries the number of the request and no incarnation; links deliver by the process's name. TokenReply of the product's own limits carries the incarnation and is not affected.

--- a/packages/core/tests/stored/test_service.py
+++ b/packages/core/tests/stored/test_service.py
@@ -153,6 +153,18 @@
         self.clock.advance(client.ANSWER_TIMEOUT_MS + 1)
         self.assertEqual(self.get_verdicts(self.client.tick()), ["unclear"])
 
+    def test_reply_to_a_request_before_a_restart_answers_none_after_it(self) -> None:
+        self.client.set_recipients("a", "d")
+        self.request()
+        (number,) = self.client.open
+        self.client = client.StoredJobClient(self.clock)
+        self.client.set_recipients("a", "d")
+        self.client.start_request(
+            messages.LookUpJob(self.client.allocate_number(), "another", "q")
+        )
+        reply = messages.Told(number, messages.Verdict.COMPLETE)
+        self.assertEqual(self.client.on_reply(reply), [])
+
 
 if __name__ == "__main__":
     unittest.main()
