Show that a candidate that wakes claims the role by what it heard before

All jobs are dropped and sent again for a change of dispatcher that nobody needs; with the tests of new tokens they also run twice.

last_unrequested_ms is a time of the clock, which passes while the process stands still, and the members that it compares with stay live: the contest counts as long over in the first tick. The new token holds the present second of the wall clock, above that of the dispatcher which took over meanwhile. It takes a pause that begins within one tick of the takeover.

--- a/packages/core/tests/fleet/test_dispatcher_role.py
+++ b/packages/core/tests/fleet/test_dispatcher_role.py
@@ -115,6 +115,24 @@
         self.deployment.advance(200)
         self.assertEqual(self.deployment.get_active_names(), ["c1"])
 
+    def test_a_frozen_candidate_that_wakes_claims_nothing_by_what_it_heard(
+        self,
+    ) -> None:
+        """It was about to take over when it stood still; another one did meanwhile."""
+        for frozen_ms in range(400, 600, TICK_MS):
+            deployment = Deployment(3, 4)
+            deployment.advance(1_500)
+            deployment.processes["c0"].is_up = False
+            deployment.advance(frozen_ms)
+            candidate = deployment.processes["c1"]
+            before = candidate.dispatcher_role.generation
+            candidate.is_up = False
+            deployment.advance(3_000)
+            self.assertEqual(deployment.get_active_names(), ["c2"])
+            candidate.is_up = True
+            deployment.advance(TICK_MS)
+            self.assertEqual(candidate.dispatcher_role.generation, before, frozen_ms)
+
     def test_a_partitioned_domain_gets_its_own_dispatcher(self) -> None:
         inside, outside = ["c1", "e0"], ["c0", "c2", "e1", "e2", "e3"]
         self.deployment.partition(inside, outside)
