Read all endpoints as soon as a dispatcher has a new token

After a change of its token a dispatcher places nothing on an endpoint, and knows nothing of what runs there, until it has read it with the new token. It polled with the former one, whose answer is not used, until that poll's wait was over: up to 250 ms, 400 ms with many endpoints. Callers waited that long after each change, and jobs that may run elsewhere for the slowest endpoint.

set_fence probes the endpoints that are polled already. Each change of a token costs one more call to each endpoint, which is what a first poll costs.

test_endpoints_are_read_with_a_new_token_at_once failed before (no endpoint held after 10 ms).

--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -116,7 +116,7 @@
             log_events.DispatcherRoleChanged(fence, len(self.endpoints), self.shard)
         ]
         for endpoint in self.endpoints.values():
-            produced += self.poll(endpoint)
+            produced += self.take(endpoint)
         return produced
 
     def add_known_endpoint(self, known: endpoints.Endpoint) -> None:
@@ -129,6 +129,15 @@
         endpoint.health = known.health
         self.endpoints[known.announcement.endpoint] = endpoint
 
+    def take(self, endpoint: endpoints.Endpoint) -> Effects:
+        """Read an endpoint with a new fencing token.
+
+        A poll with the former token may be open for some time yet.
+        """
+        if self.fence and endpoint.is_polled:
+            return [calls.Probe(endpoint.announcement.endpoint)]
+        return self.poll(endpoint)
+
     def poll(self, endpoint: endpoints.Endpoint) -> Effects:
         """Start polling an endpoint unless it is polled already."""
         if not self.fence or endpoint.is_polled:
@@ -548,9 +557,9 @@
         return [self.endpoints[name] for name in sorted(names)]
 
     def build_probe(self, name: str) -> calls.Hold | None:
-        """Return a probe of an endpoint, or None if it is no longer held."""
+        """Return a probe of an endpoint, or None if it is no longer known."""
         endpoint = self.endpoints.get(name)
-        if endpoint is None or not self.fence or not endpoint.is_held:
+        if endpoint is None or not self.fence:
             return None
         return self.tracker.build_probe(endpoint)
 
--- a/packages/core/tests/pool/test_former_terms.py
+++ b/packages/core/tests/pool/test_former_terms.py
@@ -66,6 +66,13 @@
         self.assertTrue(world.endpoints[name].running_attempts)
         self.assertNotEqual(world.get_outcome("j"), "JobRefused")
 
+    def test_endpoints_are_read_with_a_new_token_at_once(self) -> None:
+        """They were read when their poll with the former token had returned."""
+        world, made, _ = run_on_one_endpoint()
+        world.run(made, made.set_fence(11))
+        world.advance(10)
+        self.assertEqual([each.is_held for each in made.endpoints.values()], [True] * 3)
+
 
 class DivisionTest(unittest.TestCase):
     def setUp(self) -> None:
