Create no fencing token before a process that stood still has caught up

A core VM that was frozen took the dispatcher role, or divided the endpoints, in its first tick by what it had heard before. The waiting clock counts such a tick as 30 ms, so all members stayed live; waits between decisions were over at once.

For 300 ms after a tick that was later than the silence after which others give it up, a process creates no token; it goes on with those that it has, which endpoints refuse if they have a successor.

test_a_frozen_candidate_that_wakes_claims_nothing_by_what_it_heard and test_a_frozen_lead_that_wakes_divides_nothing_by_what_it_knew failed before.

--- a/packages/core/src/knapweedbeam_core/fleet/dispatcher_role.py
+++ b/packages/core/src/knapweedbeam_core/fleet/dispatcher_role.py
@@ -143,7 +143,9 @@
         if not self.has_requests:
             self.last_unrequested_ms = now_ms
         is_contest = now_ms - self.last_unrequested_ms > CONTEST_MS
-        if now_ms < self.blocked_until_ms or not (self.has_followers or is_contest):
+        if now_ms < self.blocked_until_ms or self.members.is_catching_up():
+            return
+        if not (self.has_followers or is_contest):
             return
         self.generation = self.create_token()
         self.followed_ms = now_ms
--- a/packages/core/src/knapweedbeam_core/fleet/membership.py
+++ b/packages/core/src/knapweedbeam_core/fleet/membership.py
@@ -61,7 +61,9 @@
 class Membership:
     """The members of a deployment as one process knows them.
 
-    `tick` must be called often, so that the silence of members is measured. `version`
+    `tick` must be called often, so that the silence of members is measured. `woke_ms`
+    is when this process last came back after others had given it up, by the waiting
+    clock. `version`
     changes whenever `get_live` may return something else, `link_version` whenever
     `get_link_peers` may. `candidates` are the processes that may dispatch.
     """
@@ -76,6 +78,7 @@
         self.name = name
         self.is_core = is_core
         self.waiting_clock = waiting_clock.WaitingClock(timer)
+        self.woke_ms = -REPLY_TIMEOUT_MS
         self.seeds: frozenset[str] = frozenset()
         self.members: dict[str, Member] = {}
         self.highest_generation = 0
@@ -96,9 +99,18 @@
     def tick(self) -> None:
         """Let the time pass in which members may be silent, and check them if due."""
         self.waiting_clock.tick()
+        if self.waiting_clock.late_ms > UNRESPONSIVE_MS:
+            self.woke_ms = self.waiting_clock.now_ms()
         if self.waiting_clock.now_ms() > self.check_due_ms:
             self.check_members()
 
+    def is_catching_up(self) -> bool:
+        """Return whether this process stood still, and may not know of changes since.
+
+        What others sent meanwhile arrives first, and then their next heartbeats.
+        """
+        return self.waiting_clock.now_ms() - self.woke_ms < REPLY_TIMEOUT_MS
+
     def check_members(self) -> None:
         """Find the members that became silent, and when the next one may."""
         now_ms = self.waiting_clock.now_ms()
--- a/packages/core/src/knapweedbeam_core/fleet/sharding.py
+++ b/packages/core/src/knapweedbeam_core/fleet/sharding.py
@@ -180,6 +180,8 @@
 
     def decide(self, own: messages.Presence, work: Work) -> None:
         """Divide the endpoints, and replace owners that are lost."""
+        if self.members.is_catching_up():
+            return
         candidates = self.list_candidates(own)
         self.resize(candidates, work)
         if self.table:
