Log the questions to entry VMs, and tokens that are not used again

7064 pool_job_questioned: an entry VM was asked to confirm a job, before which nothing of it starts. 7017 shard_token_ended: a token that was refused or given up, so that its shard has no dispatcher until the lead replaces it. Both are rare: one for each job of a lost endpoint, one for each token.

--- a/packages/core/src/knapweedbeam_core/pool/confirmations.py
+++ b/packages/core/src/knapweedbeam_core/pool/confirmations.py
@@ -11,7 +11,7 @@
 import typing
 
 from knapweedbeam_core import effects
-from knapweedbeam_core.pool import jobs, messages
+from knapweedbeam_core.pool import jobs, log_events, messages
 
 if typing.TYPE_CHECKING:
     from knapweedbeam_core.pool import dispatcher
@@ -35,7 +35,8 @@
             return []
         job.question_ms = now_ms
         self.asked[job.key] = job
-        return [self.build_question(job)]
+        asked = log_events.JobQuestioned(job.job_id, job.entry, self.owner.fence)
+        return [self.build_question(job), asked]
 
     def build_question(self, job: jobs.Job) -> effects.Send:
         """Return the question to the entry VM that holds a job open."""
--- a/packages/core/src/knapweedbeam_core/pool/log_events.py
+++ b/packages/core/src/knapweedbeam_core/pool/log_events.py
@@ -166,6 +166,18 @@
     fence: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobQuestioned:
+    """The dispatcher asked an entry VM whether it still sends a job here.
+
+    Nothing of the job starts before the answer.
+    """
+
+    job_id: str
+    entry: str
+    fence: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TaskSuspected:
     """An endpoint crashed under an attempt of a task, for the `crashes`-th time.
@@ -257,6 +269,7 @@
     | AttemptStopped
     | AttemptClaimed
     | JobTakenOver
+    | JobQuestioned
     | TaskSuspected
     | EndpointCoolingDown
     | EndpointFenced
--- a/packages/core/tests/pool/test_confirmations.py
+++ b/packages/core/tests/pool/test_confirmations.py
@@ -41,6 +41,7 @@
     def test_answer_to_an_earlier_question_starts_nothing(self) -> None:
         self.world.submitted_to["j"] = "b"
         self.world.advance(2_000)
+        self.assertEqual(len(self.world.starts), 1)
         job = self.dispatcher.jobs["j"]
         late = messages.JobConfirmed("j", job.question_ms - 1)
         self.world.run(self.dispatcher, self.dispatcher.on_confirmed(late))
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -87,6 +87,7 @@
     log_events.AttemptLost: catalogue.POOL_ATTEMPT_LOST,
     log_events.AttemptStopped: catalogue.POOL_ATTEMPT_STOPPED,
     log_events.AttemptClaimed: catalogue.POOL_ATTEMPT_CLAIMED,
+    log_events.JobQuestioned: catalogue.POOL_JOB_QUESTIONED,
     log_events.JobTakenOver: catalogue.POOL_JOB_TAKEN_OVER,
     log_events.TaskSuspected: catalogue.POOL_TASK_SUSPECTED,
     log_events.StoredDispatchStarted: catalogue.STORED_OFFICE,
@@ -344,7 +345,7 @@
 
     def update_shards(self) -> None:
         """Dispatch on the shards that this process owns."""
-        before = self.sharding.table
+        before, refused = self.sharding.table, frozenset(self.sharding.refused)
         work = sharding.Work(
             self.shards.count_endpoints(),
             self.shards.has_jobs(),
@@ -353,6 +354,8 @@
         table = self.sharding.update(self.build_presence(), work)
         if table != before:
             self.log_shards(table)
+        for token in self.sharding.refused - refused:
+            emit.emit(catalogue.SHARD_TOKEN_ENDED, fence=token)
         tokens = self.sharding.list_own_tokens()
         self.run(self.shards.set_tokens(max(1, len(table)), tokens))
 
--- a/packages/server/src/knapweedbeam_server/logs/catalogue.py
+++ b/packages/server/src/knapweedbeam_server/logs/catalogue.py
@@ -481,6 +481,14 @@
     "Each owner dispatches on its shard. One shard without an owner means that the "
     "active dispatcher has all endpoints.",
 )
+SHARD_TOKEN_ENDED = Event(
+    7017,
+    "shard_token_ended",
+    Level.INFO,
+    "token {fence} of this process is not used again",
+    "An endpoint refused it, or the process had given it up and was named with it once "
+    "more. The lead replaces it; until then the shard has no dispatcher.",
+)
 MANIFEST_IN_FORCE = Event(
     7020,
     "manifest_in_force",
@@ -668,6 +676,14 @@
     "The job may have run before. Without sight of all endpoints of the former "
     "dispatchers nothing of it is started while it waits.",
 )
+POOL_JOB_QUESTIONED = Event(
+    7064,
+    "pool_job_questioned",
+    Level.INFO,
+    "job {job_id}: {entry} asked to confirm it, token {fence}",
+    "An endpoint was lost while it ran attempts of the job. They may have been claimed "
+    "by another dispatcher, so nothing of the job starts before the answer.",
+)
 ENDPOINT_CALL_LOAD = Event(
     7057,
     "endpoint_call_load",
