Show that a job that comes back is taken for a copy while it is open

Two tests that fail (KNOWN-RED). Callers see a task run twice (rule TWICE).

on_submit treats each submission of an open job as a copy, and drops its attempt base, its former dispatchers and its crashes. An entry VM that went over to a dispatcher inside a cut and comes back confirms the job, truly. The owner, whose lease at the endpoint is over, then starts the task, while the run that the other one claimed and renewed goes on.

--- a/packages/core/tests/pool/test_returning_jobs.py
+++ b/packages/core/tests/pool/test_returning_jobs.py
@@ -1,10 +1,21 @@
 from __future__ import annotations
 
+import dataclasses
 import unittest
 
 from bench.pool import simulation
+from knapweedbeam_core.manifests import manifest
 from knapweedbeam_core.pool import dispatcher, messages
 
+TERMS = manifest.Terms("queue", "service", 0, 3, 1.6, 60)
+
+
+def build_submit(
+    work_ms: int, cpu_millis: int, hand_in: int, token: int = 0
+) -> messages.Submit:
+    step = messages.SubmittedStep(1, cpu_millis, 64, 0, work_ms, (), "", "", 0)
+    return messages.Submit("j", TERMS, "spec", (step,), 0, 20_000, 0, hand_in, token)
+
 
 class OneEndpointCutTest(unittest.TestCase):
     """A dispatcher loses its link to the endpoint that runs the task of a job."""
@@ -41,6 +52,42 @@
         self.world.advance(1_500)
         self.assertEqual(self.world.breaches, [])
 
+    def test_open_job_that_returns_from_another_dispatcher_waits_for_its_runs(
+        self,
+    ) -> None:
+        """The other one, inside a cut, has claimed the run and given up its token."""
+        self.world.cut_links |= {("a", self.name)}
+        self.world.cut_links |= {
+            ("b", each) for each in self.world.endpoints if each != self.name
+        }
+        inside = self.world.add_dispatcher("b", 0)
+        self.world.advance(400)
+        self.world.run(inside, inside.set_fence(11))
+        self.world.submit(inside, "j", work_ms=5_000, attempt_base=100, hand_in=1)
+        self.world.advance(500)
+        self.world.run(inside, inside.set_fence(0))
+        self.world.submit(
+            self.made, "j", work_ms=5_000, attempt_base=200, hand_in=1, token=10
+        )
+        self.world.advance(1_500)
+        self.assertEqual(self.world.breaches, [])
+
+    def test_open_job_that_returns_has_the_crashes_that_were_counted_elsewhere(
+        self,
+    ) -> None:
+        """Its task is at fault: it crashed two endpoints at another dispatcher."""
+        counted = tuple(
+            messages.TaskCrash("j.0.0.0", number, True) for number in (101, 102)
+        )
+        submit = dataclasses.replace(
+            build_submit(5_000, 27_000, 1, 10),
+            attempt_base=200,
+            crashes=counted,
+            former=("b",),
+        )
+        self.run_effects(self.made.on_submit(simulation.ENTRY, submit))
+        self.assertEqual(self.world.get_outcome("j"), "JobFailed")
+
 
 if __name__ == "__main__":
     unittest.main()
