Show that a job starts in its shard beside its run in another one

Two tests that fail (KNOWN-RED). Callers see a task run twice (rule TWICE).

A job that fits on no endpoint of the shard of its id is dispatched in another shard, but goes by the token of its own: when the other one gets a new token and forgets it, the entry VM sees no change and sends it with attempt base 0. If the shard of its id has a large endpoint by then, it starts there at once: takeover looks at the endpoints of one shard only, and the memory names a token, which several shards share after a division. It needs endpoints of unlike sizes.

--- a/packages/core/tests/pool/test_returning_jobs.py
+++ b/packages/core/tests/pool/test_returning_jobs.py
@@ -4,8 +4,9 @@
 import unittest
 
 from bench.pool import simulation
+from knapweedbeam_core.fleet import sharding
 from knapweedbeam_core.manifests import manifest
-from knapweedbeam_core.pool import dispatcher, messages
+from knapweedbeam_core.pool import dispatcher, messages, shards
 
 TERMS = manifest.Terms("queue", "service", 0, 3, 1.6, 60)
 
@@ -89,5 +90,74 @@
         self.assertEqual(self.world.get_outcome("j"), "JobFailed")
 
 
+class SeveralShardsTest(unittest.TestCase):
+    """One process owns two shards under one token."""
+
+    def setUp(self) -> None:
+        self.world = simulation.Simulation()
+        for number in range(6):
+            self.world.add_endpoint(f"i-{number}")
+        self.process = shards.ShardedDispatcher(
+            "a", simulation.BOUNDS, self.world.clock
+        )
+        self.process.started_ms -= 10_000
+        self.process.dispatchers[0].started_ms = self.process.started_ms
+        self.large = {sharding.get_shard(f"l-{n}", 2): f"l-{n}" for n in range(8)}
+        self.home = sharding.get_shard("j", 2)
+        self.announce(*self.world.endpoints)
+        self.world.dispatchers.append(self.process)
+        self.world.run(self.process, self.process.set_tokens(2, {0: 21, 1: 21}))
+        self.announce_large(1 - self.home)
+        self.world.advance(3_000)
+        self.submit(1)
+        self.world.advance(100)
+        self.assertEqual(len(self.world.starts), 1)
+
+    def announce(self, *names: str) -> None:
+        for name in names:
+            announcement = self.world.endpoints[name].build_announcement()
+            self.world.run(self.process, self.process.on_announcement(announcement))
+
+    def announce_large(self, shard: int) -> None:
+        self.world.add_endpoint(self.large[shard], 96_000)
+        self.announce(self.large[shard])
+
+    def submit(self, hand_in: int, attempt_base: int = 0) -> None:
+        self.world.submit(
+            self.process,
+            "j",
+            work_ms=4_000,
+            cpu_millis=80_000,
+            patience_ms=9_000,
+            hand_in=hand_in,
+            attempt_base=attempt_base,
+        )
+
+    def test_job_submitted_again_waits_for_a_run_that_is_stopped_in_another_shard(
+        self,
+    ) -> None:
+        """An endpoint that is large enough has joined the shard of its id."""
+        self.announce_large(self.home)
+        self.world.advance(200)
+        withdrawn = self.process.on_withdraw(messages.Withdraw("j", 1))
+        self.world.run(self.process, withdrawn)
+        self.submit(2)
+        self.world.advance(1_000)
+        self.assertEqual(self.world.breaches, [])
+
+    def test_job_that_is_sent_again_after_a_new_token_waits_for_another_shard(
+        self,
+    ) -> None:
+        """Its run is in a shard that it no longer belongs to."""
+        self.announce_large(self.home)
+        self.world.advance(200)
+        other = 1 - self.home
+        tokens = {self.home: 21, other: 22}
+        self.world.run(self.process, self.process.set_tokens(2, tokens))
+        self.submit(1)
+        self.world.advance(1_000)
+        self.assertEqual(self.world.breaches, [])
+
+
 if __name__ == "__main__":
     unittest.main()
