Show that another entry VM confirms a job that has moved

A test that fails (KNOWN-RED). Callers see a task run twice (rule TWICE).

A question goes to the entry VM that sent the job last. If a caller also submits the job at a second one, that confirms it, though the first, inside a cut, has gone over to the dispatcher there, which claimed the run and renews its lease. So the answer rules out nothing when a job is open at two entry VMs. The question could go to each entry VM that had the job open when the endpoint was lost.

--- a/packages/core/tests/pool/test_returning_jobs.py
+++ b/packages/core/tests/pool/test_returning_jobs.py
@@ -89,6 +89,24 @@
         self.run_effects(self.made.on_submit(simulation.ENTRY, submit))
         self.assertEqual(self.world.get_outcome("j"), "JobFailed")
 
+    def test_job_is_not_confirmed_by_another_entry_vm_than_the_one_that_moved(
+        self,
+    ) -> None:
+        """Its entry VM is cut off with a dispatcher; its caller asks another one."""
+        self.world.cut_links |= {("a", self.name)}
+        self.world.cut_links |= {
+            ("b", each) for each in self.world.endpoints if each != self.name
+        }
+        inside = self.world.add_dispatcher("b", 0)
+        self.world.advance(400)
+        self.world.run(inside, inside.set_fence(11))
+        self.world.submit(inside, "j", work_ms=5_000, attempt_base=100, hand_in=1)
+        self.world.advance(100)
+        self.run_effects(self.made.on_submit("entry-2", build_submit(5_000, 27_000, 9)))
+        self.world.submitted_to["j"] = "a"
+        self.world.advance(1_500)
+        self.assertEqual(self.world.breaches, [])
+
 
 class SeveralShardsTest(unittest.TestCase):
     """One process owns two shards under one token."""
