Show that a job that nobody confirms never ends

A test that fails (KNOWN-RED).

The entry VM does not answer a question about a job that it has no more: its withdrawal was lost with a link, it started again, or another dispatcher ended the job. The job then never starts, is never refused (it was started), and never orphaned (its entry VM responds). It keeps its place in the queue, where each placement goes through it and backlogs count it.

--- a/packages/core/tests/pool/test_returning_jobs.py
+++ b/packages/core/tests/pool/test_returning_jobs.py
@@ -53,6 +53,14 @@
         self.world.advance(1_500)
         self.assertEqual(self.world.breaches, [])
 
+    def test_job_of_an_entry_vm_that_dropped_it_ends(self) -> None:
+        """Its withdrawal was lost with a link, and nobody confirms it."""
+        self.world.cut_links.add(("a", self.name))
+        self.world.submitted_to["j"] = "nobody"
+        self.world.advance(30_000)
+        self.assertEqual(list(self.made.jobs), [])
+        self.assertEqual(list(self.made.confirmations.asked), [])
+
     def test_open_job_that_returns_from_another_dispatcher_waits_for_its_runs(
         self,
     ) -> None:
