Show that a new token counts polls of the former one as lost

The probe that reads an endpoint with the new token makes it held, while no hold with that token is open: answer_due_ms is still 0, so the next tick takes the answer for late. It probes, and records a lost call, so that polls of endpoints with tasks are urgent for 5 s.

--- a/packages/core/tests/pool/test_returning_jobs.py
+++ b/packages/core/tests/pool/test_returning_jobs.py
@@ -18,6 +18,17 @@
     return messages.Submit("j", TERMS, "spec", (step,), 0, 20_000, 0, hand_in, token)
 
 
+class ProbeCountingSimulation(simulation.Simulation):
+    """A simulation that counts the probes of endpoints."""
+
+    probe_count = 0
+
+    def probe(self, by: simulation.Dispatching, name: str) -> None:
+        """Count a probe and carry it out."""
+        self.probe_count += 1
+        super().probe(by, name)
+
+
 class OneEndpointCutTest(unittest.TestCase):
     """A dispatcher loses its link to the endpoint that runs the task of a job."""
 
@@ -116,6 +127,21 @@
         self.assertEqual(self.world.breaches, [])
 
 
+class NewTokenTest(unittest.TestCase):
+    def test_new_token_does_not_count_polls_of_the_former_one_as_lost(self) -> None:
+        """Each endpoint was probed every 40 ms, and polls were urgent for 5 s."""
+        world = ProbeCountingSimulation()
+        for number in range(10):
+            world.add_endpoint(f"e{number}")
+        made = world.add_dispatcher("a", 10)
+        world.advance(3_010)
+        world.probe_count = 0
+        world.run(made, made.set_fence(11))
+        world.advance(400)
+        self.assertLessEqual(world.probe_count, 2 * 10)
+        self.assertFalse(made.tracker.losses.is_lossy(made.tracker.waiting_ms))
+
+
 class SeveralShardsTest(unittest.TestCase):
     """One process owns two shards under one token."""
 
