Show that a late copy hides a withdrawal

A test that fails (KNOWN-RED).

Each copy of an open job sets its hand_in, also one of an older submission of the same entry VM. The withdrawal of the newer one is then not meant, so that the job runs on for nobody.

--- a/packages/core/tests/pool/test_returning_jobs.py
+++ b/packages/core/tests/pool/test_returning_jobs.py
@@ -126,6 +126,17 @@
         self.world.advance(1_500)
         self.assertEqual(self.world.breaches, [])
 
+    def test_copy_of_an_older_submission_does_not_hide_a_withdrawal(self) -> None:
+        """It was sent on a former connection and is read late."""
+        self.run_effects(
+            self.made.on_submit(simulation.ENTRY, build_submit(5_000, 27_000, 2))
+        )
+        self.run_effects(
+            self.made.on_submit(simulation.ENTRY, build_submit(5_000, 27_000, 1))
+        )
+        self.run_effects(self.made.on_withdraw(messages.Withdraw("j", 2)))
+        self.assertEqual(list(self.made.jobs), [])
+
 
 class NewTokenTest(unittest.TestCase):
     def test_new_token_does_not_count_polls_of_the_former_one_as_lost(self) -> None:
