End a job that nobody confirms once its caller no longer waits

Since entry VMs confirm jobs, a job whose entry VM had dropped it (a lost withdrawal, a restart) stayed in the queue for ever, neither started nor refused nor orphaned, with a question each 100 ms. Such a job ends when its caller's patience does.

--- a/packages/core/src/knapweedbeam_core/pool/confirmations.py
+++ b/packages/core/src/knapweedbeam_core/pool/confirmations.py
@@ -50,7 +50,10 @@
             job.question_ms = 0
 
     def tick(self) -> dispatcher.Effects:
-        """Ask again for the jobs that are still open and not confirmed."""
+        """Ask again for the jobs that are open, and end those that nobody waits for.
+
+        An entry VM that has dropped a job confirms it no more.
+        """
         now_ms = self.owner.clock.now_ms()
         if not self.asked or now_ms < self.due_ms:
             return []
@@ -60,7 +63,13 @@
             for key, job in self.asked.items()
             if self.owner.jobs.get(key) is job
         }
-        return [self.build_question(job) for job in self.asked.values()]
+        produced: dispatcher.Effects = []
+        for job in list(self.asked.values()):
+            if now_ms > job.give_up_ms:
+                produced += self.owner.end_job(job, None)
+            else:
+                produced.append(self.build_question(job))
+        return produced
 
     def reset(self) -> None:
         """Drop all questions."""
