Limit how often a process catches up

A process that was late once in ten ticks always counted as catching up, so that it never took the dispatcher role and as the lead never replaced a lost owner. It now catches up for 200 ms of plain time, at most every two seconds.

--- a/packages/core/src/knapweedbeam_core/fleet/membership.py
+++ b/packages/core/src/knapweedbeam_core/fleet/membership.py
@@ -21,6 +21,9 @@
 UNRESPONSIVE_MS = 450
 # A member that was asked for a heartbeat counts as unresponsive after this time.
 REPLY_TIMEOUT_MS = 300
+# A process that stood still hears the newest state of the others within this time.
+CATCH_UP_MS = 200
+CATCH_UP_INTERVAL_MS = 2_000
 # A process without contact for longer is removed, and found again only through seeds.
 FORGET_AFTER_MS = 30_000
 # Number of entry VMs that stand by to dispatch when no core VM is left.
@@ -62,10 +65,9 @@
     """The members of a deployment as one process knows them.
 
     `tick` must be called often, so that the silence of members is measured. `woke_ms`
-    is when this process last came back after others had given it up, by the waiting
-    clock. `version`
-    changes whenever `get_live` may return something else, `link_version` whenever
-    `get_link_peers` may. `candidates` are the processes that may dispatch.
+    is when this process last went on after a pause. `version` changes whenever
+    `get_live` may return something else, `link_version` whenever `get_link_peers` may.
+    `candidates` are the processes that may dispatch.
     """
 
     def __init__(
@@ -77,8 +79,9 @@
     ) -> None:
         self.name = name
         self.is_core = is_core
+        self.clock = timer
         self.waiting_clock = waiting_clock.WaitingClock(timer)
-        self.woke_ms = -REPLY_TIMEOUT_MS
+        self.woke_ms = -CATCH_UP_INTERVAL_MS
         self.seeds: frozenset[str] = frozenset()
         self.members: dict[str, Member] = {}
         self.highest_generation = 0
@@ -99,17 +102,26 @@
     def tick(self) -> None:
         """Let the time pass in which members may be silent, and check them if due."""
         self.waiting_clock.tick()
-        if self.waiting_clock.late_ms > UNRESPONSIVE_MS:
-            self.woke_ms = self.waiting_clock.now_ms()
+        self.record_pause()
         if self.waiting_clock.now_ms() > self.check_due_ms:
             self.check_members()
 
+    def record_pause(self) -> None:
+        """Record that this process stood still for longer than others wait for it.
+
+        One that is late again and again catches up only now and then.
+        """
+        now_ms = self.clock.now_ms()
+        is_due = now_ms - self.woke_ms >= CATCH_UP_INTERVAL_MS
+        if is_due and self.waiting_clock.late_ms > UNRESPONSIVE_MS:
+            self.woke_ms = now_ms
+
     def is_catching_up(self) -> bool:
         """Return whether this process stood still, and may not know of changes since.
 
         What others sent meanwhile arrives first, and then their next heartbeats.
         """
-        return self.waiting_clock.now_ms() - self.woke_ms < REPLY_TIMEOUT_MS
+        return self.clock.now_ms() - self.woke_ms < CATCH_UP_MS
 
     def check_members(self) -> None:
         """Find the members that became silent, and when the next one may."""
