Expect the answer of a former poll when its wait is over

The answer is due when that poll's wait is over. test_new_token_does_not_count_polls_of_the_former_one_as_lost failed before.

--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -135,6 +135,8 @@
         A poll with the former token may be open for some time yet.
         """
         if self.fence and endpoint.is_polled:
+            wait_ms = self.tracker.get_wait_ms(endpoint)
+            endpoint.answer_due_ms = self.waiting_clock.now_ms() + wait_ms
             return [calls.Probe(endpoint.announcement.endpoint)]
         return self.poll(endpoint)
 
