Keep what a job waits for over a withdrawal, a rejoin and a change of its shard

What a job has to wait for was set once, when it was taken, and lost afterwards:

- A job that waited for a run of a former term was withdrawn, and submitted again: the memory named the present token for it, so that it started at once.
It keeps the time and the dispatchers now.
- An open job that had been at another dispatcher meanwhile was taken for a copy, its attempt base, former dispatchers and crashes dropped.
A higher base makes it wait, and counts the crashes.
- A job outside the shard of its id went to another shard of the process, which does not see its runs.
The memory names the shard; in another one the job waits for TAKEOVER_MS.
- A late copy of an older submission set the hand-in back, and hid the withdrawal of the newer one.

They share Takeover.follow and the fields of EndedJob, hence one commit. Not mended: a job that two entry VMs hold open on both sides of a cut, and shards that share a token.

--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -26,7 +26,6 @@
     log_events,
     messages,
     placing,
-    predecessors,
     rebirths,
     recovery_steps,
     resources,
@@ -314,17 +313,32 @@
             return [effects.Send(sender, ended.refusal)] if ended.refusal else []
         open_job = self.jobs.get(submit.job_id)
         if open_job is not None:
-            open_job.orphaned_ms = 0
-            open_job.hand_in = submit.hand_in
-            if open_job.entry == sender:
-                return []
-            open_job.entry = sender
-            return [log_events.JobRejoined(submit.job_id, sender)]
+            return self.rejoin(open_job, sender, submit)
         job = self.build_job(sender, submit, ended)
         self.add_job(job)
         self.load_report.record_arrival(job)
         return [*run_reports.report_taken(self, job), *self.take_job(job)]
 
+    def rejoin(self, job: jobs.Job, sender: str, submit: messages.Submit) -> Effects:
+        """Handle a copy of an open job, which may have been elsewhere meanwhile."""
+        job.orphaned_ms = 0
+        if sender != job.entry or submit.hand_in > job.hand_in:
+            job.hand_in = submit.hand_in
+        produced: Effects = []
+        if sender != job.entry:
+            job.entry = sender
+            produced.append(log_events.JobRejoined(submit.job_id, sender))
+        if submit.attempt_base <= job.submitted_base:
+            return produced
+        job.submitted_base = submit.attempt_base
+        job.attempt_base = max(job.attempt_base, submit.attempt_base)
+        job.was_started = True
+        job.restore_crashes(submit.crashes)
+        self.takeover.follow(job, submit.former)
+        if job.has_task_at_fault:
+            produced += self.crash_handler.fail_if_at_fault(job)
+        return produced
+
     def take_job(self, job: jobs.Job) -> Effects:
         """Fail or refuse a new job that cannot run, or adopt its attempts."""
         if job.has_task_at_fault:
@@ -384,7 +398,6 @@
         """
         now_ms = self.clock.now_ms()
         base = max(submit.attempt_base, ended.last_attempt if ended else 0)
-        ran_before = ended is not None and ended.fence != self.fence and base > 0
         job = jobs.Job(
             submit.job_id,
             sender,
@@ -397,13 +410,14 @@
         )
         job.was_started = base > 0
         job.hand_in = submit.hand_in
+        job.submitted_base = submit.attempt_base
         job.restore_crashes(submit.crashes)
         if ended is not None:
             job.restore_crashes(ended.crashes)
-        if submit.attempt_base or ran_before:
-            job.not_before_ms = now_ms + takeover.TAKEOVER_MS
+        if ended is not None:
+            self.takeover.restore(job, ended)
         if submit.attempt_base:
-            job.former = submit.former or predecessors.UNKNOWN
+            self.takeover.follow(job, submit.former)
         return job
 
     def on_withdraw(self, withdraw: messages.Withdraw) -> Effects:
@@ -453,9 +467,12 @@
             max(last, job.attempt_base),
             self.clock.now_ms(),
             self.fence,
+            self.shard,
             refusal,
             job.hand_in if refusal else 0,
             job.list_crashes(),
+            job.not_before_ms,
+            job.former,
         )
         self.ended.record(job.key, ended)
         return last
--- a/packages/core/src/knapweedbeam_core/pool/job_memory.py
+++ b/packages/core/src/knapweedbeam_core/pool/job_memory.py
@@ -26,16 +26,20 @@
     `outcome` is None for a job that was withdrawn, orphaned, refused or given up with
     the dispatcher role. Copies with the `hand_in` of a withdrawn or refused request
     start nothing (0 for none); the same job submitted again has another `hand_in` and
-    may run. `crashes` are those under its tasks, `fence` is the token it ran under.
+    may run. `crashes` are those under its tasks. It was placed in `shard` under the
+    token `fence`; until `not_before_ms` it may run at the dispatchers `former`.
     """
 
     outcome: Outcome | None
     last_attempt: int
     ended_ms: int
     fence: int
+    shard: int
     refusal: messages.JobRefused | None = None
     hand_in: int = 0
     crashes: tuple[messages.TaskCrash, ...] = ()
+    not_before_ms: int = 0
+    former: tuple[str, ...] = ()
 
 
 class JobMemory:
--- a/packages/core/src/knapweedbeam_core/pool/jobs.py
+++ b/packages/core/src/knapweedbeam_core/pool/jobs.py
@@ -109,7 +109,8 @@
 
     `entry` is the entry VM that waits for it, empty for a stored job, which is kept in
     the log; `orphaned_ms` is since when that VM is unresponsive, 0 while it is live.
-    `question_ms` is when that VM was asked to confirm the job, 0 if no answer is open.
+    `submitted_base` is the attempt base that it sent. `question_ms` is when it was
+    asked to confirm the job, 0 if no answer is open.
     `born_ms` is when the caller sent the job, `give_up_ms` when the caller stops
     waiting. `work_factor` is the largest ratio of actual to estimated work among the
     tasks that ended, 0 while none has: the tasks of a job share the error of its
@@ -143,6 +144,7 @@
         self.is_cancelled = False
         self.is_stored = False
         self.hand_in = 0
+        self.submitted_base = 0
         self.is_lasting = any(step.is_lasting for step in steps)
         self.orphaned_ms = 0
         self.not_before_ms = 0
--- a/packages/core/src/knapweedbeam_core/pool/takeover.py
+++ b/packages/core/src/knapweedbeam_core/pool/takeover.py
@@ -8,7 +8,7 @@
 
 import typing
 
-from knapweedbeam_core.pool import jobs, predecessors
+from knapweedbeam_core.pool import job_memory, jobs, predecessors
 
 if typing.TYPE_CHECKING:
     from knapweedbeam_core.pool import dispatcher
@@ -50,6 +50,25 @@
             for endpoint in self.owner.iterate_service(service)
         )
 
+    def follow(self, job: jobs.Job, former: tuple[str, ...]) -> None:
+        """Let a job wait for runs that other dispatchers may have started just now."""
+        job.not_before_ms = self.owner.clock.now_ms() + TAKEOVER_MS
+        job.former = former or predecessors.UNKNOWN
+
+    def restore(self, job: jobs.Job, ended: job_memory.EndedJob) -> None:
+        """Let a job wait for runs that this process may have left behind.
+
+        Those of a former term end unless they are listed; those in another shard are
+        not seen here.
+        """
+        job.not_before_ms, job.former = ended.not_before_ms, ended.former
+        if not ended.last_attempt:
+            return
+        if ended.shard != self.owner.shard:
+            self.follow(job, predecessors.UNKNOWN)
+        elif ended.fence != self.owner.fence:
+            job.not_before_ms = self.owner.clock.now_ms() + TAKEOVER_MS
+
     def may_run_elsewhere(self, job: jobs.Job) -> bool:
         """Return whether tasks of a job may run on endpoints that are not held here.
 
