--- a/bench/fleet/observed.py
+++ b/bench/fleet/observed.py
@@ -7,7 +7,7 @@
 import typing
 
 from bench.pool import simulation
-from knapweedbeam_core.pool import calls, messages
+from knapweedbeam_core.pool import calls, messages, open_jobs
 
 if typing.TYPE_CHECKING:
     from bench.fleet import deployment
@@ -47,7 +47,8 @@
         if former.starter == last.starter:
             by = "same token" if former.fence == last.fence else "other token"
         times = "handed in once" if self.hand_ins == 1 else "handed in again"
-        return f"TWICE ({by}, {times})"
+        base = "" if last.number < open_jobs.ATTEMPTS_PER_DISPATCHER else ", taken over"
+        return f"TWICE ({by}, {times}{base})"
 
 
 class Endpoint(simulation.FakeEndpoint):
--- a/packages/core/tests/pool/test_former_terms.py
+++ b/packages/core/tests/pool/test_former_terms.py
@@ -57,6 +57,22 @@
         world.advance(1_500)
         self.assertEqual(world.breaches, [])
 
+    def test_takeover_that_is_withdrawn_and_comes_as_new_starts_no_task_twice(
+        self,
+    ) -> None:
+        """Its caller leaves one entry VM for another one soon after the takeover."""
+        world, _, name = run_on_one_endpoint()
+        world.cut_links |= {("b", name)} | {("a", each) for each in world.endpoints}
+        second = world.add_dispatcher("b", 11)
+        world.advance(200)
+        world.submit(second, "j", work_ms=900, hand_in=2, attempt_base=100)
+        world.advance(20)
+        world.run(second, second.on_withdraw(messages.Withdraw("j", 2)))
+        world.advance(80)
+        world.submit(second, "j", work_ms=900, hand_in=3)
+        world.advance(1_500)
+        self.assertEqual(world.breaches, [])
+
     def test_job_that_runs_from_a_former_token_is_not_refused_as_not_run(self) -> None:
         world, made, name = run_on_one_endpoint()
         world.cut_links.add(("a", name))
