--- a/bench/fleet/callers.py
+++ b/bench/fleet/callers.py
@@ -98,10 +98,15 @@
         self.hasty_share = 0.1
         self.retries = True
 
-    def submit(self, job: Job) -> None:
+    def be_patient(self) -> None:
+        """Let each caller hand its job in once, and wait for the answer."""
+        self.lost_share = self.repeat_share = self.hasty_share = 0.0
+        self.retries = False
+
+    def submit(self, job: Job, entry: str = "") -> None:
         """Hand a job in for the first time."""
         self.jobs[job.job_id] = job
-        self.hand_in(job)
+        self.hand_in(job, entry)
 
     def hand_in(self, job: Job, entry: str = "") -> None:
         """Hand a job in at an entry VM, a random one that can be reached by default."""
@@ -154,7 +159,7 @@
         patience_ms = max(1, job.give_up_ms - self.world.now_ms)
         entry.submit(job.job_id, QUEUE, steps, patience_ms, settle)
         is_hasty = self.rng.random() < self.hasty_share
-        waits_ms = self.rng.randint(100, 900) if is_hasty else PATIENCE_MS
+        waits_ms = self.rng.randint(100, 900) if is_hasty else patience_ms
         self.world.schedule_after(waits_ms, leave)
 
     def on_outcome(
--- a/bench/fleet/days.py
+++ b/bench/fleet/days.py
@@ -94,9 +94,7 @@
 def play_domain_cuts(seed: int, gap_ms: int = 4_500) -> deployment.Deployment:
     """Cut off one domain after the other; each caller waits for its only answer."""
     played = deployment.Deployment(seed)
-    played.callers.lost_share = played.callers.repeat_share = 0.0
-    played.callers.hasty_share = 0.0
-    played.callers.retries = False
+    played.callers.be_patient()
     played.advance(WARM_UP_MS)
     rng = random.Random(f"{seed} cuts")
     for name in played.nodes:
@@ -115,9 +113,16 @@
     return played
 
 
-def play(seed: int, troubles: list[Trouble] | None = None) -> deployment.Deployment:
-    """Play a day, by default the random one of a seed; return what was seen."""
+def play(
+    seed: int, troubles: list[Trouble] | None = None, is_patient: bool = False
+) -> deployment.Deployment:
+    """Play a day, by default the random one of a seed; return what was seen.
+
+    Patient callers hand each job in once.
+    """
     played = deployment.Deployment(seed)
+    if is_patient:
+        played.callers.be_patient()
     played.advance(WARM_UP_MS)
     if seed % 4 == 3:
         for node in played.nodes.values():
@@ -145,10 +150,14 @@
     parser.add_argument("first", type=int)
     parser.add_argument("count", type=int)
     parser.add_argument("--cuts", action="store_true", help="cut domains only")
+    parser.add_argument("--patient", action="store_true", help="hand jobs in once")
     options = parser.parse_args()
     broken = 0
     for seed in range(options.first, options.first + options.count):
-        played = play_domain_cuts(seed) if options.cuts else play(seed)
+        if options.cuts:
+            played = play_domain_cuts(seed)
+        else:
+            played = play(seed, is_patient=options.patient)
         print(describe(seed, played), flush=True)
         broken += bool(played.list_breaches())
     print(f"{broken} of {options.count} days broke a rule")
--- a/bench/fleet/deployment.py
+++ b/bench/fleet/deployment.py
@@ -18,6 +18,7 @@
 
 START_SPREAD_MS = 300
 ENDPOINTS_PER_SHARD = 8
+TASK_CPU_MILLIS = 27_000
 BOUNDS = attempt_tracker.ProtocolBounds(
     simulation.LEASE_MS, simulation.STOP_MS, observed.ANNOUNCE_INTERVAL_MS
 )
@@ -181,7 +182,7 @@
     def submit_job(self, job_id: str, domain: str, count: int, work_ms: int) -> None:
         """Let a caller of a domain hand in a job."""
         self.work_ms[job_id] = work_ms
-        self.cpu_millis[job_id] = 27_000
+        self.cpu_millis[job_id] = TASK_CPU_MILLIS
         give_up_ms = self.now_ms + callers.PATIENCE_MS
         self.callers.submit(callers.Job(job_id, domain, count, work_ms, give_up_ms))
 
