--- a/packages/core/src/knapweedbeam_core/fleet/sharding.py
+++ b/packages/core/src/knapweedbeam_core/fleet/sharding.py
@@ -122,7 +122,7 @@
 
     def list_own_tokens(self) -> dict[int, int]:
         """Return this process's fencing token for each of its shards."""
-        return self.terms.tokens
+        return dict(self.terms.tokens)
 
     def list_named_tokens(self) -> dict[int, int]:
         """Return the tokens that the division names for this process, by shard."""
@@ -266,7 +266,7 @@
         return not self.is_mature(name), shard_count, is_own, name
 
     def get_refused(self, presence: messages.Presence) -> collections.abc.Set[int]:
-        """Return the tokens of a process that endpoints refused."""
+        """Return the tokens of a process that it cannot use."""
         if presence.name == self.members.name:
             return self.refused
         return set(presence.refused)
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -115,7 +115,7 @@
             log_events.DispatcherRoleChanged(fence, len(self.endpoints), self.shard)
         ]
         for endpoint in self.endpoints.values():
-            produced += self.take(endpoint)
+            produced += self.read_with_new_token(endpoint)
         return produced
 
     def add_known_endpoint(self, known: endpoints.Endpoint) -> None:
@@ -128,8 +128,8 @@
         endpoint.health = known.health
         self.endpoints[known.announcement.endpoint] = endpoint
 
-    def take(self, endpoint: endpoints.Endpoint) -> Effects:
-        """Read an endpoint with a new fencing token.
+    def read_with_new_token(self, endpoint: endpoints.Endpoint) -> Effects:
+        """Read an endpoint at once.
 
         A poll with the former token may be open for some time yet.
         """
@@ -478,7 +478,7 @@
         return last
 
     def on_confirmed(self, confirmed: messages.JobConfirmed) -> Effects:
-        """Handle that an entry VM still sends a job here."""
+        """Handle that an entry VM still sends a job here, whose tasks may start."""
         self.confirmations.on_confirmed(confirmed)
         return []
 
