--- a/packages/core/tests/pool/test_returning_jobs.py
+++ b/packages/core/tests/pool/test_returning_jobs.py
@@ -48,6 +48,18 @@
             self.made, "j", work_ms=5_000, patience_ms=20_000, hand_in=hand_in
         )
 
+    def move_job_inside(self) -> dispatcher.Dispatcher:
+        """Cut the endpoint off with a second dispatcher, which claims the run."""
+        self.world.cut_links |= {("a", self.name)}
+        self.world.cut_links |= {
+            ("b", each) for each in self.world.endpoints if each != self.name
+        }
+        inside = self.world.add_dispatcher("b", 0)
+        self.world.advance(400)
+        self.world.run(inside, inside.set_fence(11))
+        self.world.submit(inside, "j", work_ms=5_000, attempt_base=100, hand_in=1)
+        return inside
+
     def run_effects(self, produced: dispatcher.Effects) -> None:
         self.world.run(self.made, produced)
 
@@ -76,14 +88,7 @@
         self,
     ) -> None:
         """The other one, inside a cut, has claimed the run and given up its token."""
-        self.world.cut_links |= {("a", self.name)}
-        self.world.cut_links |= {
-            ("b", each) for each in self.world.endpoints if each != self.name
-        }
-        inside = self.world.add_dispatcher("b", 0)
-        self.world.advance(400)
-        self.world.run(inside, inside.set_fence(11))
-        self.world.submit(inside, "j", work_ms=5_000, attempt_base=100, hand_in=1)
+        inside = self.move_job_inside()
         self.world.advance(500)
         self.world.run(inside, inside.set_fence(0))
         self.world.submit(
@@ -112,14 +117,7 @@
         self,
     ) -> None:
         """Its entry VM is cut off with a dispatcher; its caller asks another one."""
-        self.world.cut_links |= {("a", self.name)}
-        self.world.cut_links |= {
-            ("b", each) for each in self.world.endpoints if each != self.name
-        }
-        inside = self.world.add_dispatcher("b", 0)
-        self.world.advance(400)
-        self.world.run(inside, inside.set_fence(11))
-        self.world.submit(inside, "j", work_ms=5_000, attempt_base=100, hand_in=1)
+        self.move_job_inside()
         self.world.advance(100)
         self.run_effects(self.made.on_submit("entry-2", build_submit(5_000, 27_000, 9)))
         self.world.submitted_to["j"] = "a"
