--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -24,7 +24,6 @@
 INTERNAL = (7720, 7735)
 EXECUTOR_PORT = 8080
 ADVICE = 8169
-RESTART_S = 0.5
 # The sheets start traffic 12 s after the machines.
 LEAD_S = 12.0
 BOUNDS: dict[str, typing.Any] = {
@@ -328,24 +327,6 @@
             address = reply.headers["location"].split("/")[2]
         return reply
 
-    async def find_log_leader(self) -> str:
-        """Return the control process that answers reads of the manifest itself."""
-        for name in ("c0", "c1", "c2"):
-            address = f"{self.hosts[name]}:{CONTROL}"
-            reply = await http_messages.send(
-                address, "GET", "/knapweedbeam/config", timeout_s=1.0
-            )
-            if reply.status == 200:
-                return name
-        return ""
-
-    def find_dispatcher(self) -> str:
-        """Return the control process to which most executors were told to announce."""
-        named = [executor.dispatcher for executor in self.executors]
-        address = max(set(named), key=named.count)
-        host = address.rpartition(":")[0]
-        return next((name for name, own in self.hosts.items() if own == host), "")
-
     async def is_ready(self, name: str) -> bool:
         """Return whether an entry process reports itself ready."""
         reply = await http_messages.send(
@@ -379,18 +360,6 @@
         )
         return reply
 
-    async def kill_and_restart(self, name: str, down_s: float = RESTART_S) -> None:
-        """Kill a process; it starts again after a short delay."""
-        self.record.write("trouble: SIGKILL", name)
-        self.processes[name].kill()
-
-        async def restart() -> None:
-            await asyncio.sleep(down_s)
-            self.processes[name].start()
-            self.record.write("restarted", name)
-
-        self.spawn(restart())
-
     def close(self) -> None:
         """End all processes and executors of this case."""
         for task in list(self.restarts):
--- a/review/stand_ins_2/executors.py
+++ b/review/stand_ins_2/executors.py
@@ -76,7 +76,6 @@
         self.highest: dict[str, int] = {}
         self.runs: list[Run] = []
         self.changed = asyncio.Event()
-        self.dispatcher = ""
         self.is_cut = False
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -113,7 +112,6 @@
                 if 200 <= reply.status < 300:
                     named = (reply.content or {}).get("heartbeatAddr", "")
                     preferred = named or address
-                    self.dispatcher = preferred
                     break
             await asyncio.sleep(self.beat_s)
 
@@ -273,3 +271,14 @@
         self.is_cut = False
         await self.server.start()
         self.record.write("reachable again", self.name)
+
+    def lose(self) -> None:
+        """Lose this executor for good, with all that runs on it."""
+        self.record.write("trouble: lost for good", self.name)
+        self.is_cut = True
+        self.server.stop()
+        for run in self.running.values():
+            run.how, run.ended_s = "lost", time.monotonic()
+            self.record.write("end", self.name, run.task, run.attempt, "lost")
+        self.running.clear()
+        self.ended.clear()
