--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -29,6 +29,7 @@
     rebirths,
     recovery_steps,
     resources,
+    room_policy,
     run_reports,
     stored_scheduler,
     takeover,
@@ -58,6 +59,7 @@
         bounds: attempt_tracker.ProtocolBounds,
         timer: clock.Clock,
         memory: job_memory.JobMemory | None = None,
+        policy: room_policy.RoomPolicy = room_policy.DEFAULT,
     ) -> None:
         self.name = name
         self.bounds = bounds
@@ -83,6 +85,7 @@
         self.lost_entries: set[str] = set()
         self.task_starter = task_starter.TaskStarter(self)
         self.load_report = load_report.LoadReport()
+        self.task_sizes = room_policy.TaskSizes(policy)
         self.recovery_steps = recovery_steps.RecoverySteps(self.started_ms)
 
     # Dispatcher role.
@@ -317,6 +320,7 @@
         job = self.build_job(sender, submit, ended)
         self.add_job(job)
         self.load_report.record_arrival(job)
+        self.task_sizes.record(job)
         return [*run_reports.report_taken(self, job), *self.take_job(job)]
 
     def rejoin(self, job: jobs.Job, sender: str, submit: messages.Submit) -> Effects:
@@ -410,6 +414,7 @@
         )
         job.was_started = base > 0
         job.hand_in = submit.hand_in
+        job.domain = submit.domain
         job.submitted_base = submit.attempt_base
         job.restore_crashes(submit.crashes)
         if ended is not None:
--- a/packages/core/src/knapweedbeam_core/pool/jobs.py
+++ b/packages/core/src/knapweedbeam_core/pool/jobs.py
@@ -109,6 +109,7 @@
 
     `entry` is the entry VM that waits for it, empty for a stored job, which is kept in
     the log; `orphaned_ms` is since when that VM is unresponsive, 0 while it is live.
+    `domain` is that VM's failure domain, empty if unknown.
     `submitted_base` is the attempt base that it sent. `question_ms` is when it was
     asked to confirm the job, 0 if no answer is open.
     `born_ms` is when the caller sent the job, `give_up_ms` when the caller stops
@@ -144,6 +145,7 @@
         self.is_cancelled = False
         self.is_stored = False
         self.hand_in = 0
+        self.domain = ""
         self.submitted_base = 0
         self.is_lasting = any(step.is_lasting for step in steps)
         self.orphaned_ms = 0
--- a/packages/core/src/knapweedbeam_core/pool/messages.py
+++ b/packages/core/src/knapweedbeam_core/pool/messages.py
@@ -114,6 +114,7 @@
     the job is submitted again. `token` is the fencing token under which the receiver
     dispatches, as its sender knows it, 0 if it does not know. `crashes` are those that
     earlier dispatchers counted, `former` the names of those that may have had the job.
+    `domain` is the failure domain of the sender, empty if unknown.
     """
 
     job_id: str
@@ -127,6 +128,7 @@
     token: int = 0
     crashes: tuple[TaskCrash, ...] = ()
     former: tuple[str, ...] = ()
+    domain: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/knapweedbeam_core/pool/open_jobs.py
+++ b/packages/core/src/knapweedbeam_core/pool/open_jobs.py
@@ -100,8 +100,9 @@
 class OpenJobs:
     """The open jobs of one entry VM."""
 
-    def __init__(self, timer: clock.Clock) -> None:
+    def __init__(self, timer: clock.Clock, domain: str = "") -> None:
         self.clock = timer
+        self.domain = domain
         self.jobs: dict[str, OpenJob] = {}
         self.lead = job_routes.Target("")
         self.targets: tuple[job_routes.Target, ...] = ()
@@ -158,6 +159,7 @@
             target.token,
             job.crashes,
             job.former,
+            self.domain,
         )
         return [effects.Send(target.name, submit)]
 
--- a/packages/core/src/knapweedbeam_core/pool/shards.py
+++ b/packages/core/src/knapweedbeam_core/pool/shards.py
@@ -19,6 +19,7 @@
     job_memory,
     messages,
     placing,
+    room_policy,
     takeover,
 )
 
@@ -27,14 +28,25 @@
     """Passes events to the dispatchers of the shards, of which one is usual."""
 
     def __init__(
-        self, name: str, bounds: attempt_tracker.ProtocolBounds, timer: clock.Clock
+        self,
+        name: str,
+        bounds: attempt_tracker.ProtocolBounds,
+        timer: clock.Clock,
+        policy: room_policy.RoomPolicy = room_policy.DEFAULT,
     ) -> None:
         self.name = name
         self.bounds = bounds
         self.clock = timer
+        self.policy = policy
         self.started_ms = timer.now_ms()
         self.memory = job_memory.JobMemory(timer)
-        self.dispatchers = [dispatcher.Dispatcher(name, bounds, timer, self.memory)]
+        self.dispatchers = [self.build_dispatcher()]
+
+    def build_dispatcher(self) -> dispatcher.Dispatcher:
+        """Return a dispatcher for one shard, without endpoints."""
+        return dispatcher.Dispatcher(
+            self.name, self.bounds, self.clock, self.memory, self.policy
+        )
 
     # Shards and roles.
 
@@ -64,10 +76,7 @@
         for owner in self.dispatchers:
             produced += owner.set_fence(0)
         primary = self.dispatchers[0]
-        self.dispatchers = [
-            dispatcher.Dispatcher(self.name, self.bounds, self.clock, self.memory)
-            for _ in range(count)
-        ]
+        self.dispatchers = [self.build_dispatcher() for _ in range(count)]
         now_ms = self.clock.now_ms()
         for shard, owner in enumerate(self.dispatchers):
             owner.shard = shard
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -133,14 +133,14 @@
             settings.endpoints_per_shard,
         )
         self.shards = shards.ShardedDispatcher(
-            settings.name, settings.endpoint_bounds, timer
+            settings.name, settings.endpoint_bounds, timer, settings.room_policy
         )
         self.telemetry = telemetry.Telemetry()
         self.loop_monitor = loop_monitor.LoopMonitor(timer)
         self.endpoint_calls = endpoint_calls.EndpointCalls(
             self.shards, client, self.run, self.telemetry
         )
-        self.open_jobs = open_jobs.OpenJobs(timer)
+        self.open_jobs = open_jobs.OpenJobs(timer, settings.domain)
         self.relay = relay.Relay(timer)
         self.log = self.build_log(rng)
         self.manifests = manifest_manager.ManifestManager(self, decode_manifest)
--- a/packages/server/src/knapweedbeam_server/fleet/settings.py
+++ b/packages/server/src/knapweedbeam_server/fleet/settings.py
@@ -6,7 +6,7 @@
 import pathlib
 
 from knapweedbeam_core.fleet import sharding
-from knapweedbeam_core.pool import attempt_tracker
+from knapweedbeam_core.pool import attempt_tracker, room_policy
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -18,7 +18,8 @@
     stores nothing. `is_first_start` means that the whole deployment starts for the
     first time, with empty data folders. With more than `endpoints_per_shard` endpoints
     for each, several processes share the work of dispatching. `tolerated_losses` is
-    how many core VMs, or their disks, may be lost at the same time.
+    how many core VMs, or their disks, may be lost at the same time. `room_policy` says
+    where the rules for scarce room are in force.
     """
 
     name: str
@@ -32,6 +33,7 @@
     endpoint_bounds: attempt_tracker.ProtocolBounds
     endpoints_per_shard: int = sharding.ENDPOINTS_PER_SHARD
     tolerated_losses: int = 1
+    room_policy: room_policy.RoomPolicy = room_policy.DEFAULT
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
@@ -70,6 +70,7 @@
   token @8 :Int64;
   crashes @9 :List(TaskCrash);
   former @10 :List(Text);
+  domain @11 :Text;
 }
 
 struct TaskCrash {
