Shards follow the processor of core VMs

A dispatcher on a VM with 0.4 cores got the 60 endpoints that one with 1.72 serves, and collapsed at the usual load of a small deployment while five core VMs stood by. The size of a shard is now in proportion to the processor below 1.72 cores, 12 endpoints at least; above it stays 60, so that deployments in service are divided as before.

--- a/packages/core/src/knapweedbeam_core/fleet/sharding.py
+++ b/packages/core/src/knapweedbeam_core/fleet/sharding.py
@@ -23,6 +23,11 @@
 from knapweedbeam_core.fleet import dispatcher_role, membership, messages, terms
 
 ENDPOINTS_PER_SHARD = 60
+# The processor, in cores, of a VM that dispatches on that many endpoints. On a smaller
+# one a shard is smaller too.
+FULL_SHARD_CORES = 1.72
+# With fewer endpoints for each dispatcher, wide jobs find too little room in a shard.
+MIN_ENDPOINTS_PER_SHARD = 12
 # The endpoints of a deployment that starts announce themselves within this time.
 SETTLE_MS = 1_500
 # Division stops the tasks that run, so it waits for a pause in the work, but not for
@@ -60,6 +65,17 @@
     return zlib.crc32(name.encode()) % count if count > 1 else 0
 
 
+def get_endpoints_per_shard(cores: float) -> int:
+    """Return how many endpoints a shard should have on VMs with so much processor.
+
+    `cores` is 0 if that is unknown.
+    """
+    if not cores:
+        return ENDPOINTS_PER_SHARD
+    share = min(1.0, cores / FULL_SHARD_CORES)
+    return max(MIN_ENDPOINTS_PER_SHARD, round(ENDPOINTS_PER_SHARD * share))
+
+
 def count_shards(work: Work, owner_count: int, endpoints_per_shard: int) -> int:
     """Return how many shards a deployment should have.
 
--- a/packages/core/tests/fleet/test_sharding.py
+++ b/packages/core/tests/fleet/test_sharding.py
@@ -108,6 +108,10 @@
             count = sharding.count_shards(work, owners, 60)
             self.assertEqual(count, expected, endpoints)
 
+    def test_size_of_shards_follows_the_processor_of_core_vms(self) -> None:
+        for cores, expected in ((0, 60), (2.58, 60), (1.72, 60), (0.4, 14), (0.1, 12)):
+            self.assertEqual(sharding.get_endpoints_per_shard(cores), expected)
+
     def test_stored_jobs_are_placed_by_one_dispatcher(self) -> None:
         work = sharding.Work(270, has_open_jobs=False, has_stored_jobs=True)
         self.assertEqual(sharding.count_shards(work, 6, 60), 1)
