Relieve overloaded dispatchers: move their shard, or divide the endpoints among more

A process whose turns come late for a second says so in its heartbeats. The lead moves the shard of a single overloaded owner to an idle core VM, and divides the endpoints among twice as many owners where most are overloaded or moving did not help: once in 10 s at most, from 60 endpoints on, never back. Tests with several processes in one clock: a move, a division that stays, a lead lost meanwhile, a small deployment left alone. New field of Presence: processes of a deployment are updated together.

--- a/packages/core/src/knapweedbeam_core/fleet/messages.py
+++ b/packages/core/src/knapweedbeam_core/fleet/messages.py
@@ -34,7 +34,8 @@
     `incarnation` differs after each restart of the sender. `shards` names the owner of
     each shard while the sender is the active dispatcher and shares its work; it is
     empty while it dispatches alone. `refused` are the sender's tokens for shards whose
-    endpoints have seen higher ones.
+    endpoints have seen higher ones. `is_overloaded` tells that the sender dispatches
+    and its processor is full.
     """
 
     name: str
@@ -56,6 +57,7 @@
     incarnation: int = 0
     shards: tuple[ShardOwner, ...] = ()
     refused: tuple[int, ...] = ()
+    is_overloaded: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/knapweedbeam_core/fleet/sharding.py
+++ b/packages/core/src/knapweedbeam_core/fleet/sharding.py
@@ -6,6 +6,8 @@
 to a shard by a hash of their id, so that every shard has endpoints in each failure
 domain and a job that is submitted again finds its first submission.
 
+Owners that are overloaded are relieved of shards, see `relief`.
+
 The active dispatcher of the deployment, the lead, names the owner of each shard in its
 heartbeats, each with a fencing token of its own. Core VMs that the lead hears own
 shards. When an owner is lost, only its shards get another owner and token; when the
@@ -20,7 +22,13 @@
 import zlib
 
 from knapweedbeam_core import clock
-from knapweedbeam_core.fleet import dispatcher_role, membership, messages, terms
+from knapweedbeam_core.fleet import (
+    dispatcher_role,
+    membership,
+    messages,
+    relief,
+    terms,
+)
 
 ENDPOINTS_PER_SHARD = 60
 # The processor, in cores, of a VM that dispatches on that many endpoints. On a smaller
@@ -117,6 +125,7 @@
         self.resize_wanted_ms: int | None = None
         self.wanted_count = 1
         self.unbalanced_ms: int | None = None
+        self.relief = relief.Relief(timer)
         self.reissued_ms: dict[int, int] = {}
 
     def update(self, own: messages.Presence, work: Work) -> Table:
@@ -182,6 +191,7 @@
         """Start from the newest division that this process has heard of."""
         self.is_lead = True
         self.resize_wanted_ms = self.unbalanced_ms = None
+        self.relief = relief.Relief(self.clock)
         known = [
             member.presence
             for member in self.members.members.values()
@@ -199,10 +209,13 @@
         if self.members.is_catching_up():
             return
         candidates = self.list_candidates(own)
+        overloaded = {name for name in candidates if candidates[name].is_overloaded}
+        self.relief.record(self.list_owner_names(), overloaded)
         self.resize(candidates, work)
         if self.table:
             changes = self.find_replacements(candidates)
             changes |= self.find_moves(candidates, changes)
+            changes |= self.find_relief(candidates, changes)
             self.assign(changes)
         self.lead_heard_ms = self.clock.now_ms()
 
@@ -231,6 +244,7 @@
         # A core VM that is away for a moment gets its shard when it is back.
         owner_count = len(self.members.get_core_names() | set(candidates))
         wanted = count_shards(work, owner_count, self.endpoints_per_shard)
+        wanted = max(wanted, self.count_shards_for_load(work, owner_count))
         is_due = wanted >= GROWTH_STEP * size or (wanted == 1 < size and self.is_alone)
         if not is_due:
             self.resize_wanted_ms = None
@@ -242,8 +256,34 @@
         is_calm = not work.has_open_jobs or waited_ms >= MAX_PAUSE_WAIT_MS
         if self.is_alone or (waited_ms >= SETTLE_MS and is_calm):
             self.resize_wanted_ms = None
+            self.relief.record_division()
             self.set_count(wanted)
 
+    def count_shards_for_load(self, work: Work, owner_count: int) -> int:
+        """Return how many shards the load of the owners asks for."""
+        owners = self.list_owner_names()
+        if self.is_alone or not self.relief.needs_division(owners, work.endpoint_count):
+            return 1
+        most = work.endpoint_count // MIN_ENDPOINTS_PER_SHARD
+        return min(2 * len(owners), owner_count, most)
+
+    def list_owner_names(self) -> list[str]:
+        """Return the owner of each shard."""
+        return [owner.name for owner in self.table] or [self.members.name]
+
+    def find_relief(self, candidates: Candidates, changes: Changes) -> Changes:
+        """Return the move of a shard from an overloaded owner to an idle core VM."""
+        if changes:
+            return {}
+        counts = self.count_by_owner(candidates, changes)
+        idle = [
+            name
+            for name, count in counts.items()
+            if not count and self.is_mature(name) and name != self.members.name
+        ]
+        moved = self.relief.move(self.list_owner_names(), idle)
+        return {moved[0]: candidates[moved[1]]} if moved is not None else {}
+
     def set_count(self, count: int) -> None:
         """Start a new division, whose shards have no owners yet, or dispatch alone."""
         self.table = ()
--- a/packages/core/tests/fleet/test_sharding.py
+++ b/packages/core/tests/fleet/test_sharding.py
@@ -4,7 +4,13 @@
 import unittest
 
 from knapweedbeam_core import clock
-from knapweedbeam_core.fleet import dispatcher_role, membership, messages, sharding
+from knapweedbeam_core.fleet import (
+    dispatcher_role,
+    membership,
+    messages,
+    relief,
+    sharding,
+)
 
 TICK_MS = 20
 WORK = sharding.Work(360, has_open_jobs=False, has_stored_jobs=False)
@@ -24,6 +30,7 @@
         self.sharding = sharding.Sharding(self.members, self.role, number, timer)
         self.is_up = True
         self.is_stopping = False
+        self.is_overloaded = False
 
     def build_presence(self) -> messages.Presence:
         return messages.Presence(
@@ -41,6 +48,7 @@
             incarnation=self.incarnation,
             shards=self.sharding.table if self.role.generation else (),
             refused=tuple(self.sharding.refused),
+            is_overloaded=self.is_overloaded,
         )
 
 
@@ -399,5 +407,72 @@
         self.assert_each_shard_has_one_owner()
 
 
+class ReliefTest(unittest.TestCase):
+    """120 endpoints: two owners, four core VMs that stand by."""
+
+    def setUp(self) -> None:
+        self.deployment = Deployment(
+            6, 3, dataclasses.replace(WORK, endpoint_count=120, has_open_jobs=True)
+        )
+        self.deployment.advance(relief.PAUSE_MS + 5_000)
+        self.table = self.deployment.get_lead().sharding.table
+
+    def overload(self, name: str) -> None:
+        self.deployment.processes[name].is_overloaded = True
+
+    def test_shard_of_an_overloaded_owner_moves_to_an_idle_core_vm(self) -> None:
+        self.overload(self.table[1].name)
+        self.deployment.advance(relief.OVERLOAD_MS + 500)
+        after = self.deployment.get_lead().sharding.table
+        self.assertEqual(after[0], self.table[0])
+        self.assertNotIn(after[1].name, [owner.name for owner in self.table])
+        self.assertGreater(after[1].token, self.table[1].token)
+        self.assertEqual(
+            self.deployment.get_owned(), {0: [after[0].name], 1: [after[1].name]}
+        )
+
+    def test_shard_that_overloads_its_next_owner_too_is_divided_once(self) -> None:
+        for _ in range(40):
+            for owner in self.deployment.get_lead().sharding.table[1:]:
+                self.overload(owner.name)
+            self.deployment.advance(500)
+            if len(self.deployment.get_lead().sharding.table) > 2:
+                break
+        self.assertEqual(len(self.deployment.get_lead().sharding.table), 4)
+        for process in self.deployment.processes.values():
+            process.is_overloaded = False
+        self.deployment.advance(20_000)
+        self.assertEqual(len(self.deployment.get_lead().sharding.table), 4)
+        self.assertEqual(
+            [len(names) for names in self.deployment.get_owned().values()], [1] * 4
+        )
+
+    def test_owners_that_are_all_overloaded_are_divided(self) -> None:
+        for owner in self.table:
+            self.overload(owner.name)
+        self.deployment.advance(relief.OVERLOAD_MS + sharding.MAX_PAUSE_WAIT_MS + 500)
+        self.assertEqual(len(self.deployment.get_lead().sharding.table), 4)
+
+    def test_lead_that_is_lost_meanwhile_leaves_one_owner_for_each_shard(self) -> None:
+        for owner in self.table:
+            self.overload(owner.name)
+        self.deployment.advance(relief.OVERLOAD_MS + sharding.MAX_PAUSE_WAIT_MS)
+        lead = self.deployment.get_lead()
+        lead.is_up = False
+        self.deployment.advance(3_000)
+        owned = self.deployment.get_owned()
+        self.assertEqual([len(names) for names in owned.values()], [1] * len(owned))
+        self.assertNotIn([lead.name], owned.values())
+
+    def test_small_deployment_is_not_divided_by_load(self) -> None:
+        deployment = Deployment(
+            4, 3, dataclasses.replace(WORK, endpoint_count=24, has_open_jobs=True)
+        )
+        deployment.advance(relief.PAUSE_MS + 5_000)
+        deployment.get_lead().is_overloaded = True
+        deployment.advance(5_000)
+        self.assertEqual(deployment.get_lead().sharding.table, ())
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -14,6 +14,7 @@
 from knapweedbeam_core.fleet import (
     dispatcher_role,
     job_routes,
+    load_meter,
     membership,
     participant,
     sharding,
@@ -137,6 +138,7 @@
         )
         self.telemetry = telemetry.Telemetry()
         self.loop_monitor = loop_monitor.LoopMonitor(timer)
+        self.load_meter = load_meter.LoadMeter(timer)
         self.endpoint_calls = endpoint_calls.EndpointCalls(
             self.shards, client, self.run, self.telemetry
         )
@@ -319,6 +321,7 @@
     def tick(self) -> None:
         """Do what is due in all parts."""
         now_ms = self.clock.now_ms()
+        self.load_meter.record_turn()
         update = self.participant.update(self.build_presence())
         self.update_shards()
         for member in update.silent:
@@ -397,6 +400,7 @@
             incarnation=self.incarnation,
             shards=self.sharding.table if self.dispatcher_role.generation else (),
             refused=tuple(sorted(self.sharding.refused)),
+            is_overloaded=self.load_meter.is_overloaded and self.shards.has_jobs(),
         )
 
     def has_stored_jobs(self) -> bool:
