knapweedctl config check: what an operator is about to send

Errors by the servers' own checks (check_manifest stops at the first, find_errors goes on), entries that nothing can match, limits that contradict each other, and what differs from another version; exit statuses for scripts. Not built: fetching the version in force from a platform (--running).

--- a/packages/core/src/knapweedbeam_core/manifests/manifest.py
+++ b/packages/core/src/knapweedbeam_core/manifests/manifest.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import dataclasses
 
 
@@ -97,19 +98,23 @@
     detail: str
 
 
-def check_manifest(manifest: Manifest) -> InvalidManifest | None:
-    """Return why a manifest must be refused, or None if it is valid."""
+def find_errors(manifest: Manifest) -> collections.abc.Iterator[InvalidManifest]:
+    """Return each reason why a manifest must be refused."""
     services = {service.name for service in manifest.services}
     if len(services) != len(manifest.services):
-        return InvalidManifest("two services share a name")
+        yield InvalidManifest("two services share a name")
     addresses: set[tuple[str, str]] = set()
     for queue in manifest.queues:
         address = (queue.host, queue.path_prefix)
         if address in addresses:
-            return InvalidManifest(f"queue {queue.name} shares host and prefix")
+            yield InvalidManifest(f"queue {queue.name} shares host and prefix")
         addresses.add(address)
         if queue.terms.service not in services:
-            return InvalidManifest(f"queue {queue.name} names an unknown service")
+            yield InvalidManifest(f"queue {queue.name} names an unknown service")
         if queue.timeout_ms <= 0:
-            return InvalidManifest(f"queue {queue.name} has no time-out")
-    return None
+            yield InvalidManifest(f"queue {queue.name} has no time-out")
+
+
+def check_manifest(manifest: Manifest) -> InvalidManifest | None:
+    """Return the first reason why a manifest must be refused, None if it is valid."""
+    return next(find_errors(manifest), None)
--- a/packages/ctl/src/knapweedbeam_ctl/__main__.py
+++ b/packages/ctl/src/knapweedbeam_ctl/__main__.py
@@ -7,7 +7,7 @@
 
 import typer
 
-from knapweedbeam_ctl import bundle_app, options
+from knapweedbeam_ctl import bundle_app, config_app, options
 from knapweedbeam_ctl.commands import explain as explain_command
 from knapweedbeam_ctl.commands import histograms as histograms_command
 from knapweedbeam_ctl.commands import limits as limits_command
@@ -18,7 +18,7 @@
     "Exit status: 0 done, 2 wrong command line, 3 a file cannot be used, "
     "4 no server answers, 5 refused, 10 not run, 11 failed, 12 outcome unknown, "
     "13 pending, 20 invalid bundle, 21 conflict, 22 signatures, 23 no quorum, "
-    "24 bundles differ."
+    "24 configurations differ, 25 a valid configuration has doubtful entries."
 )
 
 app = typer.Typer(
@@ -32,6 +32,9 @@
 app.add_typer(
     bundle_app.app, name="bundle", help="Create, sign, roll and read bundles."
 )
+app.add_typer(
+    config_app.app, name="config", help="Check a configuration before it is sent."
+)
 
 
 @app.callback()
--- a/packages/ctl/src/knapweedbeam_ctl/exit_codes.py
+++ b/packages/ctl/src/knapweedbeam_ctl/exit_codes.py
@@ -21,3 +21,4 @@
     SIGNATURES = 22
     NO_QUORUM = 23
     DIFFERS = 24
+    DOUBTFUL = 25
