--- a/packages/core/src/knapweedbeam_core/fleet/job_routes.py
+++ b/packages/core/src/knapweedbeam_core/fleet/job_routes.py
@@ -60,6 +60,11 @@
             for owner in self.table
         )
 
+    def get_primary(self) -> str:
+        """Return the dispatcher of the first shard, which places stored jobs."""
+        targets = self.list_targets()
+        return targets[0].name if targets else self.lead.name
+
     def is_usable(self, name: str) -> bool:
         """Return whether jobs may be sent to a process."""
         return name == self.members.name or self.members.is_live(name)
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -413,9 +413,9 @@
             return self.settings.name
         return self.members.find_log_leader()
 
-    def get_dispatcher_name(self) -> str:
-        """Return the dispatcher that this process follows, empty for none."""
-        return self.job_routes.lead.name
+    def get_primary_name(self) -> str:
+        """Return the dispatcher that places stored jobs, empty for none."""
+        return self.job_routes.get_primary()
 
     def get_control_address(self, name: str) -> str:
         """Return the address of a live member's control API."""
--- a/packages/server/src/knapweedbeam_server/fleet/stored_jobs.py
+++ b/packages/server/src/knapweedbeam_server/fleet/stored_jobs.py
@@ -38,8 +38,8 @@
     def find_log_leader(self) -> str:
         """Return the process that leads the log, empty if unknown."""
 
-    def get_dispatcher_name(self) -> str:
-        """Return the dispatcher that is followed, empty for none."""
+    def get_primary_name(self) -> str:
+        """Return the dispatcher that places stored jobs, empty for none."""
 
 
 class StoredJobs:
@@ -235,7 +235,7 @@
         """Do what is due in the client and the service, and register if needed."""
         now_ms = self.host.clock.now_ms()
         leader = self.host.find_log_leader()
-        self.run(self.client.set_recipients(leader, self.host.get_dispatcher_name()))
+        self.run(self.client.set_recipients(leader, self.host.get_primary_name()))
         self.run(self.client.tick())
         log = self.host.log
         if log is None:
