--- a/packages/server/src/knapweedbeam_server/fleet/manifest_manager.py
+++ b/packages/server/src/knapweedbeam_server/fleet/manifest_manager.py
@@ -98,10 +98,9 @@
         """Put a manifest in force that another process sent."""
         if news.version <= self.get_version():
             return
-        try:
-            body = zlib.decompressobj().decompress(news.packed, MAX_BODY_BYTES)
-        except zlib.error as error:
-            emit.emit(catalogue.MANIFEST_REFUSED, detail=str(error))
+        body = unpack(news.packed)
+        if body is None:
+            emit.emit(catalogue.MANIFEST_REFUSED, detail="it cannot be unpacked")
             return
         self.apply_manifest(news.version, body)
 
@@ -126,3 +125,13 @@
         if isinstance(answer, replicated_log.NotLeader):
             return AtControl(self.host.get_control_address(answer.name))
         return answer
+
+
+def unpack(packed: bytes) -> bytes | None:
+    """Return the compressed bytes, None if they are incomplete, malformed or too many."""
+    unpacker = zlib.decompressobj()
+    try:
+        body = unpacker.decompress(packed, MAX_BODY_BYTES)
+    except zlib.error:
+        return None
+    return body if unpacker.eof else None
