--- a/packages/server/src/knapweedbeam_server/fleet/manifest_manager.py
+++ b/packages/server/src/knapweedbeam_server/fleet/manifest_manager.py
@@ -128,7 +128,7 @@
 
 
 def unpack(packed: bytes) -> bytes | None:
-    """Return the compressed bytes, None if they are incomplete, malformed or too many."""
+    """Return what was compressed, None if it is incomplete, malformed or too long."""
     unpacker = zlib.decompressobj()
     try:
         body = unpacker.decompress(packed, MAX_BODY_BYTES)
