Core VMs remember the endpoints and the division over a restart

The data folder now holds the newest announcements and the number of shards, written when they change, at most every 2 s; a file of more than 60 s is not used. Nothing relies on it: calls name the incarnation, and announcements replace what was recalled.

--- a/packages/core/src/knapweedbeam_core/fleet/sharding.py
+++ b/packages/core/src/knapweedbeam_core/fleet/sharding.py
@@ -98,6 +98,7 @@
     """The division of the endpoints, as one process decides or learns of it.
 
     `table` is the division in force here, empty while one process dispatches alone.
+    `recalled_count` is the number of shards before the restart, 0 if unknown.
     `refused` are tokens of this process that it can't use: endpoints refused them, or
     their term has ended. The lead replaces them.
     """
@@ -117,6 +118,7 @@
         self.started_ms = timer.now_ms()
         self.endpoints_per_shard = endpoints_per_shard
         self.table: Table = ()
+        self.recalled_count = 0
         self.refused: set[int] = set()
         self.terms = terms.Terms()
         self.is_lead = False
@@ -203,6 +205,20 @@
         if max(alone, default=0) > newest:
             # A later lead dispatched alone.
             self.table = ()
+        if not self.table and not any(alone):
+            self.recall_division()
+
+    def recall_division(self) -> None:
+        """Divide as before all processes restarted: nothing runs that it would stop.
+
+        A process that has run for longer knows how the endpoints are divided.
+        """
+        if self.clock.now_ms() - self.started_ms >= MATURE_MS:
+            return
+        cores = [each for each in self.members.get_live() if each.is_core]
+        count = min(self.recalled_count, len(cores) + 1)
+        if count > 1 and not self.is_alone:
+            self.table = (messages.ShardOwner("", 0, 0),) * count
 
     def decide(self, own: messages.Presence, work: Work) -> None:
         """Divide the endpoints, and replace owners that are lost."""
--- a/packages/core/tests/fleet/test_sharding.py
+++ b/packages/core/tests/fleet/test_sharding.py
@@ -312,6 +312,26 @@
         owners = {names[0] for names in self.deployment.get_owned().values()}
         self.assertEqual(len(owners), 6)
 
+    def test_restarted_deployment_is_divided_as_before_at_once(self) -> None:
+        for name in list(self.deployment.processes):
+            self.deployment.start(name, name.startswith("c"))
+            self.deployment.processes[name].sharding.recalled_count = 6
+        self.deployment.work = dataclasses.replace(
+            WORK, endpoint_count=13, has_open_jobs=True
+        )
+        self.deployment.advance(1_000)
+        self.assertEqual(len(self.deployment.get_lead().sharding.table), 6)
+        self.assert_each_shard_has_one_owner()
+
+    def test_lead_of_a_running_deployment_recalls_no_division(self) -> None:
+        work = dataclasses.replace(WORK, endpoint_count=24)
+        deployment = Deployment(6, 3, work)
+        for process in deployment.processes.values():
+            process.sharding.recalled_count = 6
+        deployment.clock.advance(sharding.MATURE_MS)
+        deployment.advance(4_000)
+        self.assertEqual(deployment.get_lead().sharding.table, ())
+
     def test_tokens_increase_no_faster_than_decisions(self) -> None:
         """After a loss of all memory, tokens are above former ones by the time."""
         before = self.deployment.get_lead().members.highest_generation
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -35,6 +35,7 @@
 from knapweedbeam_server.fleet import (
     announcing,
     endpoint_calls,
+    endpoint_memory,
     loop_monitor,
     manifest_manager,
     message_router,
@@ -199,6 +200,9 @@
         )
         if self.log is not None:
             self.log.start(self.supervisor)
+            memory = endpoint_memory.EndpointMemory(self, self.log.folder)
+            memory.recall()
+            self.supervisor.spawn("endpoints", memory.save_forever)
         self.links.start()
         self.supervisor.spawn("ticks", self.tick_forever)
 
--- a/packages/server/src/knapweedbeam_server/logs/catalogue.py
+++ b/packages/server/src/knapweedbeam_server/logs/catalogue.py
@@ -758,6 +758,14 @@
     "log leader {leader}",
     "A caller's request about a stored job was answered.",
 )
+ENDPOINTS_RECALLED = Event(
+    7095,
+    "endpoints_recalled",
+    Level.INFO,
+    "{endpoints} endpoints and {shards} shards known before the restart, "
+    "{age_ms} ms ago; used: {used}",
+    "A process with a data folder has read which endpoints it knew last.",
+)
 
 
 NOT_EMITTED_YET: frozenset[Event] = frozenset(
