Evacuations of a failure domain: on the replicated log, in heartbeats, in placing

An operator may order that nothing more is started on the endpoints of a failure domain. The order is a command of the log; each change gives the set a higher version, which every heartbeat with state carries. Jobs that fit only there are refused at once.

--- /dev/null
+++ b/packages/core/src/knapweedbeam_core/evacuations/__init__.py
@@ -0,0 +1,1 @@
+"""Evacuations: failure domains on whose endpoints nothing new is started."""
--- a/packages/core/src/knapweedbeam_core/fleet/messages.py
+++ b/packages/core/src/knapweedbeam_core/fleet/messages.py
@@ -35,6 +35,8 @@
     each shard while the sender is the active dispatcher and shares its work; it is
     empty while it dispatches alone. `refused` are the sender's tokens for shards whose
     endpoints have seen higher ones.
+
+    `evacuated` are the evacuated failure domains, `evacuation_version` their version.
     """
 
     name: str
@@ -56,6 +58,8 @@
     incarnation: int = 0
     shards: tuple[ShardOwner, ...] = ()
     refused: tuple[int, ...] = ()
+    evacuation_version: int = 0
+    evacuated: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -10,6 +10,7 @@
 import dataclasses
 
 from knapweedbeam_core import clock, effects, reasons, waiting_clock
+from knapweedbeam_core.evacuations import fitting
 from knapweedbeam_core.pool import (
     advising,
     attempt_tracker,
@@ -25,7 +26,7 @@
     load_report,
     log_events,
     messages,
-    placing,
+    queueing,
     rebirths,
     recovery_steps,
     resources,
@@ -48,6 +49,8 @@
 # Tasks of an unresponsive entry VM keep running this long in case the job is submitted
 # again. Meanwhile none of its other tasks is started.
 ORPHAN_GRACE_MS = 600
+# Interval at which waiting jobs are checked while a failure domain is evacuated.
+EVACUATION_CHECK_MS = 100
 
 
 class Dispatcher:
@@ -87,6 +90,8 @@
         self.load_report = load_report.LoadReport()
         self.task_sizes = room_policy.TaskSizes(policy)
         self.recovery_steps = recovery_steps.RecoverySteps(self.started_ms)
+        self.evacuation_check_due_ms = 0
+        self.evacuation_refusals = 0
 
     # Dispatcher role.
 
@@ -348,9 +353,43 @@
         if job.has_task_at_fault:
             return self.crash_handler.fail_if_at_fault(job)
         if self.can_never_fit(job):
-            return self.task_starter.refuse(job, reasons.Reason.NEVER_FITS, 0)
+            return self.refuse_unfit(job)
         return self.tracker.adopt_attempts(job)
 
+    def refuse_unfit(self, job: jobs.Job) -> Effects:
+        """Refuse a job that fits on no endpoint, or on none that is not evacuated."""
+        service = job.terms.service
+        reason = fitting.find_unfit_reason(
+            job.steps, lambda: self.iterate_service(service)
+        )
+        if reason != reasons.Reason.EVACUATED:
+            return self.task_starter.refuse(job, reasons.Reason.NEVER_FITS, 0)
+        self.evacuation_refusals += 1
+        return self.task_starter.refuse(job, reason, queueing.MAX_RETRY_AFTER_MS)
+
+    def set_evacuated(self, domains: frozenset[str]) -> None:
+        """Start nothing more in these failure domains, and again in all others."""
+        self.endpoint_index.evacuated = domains
+        self.evacuation_check_due_ms = 0
+
+    def refuse_evacuated(self, now_ms: int) -> Effects:
+        """Refuse waiting jobs that fit only where it is evacuated, if that is due.
+
+        Stored jobs and those that may have been started wait.
+        """
+        if not self.endpoint_index.evacuated or now_ms < self.evacuation_check_due_ms:
+            return []
+        self.evacuation_check_due_ms = now_ms + EVACUATION_CHECK_MS
+        produced: Effects = []
+        for key, job in list(self.queue.items()):
+            is_held_back = job.is_stored or job.orphaned_ms or job.question_ms
+            if is_held_back or self.jobs.get(key) is not job:
+                continue
+            if self.takeover.may_run_elsewhere(job) or not self.can_never_fit(job):
+                continue
+            produced += self.refuse_unfit(job)
+        return produced
+
     def add_job(self, job: jobs.Job) -> None:
         """Add an open job, whose tasks wait."""
         self.jobs[job.key] = job
@@ -364,12 +403,12 @@
     def can_never_fit(self, job: jobs.Job) -> bool:
         """Return whether a new job has a task that fits on no endpoint of its service.
 
-        Always false while some endpoint of the service is not held.
+        Evacuated ones do not count. Always false while some endpoint of the service is
+        not held.
         """
         service = job.terms.service
-        if job.was_started or all(
-            placing.could_ever_fit(step, self.iterate_service(service))
-            for step in job.steps
+        if job.was_started or not fitting.find_unfit_reason(
+            job.steps, lambda: self.iterate_service(service)
         ):
             return False
         has_endpoints = any(True for _ in self.iterate_service(service))
@@ -525,6 +564,7 @@
         for job in list(self.jobs.values()):
             if job.orphaned_ms and now_ms - job.orphaned_ms > ORPHAN_GRACE_MS:
                 produced += self.end_job(job, None)
+        produced += self.refuse_evacuated(now_ms)
         produced += self.load_report.build(self.queue.values(), now_ms)
         return produced + self.record_recovery(now_ms)
 
--- a/packages/core/src/knapweedbeam_core/pool/endpoints.py
+++ b/packages/core/src/knapweedbeam_core/pool/endpoints.py
@@ -140,6 +140,16 @@
         """Return whether attempts run here whose required resources are unknown."""
         return self.unclaimed_count > 0
 
+    @property
+    def is_evacuated(self) -> bool:
+        """Return whether the endpoint's failure domain is evacuated."""
+        return self.announcement.domain in self.index.evacuated
+
+    @property
+    def is_in_service(self) -> bool:
+        """Return whether the endpoint is held and may get tasks, now or later."""
+        return self.is_held and not self.is_evacuated
+
     def apply_announcement(
         self, announcement: messages.EndpointNews, announced_ms: int
     ) -> bool:
@@ -207,6 +217,7 @@
 
         On probation an endpoint gets one task at a time. Unclaimed attempts block it,
         as their resources are unknown, and so does a suspect until `isolated_until_ms`.
+        None are placed in an evacuated failure domain.
         """
         return (
             self.is_held
@@ -217,4 +228,5 @@
             and not self.health.is_cooling_down(now_ms)
             and not (self.health.is_on_probation and self.attempts)
             and not self.has_unclaimed
+            and not self.is_evacuated
         )
--- a/packages/core/src/knapweedbeam_core/pool/messages.py
+++ b/packages/core/src/knapweedbeam_core/pool/messages.py
@@ -22,7 +22,8 @@
 
     `born_ms` (Unix time) identifies the incarnation of the endpoint, and `sequence`
     orders its announcements. `labels` name its kind and its rack; `rack` is empty if
-    unknown. `age_ms` is how old the announcement was when it was passed on.
+    unknown. `cold_ms` is how much longer it is slow after its start. `age_ms` is how
+    old the announcement was when it was passed on.
     """
 
     endpoint: str
@@ -39,6 +40,7 @@
     clock_ms: int
     age_ms: int = 0
     rack: str = ""
+    cold_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/knapweedbeam_core/pool/placement_order.py
+++ b/packages/core/src/knapweedbeam_core/pool/placement_order.py
@@ -8,24 +8,28 @@
 # Endpoints whose speeds differ by less than this count as equally fast.
 SPEED_STEP = 0.2
 
-# Speed step (negative, so that the fastest come first), free processor capacity, name.
-Entry = tuple[int, int, str]
+# Whether it is cold, speed step (negative, so that the fastest come first), free
+# processor capacity, name.
+Entry = tuple[bool, int, int, str]
 
 
 class PlacementOrder:
     """The endpoints of one service in the order in which tasks prefer them.
 
-    The fastest come first, and among equally fast ones those with the least free
-    processor capacity, which leaves space for wide tasks.
+    Those that are cold come last, as they are slower than was measured. The fastest
+    come first, and among equally fast ones those with the least free processor
+    capacity, which leaves space for wide tasks.
     """
 
     def __init__(self) -> None:
         self.entries: list[Entry] = []
         self.by_name: dict[str, Entry] = {}
 
-    def update(self, name: str, speed: float, free_millis: int) -> None:
+    def update(
+        self, name: str, speed: float, free_millis: int, is_cold: bool = False
+    ) -> None:
         """Add an endpoint or move it to its new place."""
-        entry = (-round(speed / SPEED_STEP), free_millis, name)
+        entry = (is_cold, -round(speed / SPEED_STEP), free_millis, name)
         if self.by_name.get(name) == entry:
             return
         self.remove(name)
@@ -40,4 +44,4 @@
 
     def iterate(self, cpu_millis: float) -> collections.abc.Iterator[str]:
         """Return the endpoints with at least this much free processor capacity."""
-        return (name for _, free, name in self.entries if free >= cpu_millis)
+        return (name for _, _, free, name in self.entries if free >= cpu_millis)
--- a/packages/core/src/knapweedbeam_core/pool/shards.py
+++ b/packages/core/src/knapweedbeam_core/pool/shards.py
@@ -8,8 +8,10 @@
 
 import collections.abc
 import dataclasses
+import functools
 
-from knapweedbeam_core import clock
+from knapweedbeam_core import clock, reasons
+from knapweedbeam_core.evacuations import fitting
 from knapweedbeam_core.fleet import sharding
 from knapweedbeam_core.pool import (
     attempt_tracker,
@@ -18,7 +20,6 @@
     endpoints,
     job_memory,
     messages,
-    placing,
     room_policy,
     takeover,
 )
@@ -40,13 +41,16 @@
         self.policy = policy
         self.started_ms = timer.now_ms()
         self.memory = job_memory.JobMemory(timer)
+        self.evacuated: frozenset[str] = frozenset()
         self.dispatchers = [self.build_dispatcher()]
 
     def build_dispatcher(self) -> dispatcher.Dispatcher:
         """Return a dispatcher for one shard, without endpoints."""
-        return dispatcher.Dispatcher(
+        built = dispatcher.Dispatcher(
             self.name, self.bounds, self.clock, self.memory, self.policy
         )
+        built.set_evacuated(self.evacuated)
+        return built
 
     # Shards and roles.
 
@@ -96,24 +100,35 @@
         """Return the shard that a job belongs to.
 
         It is another one than that of its id if a task fits on no endpoint there, and
-        on some endpoint elsewhere. An open job stays where it is.
+        on some endpoint elsewhere; one that is not evacuated comes first. An open job
+        stays where it is.
         """
         count = len(self.dispatchers)
         home = sharding.get_shard(submit.job_id, count)
         for shard, owner in enumerate(self.dispatchers):
             if submit.job_id in owner.jobs:
                 return shard
+        evacuated: int | None = None
         for offset in range(count):
             shard = (home + offset) % count
-            owner = self.dispatchers[shard]
-            if all(
-                placing.could_ever_fit(
-                    step, owner.iterate_service(submit.terms.service)
-                )
-                for step in submit.steps
-            ):
+            reason = fitting.find_unfit_reason(
+                submit.steps, self.get_iterate(shard, submit.terms.service)
+            )
+            if reason is None:
                 return shard
-        return home
+            if reason == reasons.Reason.EVACUATED and evacuated is None:
+                evacuated = shard
+        return home if evacuated is None else evacuated
+
+    def get_iterate(self, shard: int, service: str) -> fitting.Iterate:
+        """Return the function that lists the endpoints of a service in a shard."""
+        return lambda: self.dispatchers[shard].iterate_service(service)
+
+    def set_evacuated(self, domains: frozenset[str]) -> None:
+        """Start nothing more in these failure domains, and again in all others."""
+        self.evacuated = domains
+        for owner in self.dispatchers:
+            owner.set_evacuated(domains)
 
     def get_primary(self) -> dispatcher.Dispatcher:
         """Return the dispatcher of the first shard, which places stored jobs."""
@@ -341,6 +356,26 @@
             for owner in self.dispatchers
         )
 
+    def take_evacuation_refusals(self) -> int:
+        """Return how many jobs were refused for evacuations since the last call."""
+        count = 0
+        for owner in self.dispatchers:
+            count += owner.evacuation_refusals
+            owner.evacuation_refusals = 0
+        return count
+
+    def count_evacuated_tasks(self) -> int:
+        """Return how many waiting tasks fit only where it is evacuated."""
+        if not self.evacuated:
+            return 0
+        return sum(
+            fitting.count_blocked(
+                (task for job in owner.queue.values() for task in job.waiting),
+                functools.partial(self.get_iterate, shard),
+            )
+            for shard, owner in enumerate(self.dispatchers)
+        )
+
     def count_held_endpoints(self) -> int:
         """Return how many endpoints this process holds."""
         return sum(endpoint.is_held for endpoint in self.list_endpoints())
--- a/packages/core/src/knapweedbeam_core/pool/task_starter.py
+++ b/packages/core/src/knapweedbeam_core/pool/task_starter.py
@@ -89,11 +89,12 @@
                 continue
             self.services[name] = service
             order = self.orders.setdefault(service, placement_order.PlacementOrder())
-            order.update(name, endpoint.speed.value, endpoint.free.cpu_millis)
+            is_cold = endpoint.announcement.cold_ms > 0
+            order.update(name, endpoint.speed.value, endpoint.free.cpu_millis, is_cold)
         changed.clear()
 
     def get_best_speed(self, service: str, now_ms: int) -> float:
-        """Return the speed of the fastest held endpoint of a service."""
+        """Return the speed of the fastest endpoint in service."""
         best = self.best_speeds.get(service)
         if best is not None and now_ms - best.found_ms < BEST_SPEED_INTERVAL_MS:
             return best.value
@@ -101,7 +102,7 @@
             (
                 endpoint.speed.value
                 for endpoint in self.owner.iterate_service(service)
-                if endpoint.is_held
+                if endpoint.is_in_service
             ),
             default=1.0,
         )
@@ -148,7 +149,7 @@
         held_endpoints = [
             endpoint
             for endpoint in self.owner.iterate_service(service)
-            if endpoint.is_held
+            if endpoint.is_in_service
         ]
         backlog_ms = queueing.get_backlog_ms(queued, held_endpoints)
         produced: dispatcher.Effects = []
--- a/packages/core/src/knapweedbeam_core/reasons.py
+++ b/packages/core/src/knapweedbeam_core/reasons.py
@@ -14,6 +14,7 @@
     LIMIT = "limit"
     MEMORY = "memory"
     NEVER_FITS = "never_fits"
+    EVACUATED = "evacuated"
     NO_ENDPOINT = "no_endpoint"
     STOPPING = "stopping"
     NOT_READY = "not_ready"
--- a/packages/core/src/knapweedbeam_core/stored/commands.py
+++ b/packages/core/src/knapweedbeam_core/stored/commands.py
@@ -1,9 +1,10 @@
-"""Commands of the replicated log: manifests and changes of stored jobs."""
+"""Commands of the replicated log: manifests, evacuations, changes of stored jobs."""
 
 from __future__ import annotations
 
 import msgspec
 
+from knapweedbeam_core.evacuations import machine as evacuation_machine
 from knapweedbeam_core.manifests import machine
 from knapweedbeam_core.pool import messages as pool_messages
 from knapweedbeam_core.stored import messages
@@ -47,6 +48,7 @@
 
 Command = (
     machine.StoredManifest
+    | evacuation_machine.EvacuationOrder
     | Accept
     | Cancel
     | RecordEnds
--- a/packages/core/src/knapweedbeam_core/stored/machine.py
+++ b/packages/core/src/knapweedbeam_core/stored/machine.py
@@ -1,18 +1,23 @@
-"""State machine of a deployment's replicated log: the manifest and the stored jobs."""
+"""State machine of a deployment's log: manifest, evacuations and stored jobs."""
 
 from __future__ import annotations
 
 import msgspec
 
+from knapweedbeam_core.evacuations import machine as evacuation_machine
 from knapweedbeam_core.manifests import machine as manifest_machine
 from knapweedbeam_core.stored import commands, ledger
 
 
 class Snapshot(msgspec.Struct, frozen=True, array_like=True):
-    """The complete state of the state machine."""
+    """The complete state of the state machine.
+
+    Snapshots of earlier versions hold no evacuations.
+    """
 
     manifest: manifest_machine.StoredManifest
     jobs: ledger.State
+    evacuations: evacuation_machine.EvacuatedDomains = evacuation_machine.NO_EVACUATIONS
 
 
 DECODER = msgspec.msgpack.Decoder(Snapshot)
@@ -28,6 +33,7 @@
 
     def __init__(self) -> None:
         self.manifests = manifest_machine.ManifestStateMachine()
+        self.evacuations = evacuation_machine.EvacuationStateMachine()
         self.ledger = ledger.Ledger()
         self.changes: list[ledger.Change] = []
         self.batches = 0
@@ -41,6 +47,9 @@
             if isinstance(command, manifest_machine.StoredManifest):
                 self.manifests.apply(command)
                 continue
+            if isinstance(command, evacuation_machine.EvacuationOrder):
+                self.evacuations.apply(command)
+                continue
             change = self.ledger.apply(command, batch.wall_ms)
             if change is not None:
                 self.changes.append(change)
@@ -53,7 +62,7 @@
     def take_snapshot(self) -> bytes:
         """Return the complete state as bytes."""
         return commands.ENCODER.encode(
-            Snapshot(self.manifests.stored, self.ledger.state)
+            Snapshot(self.manifests.stored, self.ledger.state, self.evacuations.stored)
         )
 
     def restore(self, state: bytes) -> None:
@@ -61,5 +70,6 @@
         snapshot = DECODER.decode(state)
         self.manifests.stored = snapshot.manifest
         self.ledger.restore(snapshot.jobs)
+        self.evacuations.restore(snapshot.evacuations)
         self.changes.clear()
         self.restores += 1
--- a/packages/ctl/src/knapweedbeam_ctl/commands/explain.py
+++ b/packages/ctl/src/knapweedbeam_ctl/commands/explain.py
@@ -8,9 +8,10 @@
 from knapweedbeam_ctl import exit_codes, failures, output
 from knapweedbeam_ctl.commands import explain_runs, log_lines
 
-# Events 7004 to 7025 report changes of the dispatcher and of the manifest in force.
+# Events 7004 to 7025 report changes of the dispatcher and of the manifest in force,
+# 7027 to 7029 those of evacuations.
 # Those between a request's first and last line may explain its outcome.
-CONTEXT_EVENTS = range(7004, 7026)
+CONTEXT_EVENTS = frozenset((*range(7004, 7026), *range(7027, 7030)))
 
 
 def is_about(line: log_lines.LogLine, request: str) -> bool:
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -34,6 +34,7 @@
 from knapweedbeam_server.fleet import (
     announcing,
     endpoint_calls,
+    evacuation_manager,
     loop_monitor,
     manifest_manager,
     message_router,
@@ -144,6 +145,7 @@
         self.relay = relay.Relay(timer)
         self.log = self.build_log(rng)
         self.manifests = manifest_manager.ManifestManager(self, decode_manifest)
+        self.evacuations = evacuation_manager.EvacuationManager(self, settings.domains)
         self.announcement_forwarder = announcing.AnnouncementForwarder(self)
         self.stored_jobs = stored_jobs.StoredJobs(self)
         self.message_router = message_router.MessageRouter(self)
@@ -307,6 +309,8 @@
         self.telemetry.set_loop_load(load)
         if max(load.timer_lag_ms, load.wake_lag_ms) >= LOGGED_LAG_MS:
             emit.emit(catalogue.LOOP_LAGGED, **dataclasses.asdict(load))
+        refusals = self.shards.take_evacuation_refusals()
+        self.telemetry.evacuation_refusals.inc(refusals)
         calls_made = self.endpoint_calls.take_counts()
         if self.shards.is_active() and (self.shards.has_jobs() or calls_made.starts):
             emit.emit(
@@ -333,6 +337,7 @@
         if self.log is not None:
             self.log.tick()
             self.manifests.apply_committed()
+            self.evacuations.apply_committed()
         self.shards.set_stored_jobs(self.has_stored_jobs())
         self.stored_jobs.tick()
         if now_ms >= self.links_due_ms:
@@ -397,6 +402,8 @@
             incarnation=self.incarnation,
             shards=self.sharding.table if self.dispatcher_role.generation else (),
             refused=tuple(sorted(self.sharding.refused)),
+            evacuation_version=self.evacuations.held.version,
+            evacuated=self.evacuations.held.domains,
         )
 
     def has_stored_jobs(self) -> bool:
@@ -547,6 +554,7 @@
         self.telemetry.open_jobs.set(len(self.open_jobs.jobs))
         self.telemetry.live_members.set(len(self.members.get_live()))
         self.telemetry.manifest_version.set(self.manifests.get_version())
+        self.telemetry.evacuated_domains.set(len(self.evacuations.held.domains))
         return self.telemetry.render()
 
     def stop(self) -> None:
--- a/packages/server/src/knapweedbeam_server/fleet/replicated_log.py
+++ b/packages/server/src/knapweedbeam_server/fleet/replicated_log.py
@@ -13,6 +13,7 @@
 
 from knapweedbeam_core import clock, effects, reasons
 from knapweedbeam_core.entry import parts
+from knapweedbeam_core.evacuations import machine as evacuation_machine
 from knapweedbeam_core.log import choosing, members, messages, replica, roles
 from knapweedbeam_core.manifests import machine as manifest_machine
 from knapweedbeam_core.stored import commands, machine
@@ -28,13 +29,14 @@
 # Stored jobs of a few kilobytes arrive by the hundred per second, and a snapshot takes
 # four syncs: this size gives about one snapshot every ten seconds.
 COMPACT_BYTES = 2 * 1024 * 1024
+ORDER_NUMBER_BITS = 62
 
 Send = collections.abc.Callable[[effects.Send], None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Taken:
-    """The manifest is committed, or one with a higher version was before."""
+    """The change is committed, or a manifest with a higher version was before."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -251,15 +253,40 @@
     def propose(self, version: int, body: bytes) -> Taken | NotLeader | Unclear:
         """Commit a manifest; wait until a quorum has it on disk."""
         if not self.is_caught_up_leader():
-            leader = self.get_leader()
-            return NotLeader(leader if leader != self.name else "")
-        assert self.replica is not None
+            return self.build_not_leader()
         if self.get_version() >= version:
             return Taken()
         stored = manifest_machine.StoredManifest(version, body)
-        self.propose_batch(commands.Batch(self.clock.wall_ms(), (stored,)))
+        return self.commit(stored, lambda: self.get_version() >= version)
+
+    def propose_evacuation(
+        self, domain: str, is_evacuated: bool
+    ) -> Taken | NotLeader | Unclear:
+        """Commit an order to evacuate a failure domain, or to end that.
+
+        One that seems in force goes through the log too: the opposite order may be on
+        its way there, and a replica that no longer leads must not acknowledge.
+        """
+        if not self.is_caught_up_leader():
+            return self.build_not_leader()
+        number = self.rng.getrandbits(ORDER_NUMBER_BITS)
+        order = evacuation_machine.EvacuationOrder(domain, is_evacuated, number)
+        return self.commit(order, lambda: self.machine.evacuations.has_applied(number))
+
+    def build_not_leader(self) -> NotLeader:
+        """Return the leader, without a name if it is unknown."""
+        leader = self.get_leader()
+        return NotLeader(leader if leader != self.name else "")
+
+    def commit(
+        self,
+        command: commands.Command,
+        is_applied: collections.abc.Callable[[], bool],
+    ) -> Taken | Unclear:
+        """Append a command to the log and wait until it is applied."""
+        self.propose_batch(commands.Batch(self.clock.wall_ms(), (command,)))
         deadline_ms = self.clock.now_ms() + int(COMMIT_TIMEOUT_S * clock.SECOND_MS)
-        while self.get_version() < version:
+        while not is_applied():
             left_ms = deadline_ms - self.clock.now_ms()
             if left_ms <= 0 or self.replica is None:
                 return Unclear(reasons.Reason.NO_QUORUM)
@@ -279,5 +306,4 @@
         """Return the newest manifest if this replica surely has it, else the leader."""
         if self.is_caught_up_leader():
             return NewestManifest(self.machine.manifests.stored)
-        leader = self.get_leader()
-        return NotLeader(leader if leader != self.name else "")
+        return self.build_not_leader()
--- a/packages/server/src/knapweedbeam_server/fleet/settings.py
+++ b/packages/server/src/knapweedbeam_server/fleet/settings.py
@@ -19,7 +19,8 @@
     first time, with empty data folders. With more than `endpoints_per_shard` endpoints
     for each, several processes share the work of dispatching. `tolerated_losses` is
     how many core VMs, or their disks, may be lost at the same time. `room_policy` says
-    where the rules for scarce room are in force.
+    where the rules for scarce room are in force. `domains` are the failure domains of
+    the deployment, as far as the settings name them.
     """
 
     name: str
@@ -34,6 +35,7 @@
     endpoints_per_shard: int = sharding.ENDPOINTS_PER_SHARD
     tolerated_losses: int = 1
     room_policy: room_policy.RoomPolicy = room_policy.DEFAULT
+    domains: tuple[str, ...] = ()
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/packages/server/src/knapweedbeam_server/fleet/telemetry.py
+++ b/packages/server/src/knapweedbeam_server/fleet/telemetry.py
@@ -71,6 +71,17 @@
         self.manifest_version = self.build_gauge(
             "manifest_version", "Manifest in force."
         )
+        self.evacuated_domains = self.build_gauge(
+            "evacuated_domains", "Failure domains that are evacuated."
+        )
+        self.evacuated_tasks = self.build_gauge(
+            "evacuated_tasks", "Waiting tasks that fit only where it is evacuated."
+        )
+        self.evacuation_refusals = prometheus_client.Counter(
+            "knapweedbeam_evacuation_refusals",
+            "Jobs refused as they fit only where it is evacuated.",
+            registry=self.registry,
+        )
 
     def build_gauge(self, name: str, text: str) -> prometheus_client.Gauge:
         """Return a gauge of this process."""
@@ -108,6 +119,7 @@
         self.waiting_jobs.set(owner.count_waiting_jobs())
         self.held_endpoints.set(owner.count_held_endpoints())
         self.used_capacity.set(owner.get_used_share())
+        self.evacuated_tasks.set(owner.count_evacuated_tasks())
 
     def set_loop_load(self, load: loop_monitor.LoopLoad) -> None:
         """Set the gauges of the event loop."""
--- a/packages/server/src/knapweedbeam_server/logs/catalogue.py
+++ b/packages/server/src/knapweedbeam_server/logs/catalogue.py
@@ -511,6 +511,29 @@
     "An operator's manifest is invalid and changed nothing.",
     "Correct the manifest and send it with a higher version.",
 )
+EVACUATIONS_IN_FORCE = Event(
+    7027,
+    "evacuations_in_force",
+    Level.INFO,
+    "evacuations of version {version} in force: {domains}",
+    "This process starts nothing in these failure domains from now on.",
+)
+EVACUATION_TAKEN = Event(
+    7028,
+    "evacuation_taken",
+    Level.INFO,
+    "{method} evacuation of {domain}: {outcome} after {took_ms} ms, "
+    "version {version} in force",
+    "An operator's order was answered.",
+)
+EVACUATION_REFUSED = Event(
+    7029,
+    "evacuation_refused",
+    Level.WARNING,
+    "evacuation refused: {detail}",
+    "An operator's order is malformed or names no known failure domain.",
+    "Compare the name with the failure domains in the settings.",
+)
 LOG_ROLE = Event(
     7023,
     "log_role",
--- a/packages/wire/src/knapweedbeam_wire/schema/fleet.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/fleet.capnp
@@ -21,6 +21,8 @@
   incarnation @16 :Int64;
   shards @17 :List(ShardOwner);
   refused @18 :List(Int64);
+  evacuationVersion @19 :Int64;
+  evacuated @20 :List(Text);
 }
 
 struct ShardOwner {
--- a/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
@@ -35,6 +35,7 @@
   clockMs @11 :Int64;
   ageMs @12 :Int64;
   rack @13 :Text;
+  coldMs @14 :Int64;
 }
 
 struct EndpointNewsHeld {
