--- a/bench/fleet/node.py
+++ b/bench/fleet/node.py
@@ -13,6 +13,8 @@
 from bench.fleet import endpoint_calls, link_host, links, routing
 from bench.fleet import network as networks
 from knapweedbeam_core import clock, effects
+from knapweedbeam_core.evacuations import holder
+from knapweedbeam_core.evacuations import machine as evacuation_machine
 from knapweedbeam_core.fleet import (
     dispatcher_role,
     job_routes,
@@ -97,6 +99,7 @@
         self.job_routes = job_routes.JobRoutes(self.members)
         self.open_jobs = open_jobs.OpenJobs(timer)
         self.relay = relay.Relay(timer)
+        self.evacuations = holder.EvacuationHolder()
         self.router = routing.MessageRouter(self)
         self.links = links.Links(link_host.LinkHost(self))
         self.calls = world.build_calls(self)
@@ -203,8 +206,16 @@
             incarnation=self.incarnation,
             shards=self.sharding.table if self.role.generation else (),
             refused=tuple(sorted(self.sharding.refused)),
+            evacuation_version=self.evacuations.held.version,
+            evacuated=self.evacuations.held.domains,
         )
 
+    def apply_evacuations(self, heard: evacuation_machine.EvacuatedDomains) -> None:
+        """Put evacuations in force if they are newer."""
+        if self.evacuations.update(heard):
+            self.shards.set_evacuated(frozenset(heard.domains))
+            self.run([])
+
     # Effects.
 
     def run(self, produced: collections.abc.Sequence[Effect]) -> None:
--- a/bench/fleet/observed.py
+++ b/bench/fleet/observed.py
@@ -7,7 +7,7 @@
 import typing
 
 from bench.pool import simulation
-from knapweedbeam_core.pool import calls, messages, open_jobs
+from knapweedbeam_core.pool import calls, open_jobs
 
 if typing.TYPE_CHECKING:
     from bench.fleet import deployment
@@ -61,14 +61,6 @@
         self.caller = ""
         self.heartbeat_node = ""
 
-    def build_announcement(
-        self, state: messages.EndpointState = messages.EndpointState.UP
-    ) -> messages.EndpointNews:
-        """Return the next announcement."""
-        return dataclasses.replace(
-            super().build_announcement(state), domain=self.domain
-        )
-
     def start(self, call: calls.Start) -> calls.Verdict:
         """Handle a call to start an attempt."""
         longest = dataclasses.replace(
--- a/bench/fleet/routing.py
+++ b/bench/fleet/routing.py
@@ -5,6 +5,7 @@
 import typing
 
 from knapweedbeam_core import effects
+from knapweedbeam_core.evacuations import machine as evacuation_machine
 from knapweedbeam_core.fleet import job_routes, membership
 from knapweedbeam_core.fleet import messages as fleet_messages
 from knapweedbeam_core.pool import messages
@@ -99,6 +100,12 @@
         self, sender: str, message: fleet_messages.Presence | fleet_messages.Alive
     ) -> None:
         """Handle a heartbeat."""
+        if isinstance(message, fleet_messages.Presence):
+            self.node.apply_evacuations(
+                evacuation_machine.EvacuatedDomains(
+                    message.evacuation_version, message.evacuated
+                )
+            )
         if self.node.participant.receive(message, sender):
             self.handle_return(sender)
         elif isinstance(message, fleet_messages.Presence):
--- a/bench/pool/simulation.py
+++ b/bench/pool/simulation.py
@@ -141,6 +141,8 @@
         self.drops_answers = False
         self.start_delay_ms = 0
         self.rack = "r1"
+        self.domain = "domain"
+        self.cold_ms = 0
         self.saved_progress: dict[str, str] = {}
         self.polls: list[
             tuple[calls.Hold, typing.Callable[[calls.HoldResult], None]]
@@ -159,7 +161,7 @@
             self.sequence,
             "service",
             self.address,
-            "domain",
+            self.domain,
             state,
             self.cpu_millis,
             100_000,
@@ -167,6 +169,7 @@
             ("a", self.rack),
             self.simulation.now_ms,
             rack=self.rack,
+            cold_ms=self.cold_ms,
         )
 
     def start(self, call: calls.Start) -> calls.Verdict:
--- a/packages/core/tests/log/deployment.py
+++ b/packages/core/tests/log/deployment.py
@@ -140,10 +140,10 @@
             return []
         return sorted(v.name for v in leader.replica.wal.latest_members.voters)
 
-    def commit(self, timeout_ms: int) -> bool:
+    def commit(self, timeout_ms: int, command: bytes = b"") -> bool:
         """Propose a command until it is committed; return whether it was in time."""
         self.proposed += 1
-        command = b"c%d" % self.proposed
+        command = command or b"c%d" % self.proposed
         until_ms = self.now_ms + timeout_ms
         proposed_by: ControlVm | None = None
         while self.now_ms < until_ms:
