--- a/packages/core/tests/log/test_evacuations.py
+++ b/packages/core/tests/log/test_evacuations.py
@@ -34,9 +34,7 @@
 
     def order(self, domain: str, is_evacuated: bool) -> bytes:
         number = next(self.numbers)
-        return encode(
-            evacuation_machine.EvacuationOrder(domain, is_evacuated, number)
-        )
+        return encode(evacuation_machine.EvacuationOrder(domain, is_evacuated, number))
 
     def restart_all(self, group: deployment.Deployment) -> None:
         names = sorted(group.vms)
--- a/packages/server/tests/fleet/test_message_router.py
+++ b/packages/server/tests/fleet/test_message_router.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import dataclasses
 import random
 import unittest
 
@@ -58,6 +59,20 @@
         )
         self.router.route(name, presence)
 
+    def test_newest_evacuations_come_with_heartbeats(self) -> None:
+        for version, domains in ((2, ("d1", "d2")), (1, ("d1",)), (2, ())):
+            presence = dataclasses.replace(
+                self.node.build_presence(),
+                name=LEAD,
+                evacuation_version=version,
+                evacuated=domains,
+            )
+            self.router.route(LEAD, presence)
+        self.assertEqual(self.node.shards.evacuated, frozenset({"d1", "d2"}))
+        self.assertEqual(self.node.build_presence().evacuated, ("d1", "d2"))
+        metrics = self.node.get_metrics()
+        self.assertIn(b"knapweedbeam_evacuated_domains 2.0", metrics)
+
     def test_entry_vm_that_follows_the_lead_is_not_expected_at_the_fast_rate(
         self,
     ) -> None:
--- a/packages/server/tests/fleet/test_replicated_log.py
+++ b/packages/server/tests/fleet/test_replicated_log.py
@@ -73,6 +73,32 @@
         self.wait_for_leadership(reopened)
         self.assertEqual(reopened.machine.ledger.state.fence, 7)
 
+    def test_evacuation_is_taken_again_and_restored_after_restart(self) -> None:
+        self.wait_for_leadership(self.log)
+        for is_evacuated in (True, False, True, True):
+            answer = self.log.propose_evacuation("d1", is_evacuated)
+            self.assertEqual(answer, replicated_log.Taken())
+        stored = self.log.machine.evacuations.stored
+        self.assertEqual((stored.version, stored.domains), (3, ("d1",)))
+        assert self.log.store is not None
+        self.log.store.close()
+        reopened = self.build()
+        self.assertEqual(
+            reopened.propose_evacuation("d1", False), replicated_log.NotLeader("")
+        )
+        self.wait_for_leadership(reopened)
+        self.assertEqual(reopened.machine.evacuations.stored, stored)
+
+    def test_evacuation_without_a_quorum_is_unclear(self) -> None:
+        self.wait_for_leadership(self.log)
+        patch = unittest.mock.patch.object
+        with (
+            patch(replicated_log, "COMMIT_TIMEOUT_S", 0.05),
+            patch(self.log, "propose_batch"),
+        ):
+            answer = self.log.propose_evacuation("d1", True)
+        self.assertIsInstance(answer, replicated_log.Unclear)
+
     def test_change_of_members_is_logged_with_their_names(self) -> None:
         with unittest.mock.patch.object(replicated_log.emit, "emit") as emit:
             self.wait_for_leadership(self.log)
