--- a/packages/core/src/knapweedbeam_core/pool/shards.py
+++ b/packages/core/src/knapweedbeam_core/pool/shards.py
@@ -389,8 +389,11 @@
         )
 
     def get_used_share(self) -> float:
-        """Return the used share of the processor capacity of all held endpoints."""
-        held = [each for each in self.list_endpoints() if each.is_held]
+        """Return the used share of the processor capacity of all held endpoints.
+
+        Those that are evacuated do not count.
+        """
+        held = [each for each in self.list_endpoints() if each.is_in_service]
         total = sum(each.capacity.cpu_millis for each in held)
         used = sum(each.used.cpu_millis for each in held)
         return used / total if total else 0.0
