--- a/packages/core/src/knapweedbeam_core/fleet/messages.py
+++ b/packages/core/src/knapweedbeam_core/fleet/messages.py
@@ -36,6 +36,8 @@
     empty while it dispatches alone. `refused` are the sender's tokens for shards whose
     endpoints have seen higher ones. `is_overloaded` tells that the sender dispatches
     and its processor is full.
+
+    `evacuated` are the evacuated failure domains, `evacuation_version` their version.
     """
 
     name: str
@@ -58,6 +60,8 @@
     shards: tuple[ShardOwner, ...] = ()
     refused: tuple[int, ...] = ()
     is_overloaded: bool = False
+    evacuation_version: int = 0
+    evacuated: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/wire/src/knapweedbeam_wire/schema/fleet.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/fleet.capnp
@@ -22,6 +22,8 @@
   shards @17 :List(ShardOwner);
   refused @18 :List(Int64);
   isOverloaded @19 :Bool;
+  evacuationVersion @20 :Int64;
+  evacuated @21 :List(Text);
 }
 
 struct ShardOwner {
