--- a/bench/pool/simulation.py
+++ b/bench/pool/simulation.py
@@ -28,7 +28,10 @@
 LIST_INTERVAL_MS = 1_000
 # Of the holds that were sent to an endpoint, the last ones may be open.
 MAX_OPEN_CALLS = 20
-BOUNDS = attempt_tracker.ProtocolBounds(LEASE_MS, STOP_MS, ANNOUNCE_INTERVAL_MS)
+LISTED_ENDS = 500
+BOUNDS = attempt_tracker.ProtocolBounds(
+    LEASE_MS, STOP_MS, ANNOUNCE_INTERVAL_MS, listed_ends=LISTED_ENDS
+)
 ENTRY = "entry"
 
 
@@ -280,7 +283,8 @@
             for r in self.running_attempts.values()
         )
         reading = clocks.Reading(self.simulation.now_ms, 0, 0)
-        return calls.HoldResult(self.born_ms, reading, running, tuple(self.ended))
+        ends = tuple(self.ended[:LISTED_ENDS])
+        return calls.HoldResult(self.born_ms, reading, running, ends)
 
     def crash(self) -> None:
         """Drop all attempts and stop answering."""
--- a/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
+++ b/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
@@ -49,13 +49,19 @@
 
     `lease_ms` is the longest lease, `stop_ms` how long a stop may take, `announce_ms`
     the time between two announcements of an endpoint. A task that runs away from the
-    rack of its data takes `remote_factor` times as long.
+    rack of its data takes `remote_factor` times as long. An endpoint lists its oldest
+    `listed_ends` ends at a time, 0 for all of them.
     """
 
     lease_ms: int
     stop_ms: int
     announce_ms: int
     remote_factor: float = 1.0
+    listed_ends: int = 0
+
+    def may_hide_ends(self, answer: calls.HoldResult) -> bool:
+        """Return whether an endpoint may have more ends than it lists."""
+        return 0 < self.listed_ends <= len(answer.ends)
 
 
 class AttemptTracker:
@@ -407,6 +413,7 @@
             if end.place > endpoint.last_seen_end:
                 endpoint.last_seen_end = end.place
                 produced += self.on_end(endpoint, end)
+        endpoint.record_list(self.owner.bounds.may_hide_ends(answer))
         endpoint.listed_ms = self.waiting_ms
         if answer.reading.clock_ms > endpoint.list_clock_ms:
             # Answers on different connections may arrive out of order.
--- a/packages/core/src/knapweedbeam_core/pool/endpoint_index.py
+++ b/packages/core/src/knapweedbeam_core/pool/endpoint_index.py
@@ -8,12 +8,13 @@
 
     `changed` holds the names of endpoints whose speed or free resources changed since
     the last placement, `with_unacked_ends` those that may list ends which must not be
-    acknowledged yet.
+    acknowledged yet, `with_hidden_ends` those whose lists may not have held all ends.
     """
 
     def __init__(self) -> None:
         self.changed: set[str] = set()
         self.with_unacked_ends: set[str] = set()
+        self.with_hidden_ends: set[str] = set()
         self.attempts_by_job: dict[str, dict[str, int]] = {}
 
     def mark_changed(self, endpoint: str) -> None:
--- a/packages/core/src/knapweedbeam_core/pool/endpoints.py
+++ b/packages/core/src/knapweedbeam_core/pool/endpoints.py
@@ -81,6 +81,8 @@
     `signed_off_ms` is when a sign-off was handled, 0 for none or a stale one.
     `is_incarnation_sure` is false once a call failed, until this incarnation answers
     again: the next one may have started meanwhile. `was_replaced` tells that it has.
+    `is_read` tells that a list held all ends of this incarnation: those of attempts
+    that this dispatcher did not start are known from then on.
     """
 
     def __init__(
@@ -115,6 +117,7 @@
         self.signed_off_ms = 0
         self.is_incarnation_sure = True
         self.was_replaced = False
+        self.is_read = False
         self.lease_until_ms = 0
         self.reading: clocks.Reading | None = None
         self.speed = speeds.Speed()
@@ -156,6 +159,13 @@
         self.mark_changed()
         return True
 
+    def record_list(self, may_hide_ends: bool) -> None:
+        """Record that lists arrived, which may not hold all ends."""
+        if not may_hide_ends:
+            self.is_read = True
+        elif not self.is_read:
+            self.index.with_hidden_ends.add(self.announcement.endpoint)
+
     def keep_end(self, end: calls.End) -> None:
         """Keep an end that must not be acknowledged yet."""
         self.unacked_ends[end.place] = end
--- a/packages/core/src/knapweedbeam_core/pool/reconciler.py
+++ b/packages/core/src/knapweedbeam_core/pool/reconciler.py
@@ -34,6 +34,9 @@
         listed = {running.task: running for running in answer.running}
         for running in answer.running:
             produced += self.reconcile_running(endpoint, running, answer)
+        if self.tracker.owner.bounds.may_hide_ends(answer):
+            # An attempt that is not listed may have ended.
+            return produced
         for attempt in list(endpoint.attempts.values()):
             if attempt.task not in listed:
                 produced += self.reconcile_missing(endpoint, attempt, answer)
--- a/packages/core/src/knapweedbeam_core/pool/takeover.py
+++ b/packages/core/src/knapweedbeam_core/pool/takeover.py
@@ -46,7 +46,7 @@
         if now_ms < self.uncertain_until_ms:
             return False
         return all(
-            endpoint.is_held and not endpoint.failed_polls
+            endpoint.is_held and endpoint.is_read and not endpoint.failed_polls
             for endpoint in self.owner.iterate_service(service)
         )
 
@@ -69,12 +69,28 @@
         elif ended.fence != self.owner.fence:
             job.not_before_ms = self.owner.clock.now_ms() + TAKEOVER_MS
 
+    def may_have_ended(self, job: jobs.Job) -> bool:
+        """Return whether a held endpoint may hide the end of a stored job's task.
+
+        Its lists are full of ends that the log does not have yet.
+        """
+        hiding = self.owner.endpoint_index.with_hidden_ends
+        if not job.is_stored or not hiding:
+            return False
+        for name in list(hiding):
+            endpoint = self.owner.endpoints.get(name)
+            if endpoint is None or endpoint.is_read or not endpoint.is_held:
+                hiding.discard(name)
+        return bool(hiding)
+
     def may_run_elsewhere(self, job: jobs.Job) -> bool:
         """Return whether tasks of a job may run on endpoints that are not held here.
 
         A former dispatcher may have started them. Its leases have expired once
         `not_before_ms` has passed.
         """
+        if self.may_have_ended(job):
+            return True
         if self.owner.clock.now_ms() >= job.not_before_ms:
             return False
         if not self.holds_all_endpoints(job.terms.service):
--- a/packages/core/tests/stored/test_stored_scheduler.py
+++ b/packages/core/tests/stored/test_stored_scheduler.py
@@ -91,6 +91,32 @@
         self.assertEqual(self.world.get_state("j"), "complete")
         self.assertEqual(self.get_attempt_numbers("j"), [1] * 6)
 
+    def pile_up_ends(self) -> None:
+        """Let one endpoint have more ends than it lists, without a log."""
+        self.world.cut_from_log.add("a")
+        for name in ("e1", "e2", "e3"):
+            self.world.cut_links.add(("a", name))
+        step = stored_simulation.build_step(600, cpu_millis=50, memory_mib=1)
+        self.world.store_job("j", (step,), work_ms=400)
+        self.world.cut_from_log.clear()
+        self.world.advance(300)
+        self.world.cut_from_log.add("a")
+        self.world.advance(2_000)
+
+    def test_task_whose_end_is_not_listed_for_now_is_not_started_again(self) -> None:
+        self.pile_up_ends()
+        self.world.cut_from_log.clear()
+        self.world.advance(3_000)
+        self.assertEqual(self.world.get_state("j"), "complete")
+        self.assertEqual(self.get_attempt_numbers("j"), [1] * 600)
+
+    def test_successor_waits_for_the_ends_that_are_not_listed_for_now(self) -> None:
+        self.pile_up_ends()
+        self.world.add_dispatcher("b", 11)
+        self.world.advance(3_000)
+        self.assertEqual(self.world.get_state("j"), "complete")
+        self.assertEqual(self.get_attempt_numbers("j"), [1] * 600)
+
     def test_ends_of_a_replaced_dispatcher_are_ignored(self) -> None:
         self.world.store_job("j", (stored_simulation.build_step(2),), work_ms=400)
         self.world.advance(100)
