--- a/packages/core/src/knapweedbeam_core/pool/advising.py
+++ b/packages/core/src/knapweedbeam_core/pool/advising.py
@@ -104,7 +104,7 @@
         candidates = [
             endpoint
             for endpoint in available.list_endpoints()
-            if placing.fits(task, endpoint)
+            if placing.fits(task, endpoint, now_ms)
             and self.needs_advice(step_advice, endpoint, now_ms)
         ]
         if not candidates:
--- a/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
+++ b/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
@@ -524,7 +524,7 @@
         task: jobs.Task,
     ) -> dispatcher.Effects:
         """Retry a failed task elsewhere, or fail its job after `max_attempts`."""
-        failures = task.job.record_failure(task, attempt.number)
+        failures = task.job.record_failure(task, attempt.number, self.now_ms)
         task.failed_endpoints = (*task.failed_endpoints, endpoint.announcement.endpoint)
         produced = self.record_fault(endpoint, "failed a task")
         if failures > 1:
--- a/packages/core/src/knapweedbeam_core/pool/jobs.py
+++ b/packages/core/src/knapweedbeam_core/pool/jobs.py
@@ -76,6 +76,8 @@
     `last_attempt` is the number of its newest attempt. `move_count` counts how often it
     was stopped as overdue to be started elsewhere. `left_endpoint` is one on which it
     stood still, empty for none. `progress` is the newest saved state, empty for none.
+    `failed_attempts` are the numbers of those that failed, `failed_ms` is when the last
+    failure was recorded.
     `lost_ms` is when an endpoint was lost on which it may have
     run, 0 for never. `history` holds the crashes under its attempts.
     """
@@ -88,6 +90,8 @@
     last_attempt: int = 0
     failures: int = 0
     failed_endpoints: tuple[str, ...] = ()
+    failed_attempts: tuple[int, ...] = ()
+    failed_ms: int = 0
     move_count: int = 0
     left_endpoint: str = ""
     progress: str = ""
@@ -164,7 +168,6 @@
         self.longest_task_ms = max(step.estimate_ms for step in steps)
         self.work_factor = 0.0
         self.overdue_endpoints: set[str] = set()
-        self.failed_numbers: dict[int, set[int]] = {}
         critical_path_ms = self.get_critical_path_ms()
         objective_ms = int(terms.slack_factor * critical_path_ms) + terms.allowance_ms
         self.due_ms = born_ms + objective_ms
@@ -264,16 +267,17 @@
         if len(self.steps) > 1 and self.is_step_done(task.step):
             self.waiting = self.find_ready_tasks()
 
-    def record_failure(self, task: Task, number: int) -> int:
-        """Record a failed attempt and return how often the task or its gang failed."""
-        if not task.spec.is_gang:
-            task.failures += 1
-            return task.failures
-        numbers = self.failed_numbers.setdefault(task.step, set())
-        numbers.add(number)
-        for member in self.tasks[task.step]:
-            member.failures = len(numbers)
-        return len(numbers)
+    def record_failure(self, task: Task, number: int, now_ms: int) -> int:
+        """Record a failed attempt and return how often the task or its gang failed.
+
+        An attempt counts once, whoever reports it.
+        """
+        if number not in task.failed_attempts:
+            for member in self.get_gang(task):
+                member.failed_attempts = (*member.failed_attempts, number)
+                member.failures = len(member.failed_attempts)
+                member.failed_ms = now_ms
+        return task.failures
 
     def save_progress(self, task: Task, progress: str) -> None:
         """Store the newest saved state of a task; the tasks of a gang share one."""
--- a/packages/core/src/knapweedbeam_core/pool/placing.py
+++ b/packages/core/src/knapweedbeam_core/pool/placing.py
@@ -26,6 +26,9 @@
 
 # Safety factor for callers' estimates, which are off by a factor of up to two.
 ESTIMATE_MARGIN = 1.25
+# A failed task waits this long for another endpoint than those that seem at fault, half
+# of the time that a job with free capacity may have nothing running.
+AVOID_MS = 1_500
 
 
 class AvailableEndpoints:
@@ -149,11 +152,12 @@
     ends_ms: float
 
 
-def fits(task: jobs.Task, endpoint: endpoints.Endpoint) -> bool:
+def fits(task: jobs.Task, endpoint: endpoints.Endpoint, now_ms: int) -> bool:
     """Return whether an endpoint may run a task now.
 
-    A failed task avoids the endpoints on which it failed, and for its last attempt all
-    endpoints with faults since their last success.
+    For `AVOID_MS` a failed task avoids the endpoints on which it failed, and for its
+    last attempt all endpoints with faults since their last success. There may be no
+    others with its label, its ticket or room for it.
     """
     step = task.spec
     if not endpoint.free.covers(task.need):
@@ -167,10 +171,12 @@
         and count_step_tasks(task, endpoint) >= step.max_per_endpoint
     ):
         return False
-    if task.failures and endpoint.announcement.endpoint in task.failed_endpoints:
+    if not task.failures or now_ms - task.failed_ms > AVOID_MS:
+        return True
+    if endpoint.announcement.endpoint in task.failed_endpoints:
         return False
     is_last_attempt = task.failures + 1 >= task.job.terms.max_attempts
-    return not (is_last_attempt and task.failures and endpoint.health.faults)
+    return not (is_last_attempt and endpoint.health.faults)
 
 
 def would_interfere(task: jobs.Task, endpoint: endpoints.Endpoint) -> bool:
@@ -252,7 +258,7 @@
     candidates = [
         endpoint
         for endpoint in available.iterate(task.need.cpu_millis)
-        if fits(task, endpoint)
+        if fits(task, endpoint, available.now_ms)
     ]
     return min(candidates, key=get_key, default=None)
 
@@ -276,7 +282,7 @@
     has_room = False
     for endpoint in available.iterate(task.need.cpu_millis):
         has_room = True
-        if not fits(task, endpoint):
+        if not fits(task, endpoint, now_ms):
             continue
         if endpoint.announcement.endpoint == task.left_endpoint and has_other_endpoint(
             task, available
--- a/packages/core/src/knapweedbeam_core/pool/stored_scheduler.py
+++ b/packages/core/src/knapweedbeam_core/pool/stored_scheduler.py
@@ -290,7 +290,7 @@
                     job.mark_done(task)
                 failure_key = name.gang if task.spec.is_gang else name.task
                 for number in entry.failures.get(failure_key, ()):
-                    job.record_failure(task, number)
+                    job.record_failure(task, number, self.owner.clock.now_ms())
                 task.history.crashes.update(entry.crashes.get(name.task, {}))
                 task.history.is_suspect = bool(task.history.crashes)
 
--- a/packages/core/tests/stored/test_stored_scheduler.py
+++ b/packages/core/tests/stored/test_stored_scheduler.py
@@ -91,6 +91,26 @@
         self.assertEqual(self.world.get_state("j"), "complete")
         self.assertEqual(self.get_attempt_numbers("j"), [1] * 6)
 
+    def test_task_that_failed_on_each_endpoint_with_its_label_is_started_again(
+        self,
+    ) -> None:
+        for name in ("e0", "e1"):
+            self.world.endpoints[name].rack = "r2"
+            self.world.endpoints[name].is_failing = True
+            announcement = self.world.endpoints[name].build_announcement()
+            self.world.run(
+                self.dispatcher, self.dispatcher.on_announcement(announcement)
+            )
+        step = stored_simulation.build_step(1, required_label="r2")
+        self.world.store_job("j", (step,), max_attempts=4)
+        self.world.advance(1_000)
+        self.assertEqual(self.get_attempt_numbers("j"), [1, 2])
+        for endpoint in self.world.endpoints.values():
+            endpoint.is_failing = False
+        self.world.advance(3_000)
+        self.assertEqual(self.world.get_state("j"), "complete")
+        self.assertEqual(self.get_attempt_numbers("j"), [1, 2, 3])
+
     def pile_up_ends(self) -> None:
         """Let one endpoint have more ends than it lists, without a log."""
         self.world.cut_from_log.add("a")
