--- a/packages/core/src/knapweedbeam_core/pool/placing.py
+++ b/packages/core/src/knapweedbeam_core/pool/placing.py
@@ -80,14 +80,20 @@
         """Return the endpoints that tasks of the same step may use.
 
         Rack-local tasks use the rack where others of their step run, or else the one
-        with the most free capacity if the whole step fits there. Filling tasks use one
-        half of the endpoints, so that serving tasks find endpoints without them.
+        with the most free capacity if the whole step fits there. A lasting task uses
+        others while that rack has no room, as nothing there ends by itself. Filling
+        tasks use one half of the endpoints, so that serving tasks find endpoints
+        without them: those that run such tasks, and then those that may.
         """
         if task.spec.is_filling:
-            names = sorted(
-                endpoint.announcement.endpoint for endpoint in self.list_endpoints()
+            ranked = sorted(
+                self.list_endpoints(),
+                key=lambda endpoint: rank_for_filling(task, endpoint),
             )
-            half = set(names[: (len(names) + 1) // 2])
+            half = {
+                endpoint.announcement.endpoint
+                for endpoint in ranked[: (len(ranked) + 1) // 2]
+            }
             return self.filter_endpoints(
                 lambda endpoint: endpoint.announcement.endpoint in half
             )
@@ -96,10 +102,18 @@
         rack = find_used_rack(task, self.list_endpoints())
         if not rack:
             rack = self.find_free_rack(task)
-        return (
-            self.filter_endpoints(lambda endpoint: endpoint.announcement.rack == rack)
-            if rack
-            else self
+        if not rack:
+            return self
+        local = self.filter_endpoints(
+            lambda endpoint: endpoint.announcement.rack == rack
+        )
+        return local if not task.spec.is_lasting or local.has_room(task) else self
+
+    def has_room(self, task: jobs.Task) -> bool:
+        """Return whether a task fits on one of these endpoints now."""
+        return any(
+            fits(task, endpoint, self.now_ms)
+            for endpoint in self.iterate(task.need.cpu_millis)
         )
 
     def filter_endpoints(
@@ -198,6 +212,21 @@
     return filling_millis > endpoint.free.cpu_millis
 
 
+def rank_for_filling(
+    task: jobs.Task, endpoint: endpoints.Endpoint
+) -> tuple[bool, bool, str]:
+    """Return the sort key of an endpoint for a filling task; the lowest comes first."""
+    step = task.spec
+    owners = [each.owner for each in endpoint.attempts.values() if each.owner]
+    can_run = (
+        endpoint.capacity.covers(task.need)
+        and not any(owner.spec.target_ms for owner in owners)
+        and (not step.required_label or step.required_label in endpoint.announcement.labels)
+    )
+    is_filled = any(owner.spec.is_filling for owner in owners)
+    return not can_run, not is_filled, endpoint.announcement.endpoint
+
+
 def count_step_tasks(task: jobs.Task, endpoint: endpoints.Endpoint) -> int:
     """Return how many tasks of the same step are on an endpoint."""
     return sum(
--- a/packages/core/tests/stored/test_stored_scheduler.py
+++ b/packages/core/tests/stored/test_stored_scheduler.py
@@ -369,6 +369,37 @@
         self.assertEqual([start.progress for start in starts], ["", "half"])
         self.assertEqual(self.world.get_state("j"), "complete")
 
+    def test_filling_tasks_use_the_half_without_serving_tasks(self) -> None:
+        self.keep(
+            "s", 3, 60_000, is_lasting=True, target_ms=50, max_per_endpoint=1
+        )
+        self.world.advance(100)
+        serving = self.get_endpoints("s")
+        self.keep("f", 2, is_filling=True)
+        self.world.advance(500)
+        self.assertEqual(self.world.get_state("f"), "complete")
+        self.assertEqual(set(self.get_endpoints("f")) & set(serving), set())
+
+    def test_filling_tasks_use_the_half_with_their_label(self) -> None:
+        self.world.endpoints["e5"].rack = "r9"
+        announcement = self.world.endpoints["e5"].build_announcement()
+        self.world.run(self.dispatcher, self.dispatcher.on_announcement(announcement))
+        self.keep("f", 2, is_filling=True, required_label="r9")
+        self.world.advance(500)
+        self.assertEqual(self.get_endpoints("f"), ["e5", "e5"])
+
+    def test_lasting_rack_local_tasks_leave_a_rack_without_room(self) -> None:
+        self.keep("l", 6, work_ms=60_000, is_lasting=True, is_rack_local=True)
+        self.world.advance(200)
+        used = self.get_endpoints("l")
+        racks = {self.world.endpoints[name].rack for name in used}
+        self.assertEqual((len(used), len(racks)), (6, 1))
+        self.world.endpoints[used[0]].crash()
+        self.world.advance(2_500)
+        later = self.get_endpoints("l")[6:]
+        self.assertEqual(len(later), 2)
+        self.assertTrue(racks.isdisjoint({self.world.endpoints[n].rack for n in later}))
+
     def test_filling_and_serving_tasks_use_separate_endpoints(self) -> None:
         self.keep("f", 6, work_ms=60_000, is_lasting=True, is_filling=True)
         self.world.advance(100)
