--- a/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
+++ b/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
@@ -237,7 +237,7 @@
         task = job.find_task(attempt.task)
         if task is None:
             return []
-        job.was_started = True
+        job.was_started = job.has_begun = True
         task.last_attempt = max(task.last_attempt, attempt.number)
         if task.state == jobs.TaskState.WAITING:
             job.waiting = [other for other in job.waiting if other is not task]
@@ -336,6 +336,7 @@
             return []
         match answer.verdict:
             case calls.Verdict.ACCEPTED:
+                attempt.mark_begun()
                 if answer.reading is not None and not attempt.began_clock_ms:
                     attempt.began_clock_ms = answer.reading.clock_ms
                 return self.mark_running(endpoint, attempt)
@@ -430,6 +431,7 @@
             return self.on_unmatched_end(endpoint, end)
         produced: dispatcher.Effects = []
         if attempt.owner is not None:
+            attempt.mark_begun()
             attempt.owner.job.save_progress(attempt.owner, end.progress)
             produced += self.owner.stored_scheduler.record_end(
                 endpoint, end, attempt.owner
@@ -443,7 +445,8 @@
     ) -> dispatcher.Effects:
         """Handle the end of an attempt that this dispatcher did not start.
 
-        It is ignored if the task has been started again.
+        It is ignored if the task has been started again, but for the failure of a stored
+        job's task, which counts as an attempt whoever sees it.
         """
         job = self.owner.jobs.get(jobs.get_key(end.task))
         task = job.find_task(end.task) if job is not None else None
@@ -451,16 +454,36 @@
             if self.owner.stored_scheduler.may_be_stored(end):
                 endpoint.keep_end(end)
             return []
+        if end.kind == calls.EndKind.FAILED and task.job.is_stored:
+            return self.count_former_failure(endpoint, end, task)
         if task.state != jobs.TaskState.WAITING:
             return []
         task.last_attempt = max(task.last_attempt, end.number)
         task.job.save_progress(task, end.progress)
         if end.kind == calls.EndKind.DONE and not task.job.is_lasting:
-            task.job.was_started = True
+            task.job.was_started = task.job.has_begun = True
             recorded = self.owner.stored_scheduler.record_end(endpoint, end, task)
             return [*recorded, *self.finish_task(task)]
         return []
 
+    def count_former_failure(
+        self, endpoint: endpoints.Endpoint, end: calls.End, task: jobs.Task
+    ) -> dispatcher.Effects:
+        """Count the failure of an attempt that this dispatcher did not start."""
+        if task.job.is_lasting or task.state == jobs.TaskState.DONE:
+            return []
+        task.job.was_started = task.job.has_begun = True
+        task.last_attempt = max(task.last_attempt, end.number)
+        task.job.save_progress(task, end.progress)
+        name = endpoint.announcement.endpoint
+        task.failed_endpoints = (*task.failed_endpoints, name)
+        produced = self.owner.stored_scheduler.record_end(endpoint, end, task)
+        failures = task.job.record_failure(task, end.number, self.now_ms)
+        if failures < task.job.terms.max_attempts:
+            return produced
+        outcome = messages.JobFailed(task.job.job_id, reasons.Reason.TASK_FAILED)
+        return produced + self.owner.end_job(task.job, outcome)
+
     def handle_end(
         self,
         endpoint: endpoints.Endpoint,
--- a/packages/core/src/knapweedbeam_core/pool/endpoints.py
+++ b/packages/core/src/knapweedbeam_core/pool/endpoints.py
@@ -62,6 +62,11 @@
     is_listed: bool = False
     former_loss: crashes.Loss | None = None
 
+    def mark_begun(self) -> None:
+        """Record that the attempt runs or ran, so that its job has begun."""
+        if self.owner is not None:
+            self.owner.job.has_begun = True
+
 
 def build_target(announcement: messages.EndpointNews) -> calls.Target:
     """Return the target of calls to an endpoint's incarnation."""
--- a/packages/core/src/knapweedbeam_core/pool/jobs.py
+++ b/packages/core/src/knapweedbeam_core/pool/jobs.py
@@ -116,6 +116,8 @@
     `domain` is that VM's failure domain, empty if unknown.
     `submitted_base` is the attempt base that it sent. `question_ms` is when it was
     asked to confirm the job, 0 if no answer is open.
+    `was_started` tells that a start was sent or may have been, `has_begun` that an
+    attempt is known to have run.
     `born_ms` is when the caller sent the job, `give_up_ms` when the caller stops
     waiting. `work_factor` is the largest ratio of actual to estimated work among the
     tasks that ended, 0 while none has: the tasks of a job share the error of its
@@ -146,6 +148,7 @@
         self.give_up_ms = give_up_ms
         self.attempt_base = attempt_base
         self.was_started = False
+        self.has_begun = False
         self.is_cancelled = False
         self.is_stored = False
         self.hand_in = 0
--- a/packages/core/src/knapweedbeam_core/pool/reconciler.py
+++ b/packages/core/src/knapweedbeam_core/pool/reconciler.py
@@ -58,6 +58,7 @@
         ):
             attempt.state = endpoints.AttemptState.RUNNING
         attempt.is_listed = True
+        attempt.mark_begun()
         attempt.former_loss = None
         if not attempt.began_clock_ms:
             attempt.began_clock_ms = answer.reading.clock_ms
--- a/packages/core/src/knapweedbeam_core/pool/stored_scheduler.py
+++ b/packages/core/src/knapweedbeam_core/pool/stored_scheduler.py
@@ -277,7 +277,8 @@
             occurrence,
         )
         job.is_stored = True
-        job.was_started = entry.verdict == stored_messages.Verdict.ACTIVE
+        job.has_begun = entry.verdict == stored_messages.Verdict.ACTIVE
+        job.was_started = job.has_begun
         self.apply_ends(job, entry)
         return job
 
@@ -435,11 +436,14 @@
         return [*unconfirmed.values()]
 
     def count_waiting(self, queue: str) -> int:
-        """Return how many stored jobs of a queue have not started."""
+        """Return how many stored jobs of a queue have no task that has run.
+
+        A start that is refused, or is never carried out, begins nothing.
+        """
         started_ids = {
             job.job_id
             for job in self.owner.jobs.values()
-            if job.is_stored and job.was_started
+            if job.is_stored and job.has_begun
         }
         open_ids = {
             job.job_id
--- a/packages/core/tests/stored/test_stored_scheduler.py
+++ b/packages/core/tests/stored/test_stored_scheduler.py
@@ -1,10 +1,11 @@
 from __future__ import annotations
 
 import unittest
+import unittest.mock
 
 import msgspec
 
-from bench.pool import stored_simulation
+from bench.pool import simulation, stored_simulation
 from knapweedbeam_core.pool import calls, messages
 from knapweedbeam_core.stored import commands, ledger
 
@@ -111,6 +112,37 @@
         self.assertEqual(self.world.get_state("j"), "complete")
         self.assertEqual(self.get_attempt_numbers("j"), [1, 2, 3])
 
+    def test_successor_counts_the_failures_that_it_finds_at_endpoints(self) -> None:
+        for endpoint in self.world.endpoints.values():
+            endpoint.is_failing = True
+        step = stored_simulation.build_step()
+        self.world.store_job("j", (step,), max_attempts=2)
+        self.world.advance(13)
+        self.world.cut_from_log.add("a")
+        self.world.advance(400)
+        self.assertEqual(self.get_attempt_numbers("j"), [1, 2])
+        self.world.run(self.dispatcher, self.dispatcher.set_fence(0))
+        second = self.world.add_dispatcher("b", 0)
+        second.stored_scheduler.has_stored_jobs = True
+        self.world.run(second, second.set_fence(11))
+        self.world.advance(7_000)
+        self.assertEqual(self.world.get_state("j"), "failed")
+        self.assertEqual(self.get_attempt_numbers("j"), [1, 2])
+
+    def test_job_whose_starts_are_refused_counts_as_waiting(self) -> None:
+        refusing = unittest.mock.patch.object(
+            simulation.FakeEndpoint, "start", return_value=calls.Verdict.UNHEALTHY
+        )
+        with refusing as start:
+            self.world.store_job("j", (stored_simulation.build_step(),), work_ms=500)
+            self.world.advance(200)
+            start.assert_called()
+        scheduler = self.dispatcher.stored_scheduler
+        self.assertEqual(scheduler.count_waiting("queue"), 1)
+        self.world.advance(5_000)
+        self.assertEqual(self.world.get_state("j"), "complete")
+        self.assertEqual(scheduler.count_waiting("queue"), 0)
+
     def pile_up_ends(self) -> None:
         """Let one endpoint have more ends than it lists, without a log."""
         self.world.cut_from_log.add("a")
