--- a/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
+++ b/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
@@ -445,8 +445,8 @@
     ) -> dispatcher.Effects:
         """Handle the end of an attempt that this dispatcher did not start.
 
-        It is ignored if the task has been started again, but for the failure of a stored
-        job's task, which counts as an attempt whoever sees it.
+        It is ignored if the task has been started again, but for the failure of a
+        stored job's task, which counts as an attempt whoever sees it.
         """
         job = self.owner.jobs.get(jobs.get_key(end.task))
         task = job.find_task(end.task) if job is not None else None
--- a/packages/core/src/knapweedbeam_core/pool/crash_handler.py
+++ b/packages/core/src/knapweedbeam_core/pool/crash_handler.py
@@ -40,8 +40,9 @@
     ) -> dispatcher.Effects:
         """Handle the loss of an endpoint with the attempts that may have run there.
 
-        A partition that resets connections looks like a crash. It counts as one until
-        the endpoint answers again.
+        A partition that resets and refuses connections looks like a crash. It counts as
+        one until the endpoint answers again, unless that would end a stored job, which
+        cannot be taken back: its task is held back until it is known what happened.
         """
         announcement = endpoint.announcement
         losses = tuple(
@@ -60,23 +61,35 @@
         self.unexplained.add(
             announcement.endpoint, announcement.born_ms, announcement.address, losses
         )
-        if cause == crashes.LossCause.REFUSING:
-            return self.count(losses, announcement.endpoint)
+        is_refusing = cause == crashes.LossCause.REFUSING
+        produced: dispatcher.Effects = []
         for loss in losses:
             task = self.find_task(loss)
-            if task is not None:
-                task.history.unexplained[loss.number] = loss.is_early
-        return []
+            if task is None:
+                continue
+            if is_refusing and not self.would_end_stored_job(task, loss):
+                produced += self.count([loss], announcement.endpoint)
+                continue
+            task.history.unexplained[loss.number] = loss.is_early
+            task.history.is_suspect |= is_refusing
+        return produced
+
+    def would_end_stored_job(self, task: jobs.Task, loss: crashes.Loss) -> bool:
+        """Return whether one more crash puts the task of a stored job at fault."""
+        counted = task.history.crashes | {loss.number: loss.is_early}
+        return task.job.is_stored and crashes.is_at_fault(counted, task.job.is_lasting)
 
     def build_loss(
         self, endpoint: endpoints.Endpoint, attempt: endpoints.Attempt, task: jobs.Task
     ) -> crashes.Loss:
         """Return the loss of one attempt.
 
-        It is early if contact ended early in the attempt's run.
+        It is early if contact ended early in the attempt's run; that of a lasting task
+        is early until the run has proven itself.
         """
         ended_ms = endpoint.contact.failed_ms or self.owner.tracker.waiting_ms
-        is_early = ended_ms - attempt.called_ms < crashes.EARLY_MS
+        early_ms = crashes.PROVEN_MS if task.job.is_lasting else crashes.EARLY_MS
+        is_early = ended_ms - attempt.called_ms < early_ms
         return crashes.Loss(task.job.key, task.name, attempt.number, is_early)
 
     def confirm(self, endpoint: str, born_ms: int) -> dispatcher.Effects:
--- a/packages/core/src/knapweedbeam_core/pool/crashes.py
+++ b/packages/core/src/knapweedbeam_core/pool/crashes.py
@@ -7,7 +7,8 @@
 
 Most crashes by a task come early in its run. After `MAX_EARLY_CRASHES` of these, or
 `MAX_CRASHES` in all, a task is at fault. Lasting tasks run through many unrelated
-crashes, so only `MAX_CRASHES` early ones count for them.
+crashes, so only `MAX_CRASHES` count for them that come before a run has shown for
+`PROVEN_MS` that it does no harm.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 import enum
 
 EARLY_MS = 1_000
+PROVEN_MS = 300_000
 MAX_EARLY_CRASHES = 2
 MAX_CRASHES = 3
 
--- a/packages/core/src/knapweedbeam_core/pool/placing.py
+++ b/packages/core/src/knapweedbeam_core/pool/placing.py
@@ -221,7 +221,10 @@
     can_run = (
         endpoint.capacity.covers(task.need)
         and not any(owner.spec.target_ms for owner in owners)
-        and (not step.required_label or step.required_label in endpoint.announcement.labels)
+        and (
+            not step.required_label
+            or step.required_label in endpoint.announcement.labels
+        )
     )
     is_filled = any(owner.spec.is_filling for owner in owners)
     return not can_run, not is_filled, endpoint.announcement.endpoint
--- a/packages/core/tests/pool/test_queueing.py
+++ b/packages/core/tests/pool/test_queueing.py
@@ -65,7 +65,9 @@
         in_time, value = play(1.4)
 
         def choose_endpoint(task, available, now_ms, best_speed):  # type: ignore[no-untyped-def]
-            fitting = (e for e in available.list_endpoints() if placing.fits(task, e, now_ms))
+            fitting = (
+                e for e in available.list_endpoints() if placing.fits(task, e, now_ms)
+            )
             return next(fitting, None)
 
         with unittest.mock.patch.object(placing, "choose_endpoint", choose_endpoint):
--- a/packages/core/tests/stored/test_stored_scheduler.py
+++ b/packages/core/tests/stored/test_stored_scheduler.py
@@ -402,9 +402,7 @@
         self.assertEqual(self.world.get_state("j"), "complete")
 
     def test_filling_tasks_use_the_half_without_serving_tasks(self) -> None:
-        self.keep(
-            "s", 3, 60_000, is_lasting=True, target_ms=50, max_per_endpoint=1
-        )
+        self.keep("s", 3, 60_000, is_lasting=True, target_ms=50, max_per_endpoint=1)
         self.world.advance(100)
         serving = self.get_endpoints("s")
         self.keep("f", 2, is_filling=True)
@@ -529,6 +527,34 @@
         self.world.advance(5_000)
         self.assertEqual(self.world.get_state("j"), "complete")
 
+    def test_two_cuts_that_refuse_connections_do_not_end_a_job(self) -> None:
+        self.world.deadly_tasks.clear()
+        step = stored_simulation.build_step(1, estimate_ms=2_000)
+        self.world.store_job("j", (step,), work_ms=2_000)
+        cut_off = []
+        for starts in (1, 2):
+            while len(self.world.starts) < starts:
+                self.world.advance(20)
+            self.world.advance(400)
+            cut_off.append(self.world.endpoints[self.world.starts[-1][1]])
+            cut_off[-1].end_process()
+        self.world.advance(2_000)
+        self.assertEqual(len(self.world.starts), 2)
+        for endpoint in cut_off:
+            endpoint.is_unresponsive = endpoint.has_ended = False
+        self.world.advance(6_000)
+        self.assertEqual(self.world.get_state("j"), "complete")
+
+    def test_lasting_task_that_crashes_endpoints_after_some_time_is_given_up(
+        self,
+    ) -> None:
+        step = stored_simulation.build_step(1, is_lasting=True)
+        with unittest.mock.patch.object(simulation, "CRASH_DELAY_MS", 1_500):
+            self.world.store_job("j", (step,), work_ms=100_000)
+            self.world.advance(40_000)
+        self.assertEqual(len(self.world.crashes), 3)
+        self.assertEqual(self.world.get_state("j"), "failed")
+
     def replace_after_a_crash_without_the_log(self) -> None:
         """Let the dispatcher see a crash while it is cut from the log, then stop it."""
         self.world.store_job("j", (stored_simulation.build_step(1),))
