--- a/packages/core/src/knapweedbeam_core/stored/client.py
+++ b/packages/core/src/knapweedbeam_core/stored/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import secrets
 
 from knapweedbeam_core import clock, effects
 from knapweedbeam_core.stored import messages
@@ -13,6 +14,7 @@
 RESEND_MS = 500
 # Delay before the next try when the recipient could not answer or is not known.
 REFUSED_PAUSE_MS = 50
+FIRST_NUMBER_BITS = 60
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,7 +46,8 @@
         self.open: dict[int, PendingRequest] = {}
         self.leader = ""
         self.dispatcher = ""
-        self.numbers = 0
+        # Replies to the process that ran here before name other numbers.
+        self.numbers = secrets.randbits(FIRST_NUMBER_BITS)
 
     def allocate_number(self) -> int:
         """Return the number for the next request."""
--- a/packages/core/tests/stored/test_service.py
+++ b/packages/core/tests/stored/test_service.py
@@ -126,7 +126,8 @@
         self.client.set_recipients("a", "d")
         self.assertEqual(self.get_targets(self.request()), ["a"])
         self.assertEqual(self.get_targets(self.client.set_recipients("b", "d")), ["b"])
-        reply = messages.Told(1, messages.Verdict.QUEUED)
+        (number,) = self.client.open
+        reply = messages.Told(number, messages.Verdict.QUEUED)
         self.assertEqual(self.get_verdicts(self.client.on_reply(reply)), ["queued"])
         self.assertEqual(self.client.on_reply(reply), [])
 
@@ -138,7 +139,8 @@
     def test_a_request_is_repeated_after_elsewhere(self) -> None:
         self.client.set_recipients("a", "d")
         self.request()
-        reply = messages.Told(1, messages.Verdict.ELSEWHERE)
+        (number,) = self.client.open
+        reply = messages.Told(number, messages.Verdict.ELSEWHERE)
         self.assertEqual(self.client.on_reply(reply), [])
         self.assertEqual(self.client.tick(), [])
         self.clock.advance(client.REFUSED_PAUSE_MS)
