--- a/bench/fleet/node.py
+++ b/bench/fleet/node.py
@@ -202,7 +202,8 @@
             members=self.members.candidates,
             incarnation=self.incarnation,
             shards=self.sharding.table if self.role.generation else (),
-            refused=tuple(sorted(self.sharding.refused)),
+            refused=tuple(token for _, token in sorted(self.sharding.refused)),
+            refused_shards=tuple(shard for shard, _ in sorted(self.sharding.refused)),
         )
 
     # Effects.
--- a/bench/fleet/simulation.py
+++ b/bench/fleet/simulation.py
@@ -109,7 +109,8 @@
             members=self.members.candidates,
             incarnation=self.incarnation,
             shards=self.sharding.table if self.role.generation else (),
-            refused=tuple(sorted(self.sharding.refused)),
+            refused=tuple(token for _, token in sorted(self.sharding.refused)),
+            refused_shards=tuple(shard for shard, _ in sorted(self.sharding.refused)),
         )
 
     def tick(self) -> list[effects.Send]:
--- a/packages/core/src/knapweedbeam_core/fleet/messages.py
+++ b/packages/core/src/knapweedbeam_core/fleet/messages.py
@@ -34,7 +34,8 @@
     `incarnation` differs after each restart of the sender. `shards` names the owner of
     each shard while the sender is the active dispatcher and shares its work; it is
     empty while it dispatches alone. `refused` are the sender's tokens for shards whose
-    endpoints have seen higher ones.
+    endpoints have seen higher ones, or whose term has ended, and `refused_shards` these
+    shards in the same order.
     """
 
     name: str
@@ -56,6 +57,7 @@
     incarnation: int = 0
     shards: tuple[ShardOwner, ...] = ()
     refused: tuple[int, ...] = ()
+    refused_shards: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/knapweedbeam_core/fleet/sharding.py
+++ b/packages/core/src/knapweedbeam_core/fleet/sharding.py
@@ -74,8 +74,8 @@
     """The division of the endpoints, as one process decides or learns of it.
 
     `table` is the division in force here, empty while one process dispatches alone.
-    `refused` are tokens of this process that it can't use: endpoints refused them, or
-    their term has ended. The lead replaces them.
+    `refused` are shards of this process, with tokens that it can't use there: endpoints
+    refused them, or their term has ended. The lead replaces them.
     """
 
     def __init__(
@@ -93,7 +93,7 @@
         self.started_ms = timer.now_ms()
         self.endpoints_per_shard = endpoints_per_shard
         self.table: Table = ()
-        self.refused: set[int] = set()
+        self.refused: set[tuple[int, int]] = set()
         self.terms = terms.Terms()
         self.is_lead = False
         self.has_had_stored_jobs = False
@@ -114,10 +114,14 @@
                 self.take_lead()
             self.decide(own, work)
         if self.refused:
-            self.refused &= {each.token for each in self.table if self.is_own(each)}
-        self.refused |= self.terms.update(
-            max(1, len(self.table)), self.list_named_tokens()
-        )
+            self.refused &= {
+                (shard, each.token)
+                for shard, each in enumerate(self.table)
+                if self.is_own(each)
+            }
+        named = self.list_named_tokens()
+        self.terms.update(max(1, len(self.table)), named)
+        self.refused |= named.items() - self.terms.tokens.items()
         return self.table
 
     def list_own_tokens(self) -> dict[int, int]:
@@ -131,7 +135,7 @@
         return {
             shard: owner.token
             for shard, owner in enumerate(self.table)
-            if self.is_own(owner) and owner.token not in self.refused
+            if self.is_own(owner) and (shard, owner.token) not in self.refused
         }
 
     def is_own(self, owner: messages.ShardOwner) -> bool:
@@ -140,10 +144,15 @@
         return owner.name == self.members.name and is_same
 
     def handle_refused_token(self, token: int) -> bool:
-        """Give up the shard with a token; return whether there is one."""
-        if not any(each.token == token and self.is_own(each) for each in self.table):
+        """Give up the shards with a token; return whether there are any."""
+        given_up = {
+            (shard, token)
+            for shard, each in enumerate(self.table)
+            if each.token == token and self.is_own(each)
+        }
+        if not given_up:
             return False
-        self.refused.add(token)
+        self.refused |= given_up
         self.terms.update(len(self.table), self.list_named_tokens())
         return True
 
@@ -253,7 +262,7 @@
                 name = min(counts, key=lambda each: self.rank(each, counts[each]))
                 counts[name] += 1
                 changes[shard] = candidates[name]
-            elif owner.token not in self.get_refused(presence):
+            elif not self.is_refused(presence, shard, owner.token):
                 continue
             elif now_ms >= self.reissued_ms.get(shard, 0) + REFUSED_PAUSE_MS:
                 self.reissued_ms[shard] = now_ms
@@ -265,11 +274,17 @@
         is_own = name == self.members.name
         return not self.is_mature(name), shard_count, is_own, name
 
-    def get_refused(self, presence: messages.Presence) -> collections.abc.Set[int]:
-        """Return the tokens of a process that it cannot use."""
+    def is_refused(self, presence: messages.Presence, shard: int, token: int) -> bool:
+        """Return whether a process cannot use its token for a shard.
+
+        Processes of earlier versions name tokens without their shards.
+        """
         if presence.name == self.members.name:
-            return self.refused
-        return set(presence.refused)
+            return (shard, token) in self.refused
+        if len(presence.refused_shards) != len(presence.refused):
+            return token in presence.refused
+        named = zip(presence.refused_shards, presence.refused, strict=True)
+        return (shard, token) in named
 
     def count_by_owner(
         self, candidates: Candidates, changes: Changes
--- a/packages/core/tests/fleet/test_sharding.py
+++ b/packages/core/tests/fleet/test_sharding.py
@@ -40,7 +40,8 @@
             1,
             incarnation=self.incarnation,
             shards=self.sharding.table if self.role.generation else (),
-            refused=tuple(self.sharding.refused),
+            refused=tuple(token for _, token in sorted(self.sharding.refused)),
+            refused_shards=tuple(shard for shard, _ in sorted(self.sharding.refused)),
         )
 
 
--- a/packages/core/tests/fleet/test_terms.py
+++ b/packages/core/tests/fleet/test_terms.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import dataclasses
 import unittest
 
 from knapweedbeam_core import clock
@@ -73,6 +74,15 @@
             self.learn(self.own, self.own, self.other)
             self.assertEqual(self.sharding.list_own_tokens(), {0: 50})
 
+    def test_lead_replaces_the_token_of_the_named_shard_alone(self) -> None:
+        earlier = messages.Presence(
+            "c2", True, "d", "", True, False, 0, 0, "c1", "", 1, refused=(50,)
+        )
+        presence = dataclasses.replace(earlier, refused_shards=(1,))
+        self.assertFalse(self.sharding.is_refused(presence, 0, 50))
+        self.assertTrue(self.sharding.is_refused(presence, 1, 50))
+        self.assertTrue(self.sharding.is_refused(earlier, 0, 50))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -354,7 +354,7 @@
         table = self.sharding.update(self.build_presence(), work)
         if table != before:
             self.log_shards(table)
-        for token in self.sharding.refused - refused:
+        for token in {token for _, token in self.sharding.refused - refused}:
             emit.emit(catalogue.SHARD_TOKEN_ENDED, fence=token)
         tokens = self.sharding.list_own_tokens()
         self.run(self.shards.set_tokens(max(1, len(table)), tokens))
@@ -396,7 +396,8 @@
             self.members.candidates,
             incarnation=self.incarnation,
             shards=self.sharding.table if self.dispatcher_role.generation else (),
-            refused=tuple(sorted(self.sharding.refused)),
+            refused=tuple(token for _, token in sorted(self.sharding.refused)),
+            refused_shards=tuple(shard for shard, _ in sorted(self.sharding.refused)),
         )
 
     def has_stored_jobs(self) -> bool:
--- a/packages/wire/src/knapweedbeam_wire/schema/fleet.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/fleet.capnp
@@ -21,6 +21,7 @@
   incarnation @16 :Int64;
   shards @17 :List(ShardOwner);
   refused @18 :List(Int64);
+  refusedShards @19 :List(Int64);
 }
 
 struct ShardOwner {
