--- a/bench/fleet/routing.py
+++ b/bench/fleet/routing.py
@@ -36,6 +36,10 @@
             case messages.Withdraw():
                 node.run(node.shards.on_withdraw(message))
                 node.run(node.relay.withdraw(message))
+            case messages.CancelOpenJob():
+                node.run(node.shards.on_cancel(message))
+            case messages.JobCancelled():
+                node.run(node.open_jobs.on_cancelled(message))
             case messages.ConfirmJob():
                 node.run(node.open_jobs.on_question(sender, message))
                 node.run(node.relay.forward_question(sender, message))
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -439,6 +439,24 @@
             ended.hand_in = job.hand_in
         return [log_events.JobWithdrawn(job.job_id), *produced]
 
+    def on_cancel(self, cancel: messages.CancelOpenJob) -> Effects:
+        """End a best-effort job that was cancelled at another entry VM than its own.
+
+        A copy of its submission is answered like the job itself.
+        """
+        job = self.jobs.get(cancel.job_id)
+        cancelled_ms = self.clock.now_ms() - cancel.age_ms
+        if job is None or job.is_stored or job.terms.queue != cancel.queue:
+            return []
+        if job.born_ms > cancelled_ms:
+            return []
+        answer = messages.JobCancelled(job.job_id, job.hand_in)
+        produced = self.on_withdraw(messages.Withdraw(job.job_id))
+        ended = self.ended.get(job.key)
+        if ended is not None:
+            ended.refusal = answer
+        return [effects.Send(job.entry, answer), *produced]
+
     def end_job(self, job: jobs.Job, outcome: job_memory.Outcome | None) -> Effects:
         """End a job: notify its entry VM, stop its attempts and keep its outcome.
 
--- a/packages/core/src/knapweedbeam_core/pool/job_memory.py
+++ b/packages/core/src/knapweedbeam_core/pool/job_memory.py
@@ -35,7 +35,7 @@
     ended_ms: int
     fence: int
     shard: int
-    refusal: messages.JobRefused | None = None
+    refusal: messages.JobRefused | messages.JobCancelled | None = None
     hand_in: int = 0
     crashes: tuple[messages.TaskCrash, ...] = ()
     not_before_ms: int = 0
--- a/packages/core/src/knapweedbeam_core/pool/messages.py
+++ b/packages/core/src/knapweedbeam_core/pool/messages.py
@@ -194,6 +194,26 @@
     hand_in: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelOpenJob:
+    """A best-effort job was cancelled `age_ms` ago at an entry VM that lacks it.
+
+    It is one of `queue`. The same job submitted after that goes on.
+    """
+
+    job_id: str
+    queue: str
+    age_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobCancelled:
+    """The submission with `hand_in` of a job was cancelled at another entry VM."""
+
+    job_id: str
+    hand_in: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotDispatching:
     """The sender does not dispatch; the process `following` may know which one does.
@@ -239,5 +259,7 @@
     JobComplete,
     JobFailed,
     JobRefused,
+    CancelOpenJob,
+    JobCancelled,
     NotDispatching,
 )
--- a/packages/core/src/knapweedbeam_core/pool/open_jobs.py
+++ b/packages/core/src/knapweedbeam_core/pool/open_jobs.py
@@ -228,6 +228,17 @@
         is_complete = isinstance(ended, messages.JobComplete)
         return [Settled(ended.job_id, Ended(is_complete))]
 
+    def on_cancelled(self, cancelled: messages.JobCancelled) -> Effects:
+        """Handle that a job was cancelled at another entry VM.
+
+        Another dispatcher may have taken the job meanwhile.
+        """
+        job = self.jobs.get(cancelled.job_id)
+        if job is None or cancelled.hand_in != job.hand_in:
+            return []
+        settled = Settled(cancelled.job_id, Unknown(reasons.Reason.CANCELLED))
+        return [*self.withdraw(cancelled.job_id), settled]
+
     def on_refused(self, sender: str, refused: messages.JobRefused) -> Effects:
         """Handle a refusal.
 
--- a/packages/core/src/knapweedbeam_core/pool/relay.py
+++ b/packages/core/src/knapweedbeam_core/pool/relay.py
@@ -17,7 +17,12 @@
 RETENTION_MS = 10_000
 MAX_JOBS = 10_000
 
-Outcome = messages.JobComplete | messages.JobFailed | messages.JobRefused
+Outcome = (
+    messages.JobComplete
+    | messages.JobFailed
+    | messages.JobRefused
+    | messages.JobCancelled
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/knapweedbeam_core/pool/shards.py
+++ b/packages/core/src/knapweedbeam_core/pool/shards.py
@@ -212,6 +212,12 @@
             for effect in owner.on_withdraw(withdraw)
         ]
 
+    def on_cancel(self, cancel: messages.CancelOpenJob) -> dispatcher.Effects:
+        """End a job that was cancelled at another entry VM than its own."""
+        return [
+            effect for owner in self.dispatchers for effect in owner.on_cancel(cancel)
+        ]
+
     def on_confirmed(self, confirmed: messages.JobConfirmed) -> dispatcher.Effects:
         """Handle that an entry VM still sends a job here."""
         return [
--- a/packages/server/src/knapweedbeam_server/fleet/message_router.py
+++ b/packages/server/src/knapweedbeam_server/fleet/message_router.py
@@ -5,7 +5,7 @@
 import typing
 
 from knapweedbeam_core import effects
-from knapweedbeam_core.fleet import job_routes, membership
+from knapweedbeam_core.fleet import job_routes, membership, sharding
 from knapweedbeam_core.fleet import messages as fleet_messages
 from knapweedbeam_core.log import messages as log_messages
 from knapweedbeam_core.pool import messages
@@ -42,6 +42,11 @@
             case messages.Withdraw():
                 self.node.run(self.node.shards.on_withdraw(message))
                 self.node.run(self.node.relay.withdraw(message))
+            case messages.CancelOpenJob():
+                self.handle_cancellation(sender, message)
+            case messages.JobCancelled():
+                self.node.run(self.node.open_jobs.on_cancelled(message))
+                self.node.run(self.node.relay.return_outcome(message))
             case messages.ConfirmJob():
                 self.node.run(self.node.open_jobs.on_question(sender, message))
                 self.node.run(self.node.relay.forward_question(sender, message))
@@ -81,7 +86,8 @@
 
     def handle_submit(self, sender: str, submit: messages.Submit) -> None:
         """Dispatch a job, or relay it for an entry VM that does not reach its owner."""
-        target = self.find_relay_target(submit)
+        shard = self.node.shards.find_shard(submit)
+        target = self.find_relay_target(submit.job_id, shard)
         if target is not None:
             self.node.run(
                 self.node.relay.forward(sender, target.name, submit, target.token)
@@ -89,13 +95,21 @@
         else:
             self.node.run(self.node.shards.on_submit(sender, submit))
 
-    def find_relay_target(self, submit: messages.Submit) -> job_routes.Target | None:
+    def handle_cancellation(self, sender: str, cancel: messages.CancelOpenJob) -> None:
+        """End a job that is dispatched here, or pass its cancellation on."""
+        shard = sharding.get_shard(cancel.job_id, len(self.node.shards.dispatchers))
+        target = self.find_relay_target(cancel.job_id, shard)
+        if target is not None and target.name != sender:
+            self.node.run([effects.Send(target.name, cancel)])
+        else:
+            self.node.run(self.node.shards.on_cancel(cancel))
+
+    def find_relay_target(self, job_id: str, shard: int) -> job_routes.Target | None:
         """Return the process that a job is relayed to, None to handle it here.
 
         The lead passes jobs on to the owner of their shard, an entry VM to the
         dispatcher that it uses.
         """
-        shard = self.node.shards.find_shard(submit)
         if self.node.shards.dispatchers[shard].fence:
             return None
         table = self.node.sharding.table
@@ -105,7 +119,7 @@
             return None if is_own else job_routes.Target(owner.name, owner.token)
         if self.node.settings.is_core or self.node.shards.is_active():
             return None
-        target = self.node.open_jobs.find_target(submit.job_id)
+        target = self.node.open_jobs.find_target(job_id)
         is_dispatching = self.node.members.is_active_dispatcher(target.name)
         is_owner = self.node.job_routes.is_owner(target.name)
         return target if is_dispatching or is_owner else None
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -23,6 +23,7 @@
 from knapweedbeam_core.manifests import manifest
 from knapweedbeam_core.pool import (
     calls,
+    cancellations,
     dispatcher,
     log_events,
     messages,
@@ -141,6 +142,7 @@
             self.shards, client, self.run, self.telemetry
         )
         self.open_jobs = open_jobs.OpenJobs(timer, settings.domain)
+        self.cancellations = cancellations.Cancellations(timer, self.open_jobs)
         self.relay = relay.Relay(timer)
         self.log = self.build_log(rng)
         self.manifests = manifest_manager.ManifestManager(self, decode_manifest)
@@ -330,6 +332,7 @@
         self.send_heartbeats()
         self.run(self.shards.tick())
         self.run(self.open_jobs.tick())
+        self.run(self.cancellations.tick())
         if self.log is not None:
             self.log.tick()
             self.manifests.apply_committed()
@@ -522,9 +525,11 @@
             self.waiters.pop(job_id, None)
             self.run(self.open_jobs.withdraw(job_id))
 
-    def cancel(self, job_id: str) -> bool:
-        """Cancel a job; return whether it was open here."""
+    def cancel(self, job_id: str, queue: str) -> bool:
+        """Cancel a job, here or where it is open; return whether it was open here."""
         is_open = job_id in self.open_jobs.jobs
+        if not is_open:
+            self.run(self.cancellations.start(job_id, queue))
         self.run(self.open_jobs.withdraw(job_id))
         unknown = open_jobs.Unknown(reasons.Reason.CANCELLED)
         self.set_outcome(open_jobs.Settled(job_id, unknown))
--- a/packages/server/tests/fleet/test_message_router.py
+++ b/packages/server/tests/fleet/test_message_router.py
@@ -83,13 +83,13 @@
         other = fleet_messages.ShardOwner("127.0.0.3:7000", INCARNATION, TOKEN)
         self.node.dispatcher_role.generation = TOKEN - 1
         self.node.sharding.table = (other, other)
-        sent = self.router.find_relay_target(test_endpoint_calls.SUBMIT)
+        sent = self.router.find_relay_target(test_endpoint_calls.SUBMIT.job_id, 0)
         assert sent is not None
         self.assertEqual((sent.name, sent.token), (other.name, TOKEN))
 
     def test_job_without_an_owner_elsewhere_is_handled_here(self) -> None:
         submit: messages.Submit = test_endpoint_calls.SUBMIT
-        self.assertIsNone(self.router.find_relay_target(submit))
+        self.assertIsNone(self.router.find_relay_target(submit.job_id, 0))
 
 
 if __name__ == "__main__":
--- a/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
@@ -115,6 +115,17 @@
   handIn @3 :Int64;
 }
 
+struct CancelOpenJob {
+  jobId @0 :Text;
+  queue @1 :Text;
+  ageMs @2 :Int64;
+}
+
+struct JobCancelled {
+  jobId @0 :Text;
+  handIn @1 :Int64;
+}
+
 struct NotDispatching {
   jobId @0 :Text;
   following @1 :Text;
