Log: a leader that stops hands over its lead (AVAIL at a planned restart)

SIGTERM of the process that dispatches and leads the log left the log without a leader for 1 to 2 s, as the others wait for an election timeout. Its successor as dispatcher could learn of no stored job meanwhile and stopped what ran after 250 ms. The leader now gives up its lease, tells the other voters so (LeadGivenUp), and the one with the most of the log stands for election at once; others forget the lease of that term alone. Leases of attempts without a job are still not renewed: a dispatcher cut off from the log must not.

--- a/packages/core/src/knapweedbeam_core/log/election.py
+++ b/packages/core/src/knapweedbeam_core/log/election.py
@@ -49,6 +49,10 @@
         self.leader_contact_ms = self.clock.now_ms()
         self.reset_timer()
 
+    def forget_leader(self) -> None:
+        """Vote from now on, as the leader has given up its lease."""
+        self.leader_contact_ms = self.clock.now_ms() - ELECTION_MIN_MS
+
     def defer_to_candidate(self) -> None:
         """Delay the own candidacy, as two at once would split the votes."""
         wait_ms = self.rng.randint(GRANTED_MIN_MS, GRANTED_MAX_MS)
--- a/packages/core/src/knapweedbeam_core/log/leader_state.py
+++ b/packages/core/src/knapweedbeam_core/log/leader_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import dataclasses
 
 from knapweedbeam_core import effects
@@ -66,6 +67,17 @@
         )
         return now_ms - quorum_acked_ms <= LEASE_MS
 
+    def find_successor(
+        self, voters: collections.abc.Iterable[members.ReplicaId]
+    ) -> members.ReplicaId | None:
+        """Return the voter with the most of the log, the last one that answered."""
+
+        def get_key(voter: members.ReplicaId) -> tuple[int, int]:
+            progress = self.get_progress(voter)
+            return progress.match, progress.acked_ms
+
+        return max(voters, key=get_key, default=None)
+
     def get_committable(self) -> int:
         """Return the newest index that a quorum has synced."""
         matches = {
--- a/packages/core/src/knapweedbeam_core/log/messages.py
+++ b/packages/core/src/knapweedbeam_core/log/messages.py
@@ -62,6 +62,16 @@
     granted: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeadGivenUp:
+    """The leader of `term` leads no more; the successor should be elected at once."""
+
+    sender: members.ReplicaId
+    to: members.ReplicaId
+    term: int
+    is_successor: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AppendEntries:
     """Entries that follow `prev_index`; a heartbeat has none."""
@@ -125,6 +135,7 @@
     | PreVoteReply
     | Vote
     | VoteReply
+    | LeadGivenUp
     | AppendEntries
     | AppendReply
     | SnapshotChunk
@@ -136,6 +147,7 @@
     PreVoteReply,
     Vote,
     VoteReply,
+    LeadGivenUp,
     AppendEntries,
     AppendReply,
     SnapshotChunk,
--- a/packages/core/src/knapweedbeam_core/log/replica.py
+++ b/packages/core/src/knapweedbeam_core/log/replica.py
@@ -99,6 +99,34 @@
         self.leader = None
         self.election.reset_timer()
 
+    def hand_over(self) -> parts.Effects:
+        """Stop leading, and let the voter with the most of the log be elected at once.
+
+        The lease is given up first, so the others need not wait until it is over.
+        """
+        if self.leader_state is None:
+            return []
+        others = self.election.get_other_voters()
+        successor = self.leader_state.find_successor(others)
+        self.step_down()
+        return [
+            effects.Send(
+                other.name,
+                messages.LeadGivenUp(self.me, other, self.wal.term, other == successor),
+            )
+            for other in others
+        ]
+
+    def on_lead_given_up(self, message: messages.LeadGivenUp) -> parts.Effects:
+        """Forget the leader, and stand for election if this replica is to follow it."""
+        if message.term != self.wal.term or self.leader != message.sender:
+            return []
+        self.leader = None
+        self.election.forget_leader()
+        if message.is_successor:
+            self.election.due_ms = self.clock.now_ms()
+        return []
+
     def tick(self) -> parts.Effects:
         """Perform all actions that are due."""
         now_ms = self.clock.now_ms()
@@ -301,6 +329,8 @@
                 return self.on_vote(message)
             case messages.VoteReply():
                 return self.on_vote_reply(message)
+            case messages.LeadGivenUp():
+                return self.on_lead_given_up(message)
             case messages.AppendEntries() | messages.SnapshotChunk():
                 return self.on_leader_message(message)
             case messages.AppendReply() | messages.SnapshotReply():
--- a/packages/server/src/knapweedbeam_server/fleet/replicated_log.py
+++ b/packages/server/src/knapweedbeam_server/fleet/replicated_log.py
@@ -226,7 +226,7 @@
     def step_down(self) -> None:
         """Give up leadership, so that another replica leads before this one stops."""
         if self.replica is not None and self.replica.is_leader:
-            self.replica.step_down()
+            self.run(self.replica.hand_over())
 
     def on_message(self, message: messages.Message) -> None:
         """Handle a message of another replica."""
--- a/packages/wire/src/knapweedbeam_wire/schema/control.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/control.capnp
@@ -41,6 +41,13 @@
   granted @3 :Bool;
 }
 
+struct LeadGivenUp {
+  sender @0 :ReplicaId;
+  to @1 :ReplicaId;
+  term @2 :UInt64;
+  isSuccessor @3 :Bool;
+}
+
 struct AppendEntries {
   sender @0 :ReplicaId;
   to @1 :ReplicaId;
