--- a/packages/core/src/knapweedbeam_core/fleet/messages.py
+++ b/packages/core/src/knapweedbeam_core/fleet/messages.py
@@ -34,8 +34,9 @@
     `incarnation` differs after each restart of the sender. `shards` names the owner of
     each shard while the sender is the active dispatcher and shares its work; it is
     empty while it dispatches alone. `refused` are the sender's tokens for shards whose
-    endpoints have seen higher ones. `is_overloaded` tells that the sender dispatches
-    and its processor is full.
+    endpoints have seen higher ones, or whose term has ended, and `refused_shards` these
+    shards in the same order. `is_overloaded` tells that the sender dispatches and its
+    processor is full.
 
     `evacuated` are the evacuated failure domains, `evacuation_version` their version.
     """
@@ -62,6 +63,7 @@
     is_overloaded: bool = False
     evacuation_version: int = 0
     evacuated: tuple[str, ...] = ()
+    refused_shards: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
+++ b/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
@@ -49,13 +49,19 @@
 
     `lease_ms` is the longest lease, `stop_ms` how long a stop may take, `announce_ms`
     the time between two announcements of an endpoint. A task that runs away from the
-    rack of its data takes `remote_factor` times as long.
+    rack of its data takes `remote_factor` times as long. An endpoint lists its oldest
+    `listed_ends` ends at a time, 0 for all of them.
     """
 
     lease_ms: int
     stop_ms: int
     announce_ms: int
     remote_factor: float = 1.0
+    listed_ends: int = 0
+
+    def may_hide_ends(self, answer: calls.HoldResult) -> bool:
+        """Return whether an endpoint may have more ends than it lists."""
+        return 0 < self.listed_ends <= len(answer.ends)
 
 
 class AttemptTracker:
@@ -231,7 +237,7 @@
         task = job.find_task(attempt.task)
         if task is None:
             return []
-        job.was_started = True
+        job.was_started = job.has_begun = True
         task.last_attempt = max(task.last_attempt, attempt.number)
         if task.state == jobs.TaskState.WAITING:
             job.waiting = [other for other in job.waiting if other is not task]
@@ -330,6 +336,7 @@
             return []
         match answer.verdict:
             case calls.Verdict.ACCEPTED:
+                attempt.mark_begun()
                 if answer.reading is not None and not attempt.began_clock_ms:
                     attempt.began_clock_ms = answer.reading.clock_ms
                 return self.mark_running(endpoint, attempt)
@@ -407,6 +414,7 @@
             if end.place > endpoint.last_seen_end:
                 endpoint.last_seen_end = end.place
                 produced += self.on_end(endpoint, end)
+        endpoint.record_list(self.owner.bounds.may_hide_ends(answer))
         endpoint.listed_ms = self.waiting_ms
         if answer.reading.clock_ms > endpoint.list_clock_ms:
             # Answers on different connections may arrive out of order.
@@ -423,6 +431,7 @@
             return self.on_unmatched_end(endpoint, end)
         produced: dispatcher.Effects = []
         if attempt.owner is not None:
+            attempt.mark_begun()
             attempt.owner.job.save_progress(attempt.owner, end.progress)
             produced += self.owner.stored_scheduler.record_end(
                 endpoint, end, attempt.owner
@@ -436,7 +445,8 @@
     ) -> dispatcher.Effects:
         """Handle the end of an attempt that this dispatcher did not start.
 
-        It is ignored if the task has been started again.
+        It is ignored if the task has been started again, but for the failure of a
+        stored job's task, which counts as an attempt whoever sees it.
         """
         job = self.owner.jobs.get(jobs.get_key(end.task))
         task = job.find_task(end.task) if job is not None else None
@@ -444,16 +454,36 @@
             if self.owner.stored_scheduler.may_be_stored(end):
                 endpoint.keep_end(end)
             return []
+        if end.kind == calls.EndKind.FAILED and task.job.is_stored:
+            return self.count_former_failure(endpoint, end, task)
         if task.state != jobs.TaskState.WAITING:
             return []
         task.last_attempt = max(task.last_attempt, end.number)
         task.job.save_progress(task, end.progress)
         if end.kind == calls.EndKind.DONE and not task.job.is_lasting:
-            task.job.was_started = True
+            task.job.was_started = task.job.has_begun = True
             recorded = self.owner.stored_scheduler.record_end(endpoint, end, task)
             return [*recorded, *self.finish_task(task)]
         return []
 
+    def count_former_failure(
+        self, endpoint: endpoints.Endpoint, end: calls.End, task: jobs.Task
+    ) -> dispatcher.Effects:
+        """Count the failure of an attempt that this dispatcher did not start."""
+        if task.job.is_lasting or task.state == jobs.TaskState.DONE:
+            return []
+        task.job.was_started = task.job.has_begun = True
+        task.last_attempt = max(task.last_attempt, end.number)
+        task.job.save_progress(task, end.progress)
+        name = endpoint.announcement.endpoint
+        task.failed_endpoints = (*task.failed_endpoints, name)
+        produced = self.owner.stored_scheduler.record_end(endpoint, end, task)
+        failures = task.job.record_failure(task, end.number, self.now_ms)
+        if failures < task.job.terms.max_attempts:
+            return produced
+        outcome = messages.JobFailed(task.job.job_id, reasons.Reason.TASK_FAILED)
+        return produced + self.owner.end_job(task.job, outcome)
+
     def handle_end(
         self,
         endpoint: endpoints.Endpoint,
@@ -517,7 +547,7 @@
         task: jobs.Task,
     ) -> dispatcher.Effects:
         """Retry a failed task elsewhere, or fail its job after `max_attempts`."""
-        failures = task.job.record_failure(task, attempt.number)
+        failures = task.job.record_failure(task, attempt.number, self.now_ms)
         task.failed_endpoints = (*task.failed_endpoints, endpoint.announcement.endpoint)
         produced = self.record_fault(endpoint, "failed a task")
         if failures > 1:
--- a/packages/core/src/knapweedbeam_core/pool/endpoints.py
+++ b/packages/core/src/knapweedbeam_core/pool/endpoints.py
@@ -62,6 +62,11 @@
     is_listed: bool = False
     former_loss: crashes.Loss | None = None
 
+    def mark_begun(self) -> None:
+        """Record that the attempt runs or ran, so that its job has begun."""
+        if self.owner is not None:
+            self.owner.job.has_begun = True
+
 
 def build_target(announcement: messages.EndpointNews) -> calls.Target:
     """Return the target of calls to an endpoint's incarnation."""
@@ -81,6 +86,8 @@
     `signed_off_ms` is when a sign-off was handled, 0 for none or a stale one.
     `is_incarnation_sure` is false once a call failed, until this incarnation answers
     again: the next one may have started meanwhile. `was_replaced` tells that it has.
+    `is_read` tells that a list held all ends of this incarnation: those of attempts
+    that this dispatcher did not start are known from then on.
     """
 
     def __init__(
@@ -115,6 +122,7 @@
         self.signed_off_ms = 0
         self.is_incarnation_sure = True
         self.was_replaced = False
+        self.is_read = False
         self.lease_until_ms = 0
         self.reading: clocks.Reading | None = None
         self.speed = speeds.Speed()
@@ -166,6 +174,13 @@
         self.mark_changed()
         return True
 
+    def record_list(self, may_hide_ends: bool) -> None:
+        """Record that lists arrived, which may not hold all ends."""
+        if not may_hide_ends:
+            self.is_read = True
+        elif not self.is_read:
+            self.index.with_hidden_ends.add(self.announcement.endpoint)
+
     def keep_end(self, end: calls.End) -> None:
         """Keep an end that must not be acknowledged yet."""
         self.unacked_ends[end.place] = end
--- a/packages/core/src/knapweedbeam_core/stored/client.py
+++ b/packages/core/src/knapweedbeam_core/stored/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import random
 
 from knapweedbeam_core import clock, effects
 from knapweedbeam_core.stored import messages
@@ -13,6 +14,7 @@
 RESEND_MS = 500
 # Delay before the next try when the recipient could not answer or is not known.
 REFUSED_PAUSE_MS = 50
+FIRST_NUMBER_BITS = 60
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,12 +41,13 @@
 class StoredJobClient:
     """Sends the requests of one entry VM until they are answered or time out."""
 
-    def __init__(self, timer: clock.Clock) -> None:
+    def __init__(self, timer: clock.Clock, rng: random.Random) -> None:
         self.clock = timer
         self.open: dict[int, PendingRequest] = {}
         self.leader = ""
         self.dispatcher = ""
-        self.numbers = 0
+        # Replies to the process that ran here before name other numbers.
+        self.numbers = rng.getrandbits(FIRST_NUMBER_BITS)
 
     def allocate_number(self) -> int:
         """Return the number for the next request."""
--- a/packages/core/tests/stored/test_service.py
+++ b/packages/core/tests/stored/test_service.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import random
 import unittest
 
 from knapweedbeam_core import clock, effects
@@ -106,7 +107,8 @@
 class StoredJobClientTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = clock.ManualClock(10_000)
-        self.client = client.StoredJobClient(self.clock)
+        self.rng = random.Random(1)
+        self.client = client.StoredJobClient(self.clock, self.rng)
 
     def request(self) -> client.Effects:
         number = self.client.allocate_number()
@@ -126,7 +128,8 @@
         self.client.set_recipients("a", "d")
         self.assertEqual(self.get_targets(self.request()), ["a"])
         self.assertEqual(self.get_targets(self.client.set_recipients("b", "d")), ["b"])
-        reply = messages.Told(1, messages.Verdict.QUEUED)
+        (number,) = self.client.open
+        reply = messages.Told(number, messages.Verdict.QUEUED)
         self.assertEqual(self.get_verdicts(self.client.on_reply(reply)), ["queued"])
         self.assertEqual(self.client.on_reply(reply), [])
 
@@ -138,7 +141,8 @@
     def test_a_request_is_repeated_after_elsewhere(self) -> None:
         self.client.set_recipients("a", "d")
         self.request()
-        reply = messages.Told(1, messages.Verdict.ELSEWHERE)
+        (number,) = self.client.open
+        reply = messages.Told(number, messages.Verdict.ELSEWHERE)
         self.assertEqual(self.client.on_reply(reply), [])
         self.assertEqual(self.client.tick(), [])
         self.clock.advance(client.REFUSED_PAUSE_MS)
@@ -157,7 +161,7 @@
         self.client.set_recipients("a", "d")
         self.request()
         (number,) = self.client.open
-        self.client = client.StoredJobClient(self.clock)
+        self.client = client.StoredJobClient(self.clock, self.rng)
         self.client.set_recipients("a", "d")
         self.client.start_request(
             messages.LookUpJob(self.client.allocate_number(), "another", "q")
--- a/packages/core/tests/stored/test_stored_scheduler.py
+++ b/packages/core/tests/stored/test_stored_scheduler.py
@@ -1,10 +1,11 @@
 from __future__ import annotations
 
 import unittest
+import unittest.mock
 
 import msgspec
 
-from bench.pool import stored_simulation
+from bench.pool import simulation, stored_simulation
 from knapweedbeam_core.pool import calls, messages
 from knapweedbeam_core.stored import commands, ledger
 
@@ -91,6 +92,83 @@
         self.assertEqual(self.world.get_state("j"), "complete")
         self.assertEqual(self.get_attempt_numbers("j"), [1] * 6)
 
+    def test_task_that_failed_on_each_endpoint_with_its_label_is_started_again(
+        self,
+    ) -> None:
+        for name in ("e0", "e1"):
+            self.world.endpoints[name].rack = "r2"
+            self.world.endpoints[name].is_failing = True
+            announcement = self.world.endpoints[name].build_announcement()
+            self.world.run(
+                self.dispatcher, self.dispatcher.on_announcement(announcement)
+            )
+        step = stored_simulation.build_step(1, required_label="r2")
+        self.world.store_job("j", (step,), max_attempts=4)
+        self.world.advance(1_000)
+        self.assertEqual(self.get_attempt_numbers("j"), [1, 2])
+        for endpoint in self.world.endpoints.values():
+            endpoint.is_failing = False
+        self.world.advance(3_000)
+        self.assertEqual(self.world.get_state("j"), "complete")
+        self.assertEqual(self.get_attempt_numbers("j"), [1, 2, 3])
+
+    def test_successor_counts_the_failures_that_it_finds_at_endpoints(self) -> None:
+        for endpoint in self.world.endpoints.values():
+            endpoint.is_failing = True
+        step = stored_simulation.build_step()
+        self.world.store_job("j", (step,), max_attempts=2)
+        self.world.advance(13)
+        self.world.cut_from_log.add("a")
+        self.world.advance(400)
+        self.assertEqual(self.get_attempt_numbers("j"), [1, 2])
+        self.world.run(self.dispatcher, self.dispatcher.set_fence(0))
+        second = self.world.add_dispatcher("b", 0)
+        second.stored_scheduler.has_stored_jobs = True
+        self.world.run(second, second.set_fence(11))
+        self.world.advance(7_000)
+        self.assertEqual(self.world.get_state("j"), "failed")
+        self.assertEqual(self.get_attempt_numbers("j"), [1, 2])
+
+    def test_job_whose_starts_are_refused_counts_as_waiting(self) -> None:
+        refusing = unittest.mock.patch.object(
+            simulation.FakeEndpoint, "start", return_value=calls.Verdict.UNHEALTHY
+        )
+        with refusing as start:
+            self.world.store_job("j", (stored_simulation.build_step(),), work_ms=500)
+            self.world.advance(200)
+            start.assert_called()
+        scheduler = self.dispatcher.stored_scheduler
+        self.assertEqual(scheduler.count_waiting("queue"), 1)
+        self.world.advance(5_000)
+        self.assertEqual(self.world.get_state("j"), "complete")
+        self.assertEqual(scheduler.count_waiting("queue"), 0)
+
+    def pile_up_ends(self) -> None:
+        """Let one endpoint have more ends than it lists, without a log."""
+        self.world.cut_from_log.add("a")
+        for name in ("e1", "e2", "e3"):
+            self.world.cut_links.add(("a", name))
+        step = stored_simulation.build_step(600, cpu_millis=50, memory_mib=1)
+        self.world.store_job("j", (step,), work_ms=400)
+        self.world.cut_from_log.clear()
+        self.world.advance(300)
+        self.world.cut_from_log.add("a")
+        self.world.advance(2_000)
+
+    def test_task_whose_end_is_not_listed_for_now_is_not_started_again(self) -> None:
+        self.pile_up_ends()
+        self.world.cut_from_log.clear()
+        self.world.advance(3_000)
+        self.assertEqual(self.world.get_state("j"), "complete")
+        self.assertEqual(self.get_attempt_numbers("j"), [1] * 600)
+
+    def test_successor_waits_for_the_ends_that_are_not_listed_for_now(self) -> None:
+        self.pile_up_ends()
+        self.world.add_dispatcher("b", 11)
+        self.world.advance(3_000)
+        self.assertEqual(self.world.get_state("j"), "complete")
+        self.assertEqual(self.get_attempt_numbers("j"), [1] * 600)
+
     def test_ends_of_a_replaced_dispatcher_are_ignored(self) -> None:
         self.world.store_job("j", (stored_simulation.build_step(2),), work_ms=400)
         self.world.advance(100)
@@ -323,6 +401,35 @@
         self.assertEqual([start.progress for start in starts], ["", "half"])
         self.assertEqual(self.world.get_state("j"), "complete")
 
+    def test_filling_tasks_use_the_half_without_serving_tasks(self) -> None:
+        self.keep("s", 3, 60_000, is_lasting=True, target_ms=50, max_per_endpoint=1)
+        self.world.advance(100)
+        serving = self.get_endpoints("s")
+        self.keep("f", 2, is_filling=True)
+        self.world.advance(500)
+        self.assertEqual(self.world.get_state("f"), "complete")
+        self.assertEqual(set(self.get_endpoints("f")) & set(serving), set())
+
+    def test_filling_tasks_use_the_half_with_their_label(self) -> None:
+        self.world.endpoints["e5"].rack = "r9"
+        announcement = self.world.endpoints["e5"].build_announcement()
+        self.world.run(self.dispatcher, self.dispatcher.on_announcement(announcement))
+        self.keep("f", 2, is_filling=True, required_label="r9")
+        self.world.advance(500)
+        self.assertEqual(self.get_endpoints("f"), ["e5", "e5"])
+
+    def test_lasting_rack_local_tasks_leave_a_rack_without_room(self) -> None:
+        self.keep("l", 6, work_ms=60_000, is_lasting=True, is_rack_local=True)
+        self.world.advance(200)
+        used = self.get_endpoints("l")
+        racks = {self.world.endpoints[name].rack for name in used}
+        self.assertEqual((len(used), len(racks)), (6, 1))
+        self.world.endpoints[used[0]].crash()
+        self.world.advance(2_500)
+        later = self.get_endpoints("l")[6:]
+        self.assertEqual(len(later), 2)
+        self.assertTrue(racks.isdisjoint({self.world.endpoints[n].rack for n in later}))
+
     def test_filling_and_serving_tasks_use_separate_endpoints(self) -> None:
         self.keep("f", 6, work_ms=60_000, is_lasting=True, is_filling=True)
         self.world.advance(100)
@@ -420,6 +527,34 @@
         self.world.advance(5_000)
         self.assertEqual(self.world.get_state("j"), "complete")
 
+    def test_two_cuts_that_refuse_connections_do_not_end_a_job(self) -> None:
+        self.world.deadly_tasks.clear()
+        step = stored_simulation.build_step(1, estimate_ms=2_000)
+        self.world.store_job("j", (step,), work_ms=2_000)
+        cut_off = []
+        for starts in (1, 2):
+            while len(self.world.starts) < starts:
+                self.world.advance(20)
+            self.world.advance(400)
+            cut_off.append(self.world.endpoints[self.world.starts[-1][1]])
+            cut_off[-1].end_process()
+        self.world.advance(2_000)
+        self.assertEqual(len(self.world.starts), 2)
+        for endpoint in cut_off:
+            endpoint.is_unresponsive = endpoint.has_ended = False
+        self.world.advance(6_000)
+        self.assertEqual(self.world.get_state("j"), "complete")
+
+    def test_lasting_task_that_crashes_endpoints_after_some_time_is_given_up(
+        self,
+    ) -> None:
+        step = stored_simulation.build_step(1, is_lasting=True)
+        with unittest.mock.patch.object(simulation, "CRASH_DELAY_MS", 1_500):
+            self.world.store_job("j", (step,), work_ms=100_000)
+            self.world.advance(40_000)
+        self.assertEqual(len(self.world.crashes), 3)
+        self.assertEqual(self.world.get_state("j"), "failed")
+
     def replace_after_a_crash_without_the_log(self) -> None:
         """Let the dispatcher see a crash while it is cut from the log, then stop it."""
         self.world.store_job("j", (stored_simulation.build_step(1),))
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -24,6 +24,7 @@
 from knapweedbeam_core.manifests import manifest
 from knapweedbeam_core.pool import (
     calls,
+    cancellations,
     dispatcher,
     log_events,
     messages,
@@ -145,12 +146,13 @@
             self.shards, client, self.run, self.telemetry
         )
         self.open_jobs = open_jobs.OpenJobs(timer, settings.domain)
+        self.cancellations = cancellations.Cancellations(timer, self.open_jobs)
         self.relay = relay.Relay(timer)
         self.log = self.build_log(rng)
         self.manifests = manifest_manager.ManifestManager(self, decode_manifest)
         self.evacuations = evacuation_manager.EvacuationManager(self, settings.domains)
         self.announcement_forwarder = announcing.AnnouncementForwarder(self)
-        self.stored_jobs = stored_jobs.StoredJobs(self)
+        self.stored_jobs = stored_jobs.StoredJobs(self, rng)
         self.message_router = message_router.MessageRouter(self)
         self.links = links.Links(
             ids.ProcessId(settings.name, self.incarnation),
@@ -341,6 +343,7 @@
         self.send_heartbeats()
         self.run(self.shards.tick())
         self.run(self.open_jobs.tick())
+        self.run(self.cancellations.tick())
         if self.log is not None:
             self.log.tick()
             self.manifests.apply_committed()
@@ -366,7 +369,7 @@
         table = self.sharding.update(self.build_presence(), work)
         if table != before:
             self.log_shards(table)
-        for token in self.sharding.refused - refused:
+        for token in {token for _, token in self.sharding.refused - refused}:
             emit.emit(catalogue.SHARD_TOKEN_ENDED, fence=token)
         tokens = self.sharding.list_own_tokens()
         self.run(self.shards.set_tokens(max(1, len(table)), tokens))
@@ -408,7 +411,8 @@
             self.members.candidates,
             incarnation=self.incarnation,
             shards=self.sharding.table if self.dispatcher_role.generation else (),
-            refused=tuple(sorted(self.sharding.refused)),
+            refused=tuple(token for _, token in sorted(self.sharding.refused)),
+            refused_shards=tuple(shard for shard, _ in sorted(self.sharding.refused)),
             is_overloaded=self.load_meter.is_overloaded and self.shards.has_jobs(),
             evacuation_version=self.evacuations.held.version,
             evacuated=self.evacuations.held.domains,
@@ -536,9 +540,11 @@
             self.waiters.pop(job_id, None)
             self.run(self.open_jobs.withdraw(job_id))
 
-    def cancel(self, job_id: str) -> bool:
-        """Cancel a job; return whether it was open here."""
+    def cancel(self, job_id: str, queue: str) -> bool:
+        """Cancel a job, here or where it is open; return whether it was open here."""
         is_open = job_id in self.open_jobs.jobs
+        if not is_open:
+            self.run(self.cancellations.start(job_id, queue))
         self.run(self.open_jobs.withdraw(job_id))
         unknown = open_jobs.Unknown(reasons.Reason.CANCELLED)
         self.set_outcome(open_jobs.Settled(job_id, unknown))
--- a/packages/server/src/knapweedbeam_server/fleet/stored_jobs.py
+++ b/packages/server/src/knapweedbeam_server/fleet/stored_jobs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc
+import random
 import typing
 
 import gevent
@@ -45,10 +46,10 @@
 class StoredJobs:
     """Handles callers' requests and log changes of stored jobs in one process."""
 
-    def __init__(self, host: Host) -> None:
+    def __init__(self, host: Host, rng: random.Random) -> None:
         self.host = host
         self.service = service.StoredJobService(host.clock)
-        self.client = client.StoredJobClient(host.clock)
+        self.client = client.StoredJobClient(host.clock, rng)
         self.pending_replies: dict[int, gevent.event.AsyncResult[messages.Told]] = {}
         self.unsent_ends: list[messages.NotedEnd] = []
         self.registration_due_ms = 0
--- a/packages/wire/src/knapweedbeam_wire/schema/fleet.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/fleet.capnp
@@ -24,6 +24,7 @@
   isOverloaded @19 :Bool;
   evacuationVersion @20 :Int64;
   evacuated @21 :List(Text);
+  refusedShards @22 :List(Int64);
 }
 
 struct ShardOwner {
