--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -319,6 +319,7 @@
     def tick(self) -> None:
         """Do what is due in all parts."""
         now_ms = self.clock.now_ms()
+        self.endpoint_calls.client.record_tick()
         update = self.participant.update(self.build_presence())
         self.update_shards()
         for member in update.silent:
--- a/packages/server/src/knapweedbeam_server/fleet/ports.py
+++ b/packages/server/src/knapweedbeam_server/fleet/ports.py
@@ -10,6 +10,12 @@
 class EndpointClient(typing.Protocol):
     """Makes a call to an endpoint and waits for its answer; never raises."""
 
+    def record_tick(self) -> None:
+        """Record that the process has come to its periodic work.
+
+        By these calls, a client knows when answers wait because the process is late.
+        """
+
     def start(self, call: calls.Start) -> calls.Answer:
         """Start an attempt."""
 
--- a/packages/server/tests/fleet/test_endpoint_calls.py
+++ b/packages/server/tests/fleet/test_endpoint_calls.py
@@ -29,6 +29,9 @@
         if self.calls.count(kind) == 1:
             raise TypeError("unforeseen")
 
+    def record_tick(self) -> None:
+        pass
+
     def start(self, call: calls.Start) -> calls.Answer:
         self.fail_first("start")
         return calls.Answer(calls.Verdict.ACCEPTED)
