A job's expected end includes the dispatcher's own lateness; late jobs are beyond it

While the processor is full, a job that would miss its objective is refused, also one that is late already, and what a turn of the loop takes counts three times.

--- a/packages/core/src/knapweedbeam_core/pool/queueing.py
+++ b/packages/core/src/knapweedbeam_core/pool/queueing.py
@@ -74,13 +74,13 @@
 ) -> bool:
     """Return whether a job's last task would start too late, `start_wait_ms` from now.
 
-    A job that can still meet its objective must meet it: those which wait until they
-    are late make the next ones late too. One that is late already must be of use.
+    Jobs that wait until they are late make the next ones late too, so one that would
+    miss its objective is beyond what can be served.
     """
-    ends_ms = now_ms + start_wait_ms + job.longest_task_ms / best_speed
-    if get_feasibility(job, now_ms, best_speed) == Feasibility.IN_TIME:
-        return ends_ms + TRANSIT_MS > job.due_ms
-    return ends_ms > min(job.give_up_ms, job.value_until_ms)
+    if job.is_lasting:
+        return False
+    ends_ms = now_ms + start_wait_ms + job.longest_task_ms / best_speed + TRANSIT_MS
+    return ends_ms > job.due_ms
 
 
 def get_backlog_ms(
--- a/packages/core/src/knapweedbeam_core/pool/start_budget.py
+++ b/packages/core/src/knapweedbeam_core/pool/start_budget.py
@@ -5,6 +5,12 @@
 from knapweedbeam_core.pool import jobs, load_report, log_events, queueing, start_window
 from knapweedbeam_core.pool import start_rate as start_rate_
 
+# A start, the end of its task and the answer to its caller each wait for a turn of the
+# loop.
+TURNS = 3
+# Weight of a tick in the running mean of lateness.
+TICK_WEIGHT = 0.2
+
 
 class StartBudget:
     """The window and the rate of one dispatcher, and the jobs refused because of them.
@@ -17,6 +23,7 @@
         self.rate = start_rate_.StartRate()
         self.refused = 0
         self.late_ms = 0
+        self.mean_late_ms = 0.0
         self.report_due_ms = 0
 
     def reset(self) -> None:
@@ -27,6 +34,7 @@
     def tick(self, now_ms: int, late_ms: int) -> None:
         """Adapt to how late the last tick of the dispatcher was."""
         self.late_ms = late_ms
+        self.mean_late_ms += (late_ms - self.mean_late_ms) * TICK_WEIGHT
         held_back = self.window.take_tick_held_back()
         self.window.record_tick(late_ms)
         self.rate.record_tick(now_ms, late_ms, held_back)
@@ -41,7 +49,10 @@
     ) -> bool:
         """Return whether a job's tasks would start too late after those `ahead`."""
         wait_ms = self.rate.get_wait_ms(ahead + len(job.waiting), now_ms)
-        return bool(wait_ms) and queueing.is_beyond(job, now_ms, best_speed, wait_ms)
+        if not wait_ms:
+            return False
+        wait_ms += TURNS * self.mean_late_ms
+        return queueing.is_beyond(job, now_ms, best_speed, wait_ms)
 
     def get_retry_after_ms(self, job_id: str, ahead: int, now_ms: int) -> int:
         """Return when the caller of a job that is beyond the rate should return."""
--- a/packages/core/src/knapweedbeam_core/pool/start_window.py
+++ b/packages/core/src/knapweedbeam_core/pool/start_window.py
@@ -21,7 +21,7 @@
 
 MAX_OPEN_STARTS = 48
 # With fewer, a process that handles other events could start almost nothing.
-MIN_OPEN_STARTS = 32
+MIN_OPEN_STARTS = 16
 # An answer takes a few milliseconds while both sides are on time.
 OVERDUE_MS = 60
 # A late process needs several turns of its loop to connect, send and read, and its
@@ -29,7 +29,7 @@
 LATE_OVERDUE_MS = 150
 # Objectives allow some 100 ms in addition to the work, and each of the events between a
 # start and the answer to its caller waits for one turn.
-MAX_LATE_MS = 40
+MAX_LATE_MS = 20
 SHRINK_FACTOR = 0.75
 GROWTH_A_TICK = 1
 
