--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -98,6 +98,7 @@
     log_events.StoredDispatchStopped: catalogue.STORED_LEFT,
     log_events.QueueLoad: catalogue.QUEUE_LOAD,
     log_events.RecoveryStepReached: catalogue.RECOVERY_STEP_REACHED,
+    log_events.ProcessorFull: catalogue.PROCESSOR_FULL,
 }
 
 
@@ -332,6 +333,7 @@
         """Do what is due in all parts."""
         now_ms = self.clock.now_ms()
         self.load_meter.record_turn()
+        self.endpoint_calls.client.record_tick()
         update = self.participant.update(self.build_presence())
         self.update_shards()
         for member in update.silent:
