--- a/bench/pool/load.py
+++ b/bench/pool/load.py
@@ -2,12 +2,13 @@
 
 The load resembles that of the users: three classes of jobs, whose tasks take a third
 to a half of an endpoint, on endpoints of two sizes whose speeds differ by a factor of
-two.
+two. On `TIGHT` endpoints a task takes a half and up to three quarters.
 """
 
 from __future__ import annotations
 
 import dataclasses
+import itertools
 import math
 import random
 import statistics
@@ -37,12 +38,42 @@
     JobClass("assign", 3.12, 900, 4, 0.16, 2, 3),
     JobClass("confirm", 50.0, 200, 2, 0.01, 1, 2),
 )
-SPEEDS = (0.55, 1.2, 1.2, 1.2)
-SIZES = (1.0, 1.0, 1.5)
 SLACK_FACTOR = 1.6
 ALLOWANCE_MS = 60
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Setting:
+    """The job classes, and endpoints' sizes and speeds, which repeat.
+
+    A task takes `task_share` of an endpoint of size 1, at most `max_task_share`.
+    """
+
+    classes: tuple[JobClass, ...] = CLASSES
+    sizes: tuple[float, ...] = (1.0, 1.0, 1.5)
+    speeds: tuple[float, ...] = (0.55, 1.2, 1.2, 1.2)
+    cpu_millis: int = 32_000
+    task_share: float = 0.4375
+    max_task_share: float = 0.625
+
+
+DEFAULT = Setting()
+# For 24 endpoints, as in the deployments that load theirs hardest.
+TIGHT = Setting(
+    (
+        JobClass("lock", 12.4, 60, 8, 0.00485, 0, 4),
+        JobClass("refresh", 2.25, 900, 4, 0.0267, 2, 3),
+        JobClass("confirm", 36.0, 200, 2, 0.00167, 1, 2),
+    ),
+    speeds=(0.8, 1.0, 1.25),
+    cpu_millis=16_000,
+    task_share=0.5,
+    max_task_share=0.75,
+)
+# Interval at which the room at work is sampled.
+SAMPLE_MS = 20
+
+
 @dataclasses.dataclass(slots=True)
 class SubmittedJob:
     """A submitted job with its time objective and its value."""
@@ -59,6 +90,7 @@
     """Shares of all jobs by outcome, and the earned share of their value.
 
     `worth` and `by_class` are shares of the value of all jobs and of each class.
+    `room` is the mean share of the processor capacity at work while tasks wait.
     """
 
     in_time: float
@@ -66,6 +98,7 @@
     refused: float
     worth: float
     by_class: dict[str, float]
+    room: float = 0.0
 
 
 class LoadSimulation(simulation.Simulation):
@@ -98,19 +131,27 @@
     """
 
     def __init__(
-        self, load: float, seed: int = 1, endpoints: int = 24, cpu_millis: int = 32_000
+        self,
+        load: float,
+        seed: int = 1,
+        endpoints: int = 24,
+        cpu_millis: int = 0,
+        setting: Setting = DEFAULT,
     ) -> None:
         self.rng = random.Random(seed)
         self.load = load
-        self.cpu_millis = cpu_millis
+        self.setting = setting
+        self.cpu_millis = cpu_millis or setting.cpu_millis
+        self.room_samples: list[float] = []
         self.simulation = LoadSimulation(seed)
         self.submitted: list[SubmittedJob] = []
-        sizes = [SIZES[number % 3] for number in range(endpoints)]
-        speeds = [SPEEDS[number % 4] for number in range(endpoints)]
+        sizes = list(itertools.islice(itertools.cycle(setting.sizes), endpoints))
+        speeds = list(itertools.islice(itertools.cycle(setting.speeds), endpoints))
         self.rng.shuffle(sizes)
         self.rng.shuffle(speeds)
         for number, (size, speed) in enumerate(zip(sizes, speeds, strict=True)):
-            self.simulation.add_endpoint(f"e{number}", int(cpu_millis * size), speed)
+            capacity_millis = int(self.cpu_millis * size)
+            self.simulation.add_endpoint(f"e{number}", capacity_millis, speed)
         self.dispatcher = self.simulation.add_dispatcher("a", 10)
         self.simulation.advance(50)
 
@@ -121,7 +162,12 @@
         work_ms = draw_lognormal(rng, kind.work_ms, 0.4, 4 * kind.work_ms)
         count = max(1, round(draw_lognormal(rng, kind.width, 0.4, 4 * kind.width)))
         cpu_millis = int(
-            draw_lognormal(rng, 0.4375 * self.cpu_millis, 0.2, 0.625 * self.cpu_millis)
+            draw_lognormal(
+                rng,
+                self.setting.task_share * self.cpu_millis,
+                0.2,
+                self.setting.max_task_share * self.cpu_millis,
+            )
         )
         estimate_ms = work_ms * 2 ** rng.uniform(-0.58, 0.58)
         longest_ms = 0.0
@@ -152,18 +198,34 @@
         """Submit jobs at the rate of the load for some seconds."""
         end_ms = self.simulation.now_ms + int(seconds * 1_000)
         arrivals: list[tuple[int, JobClass]] = []
-        for kind in CLASSES:
+        for kind in self.setting.classes:
             at_ms = float(self.simulation.now_ms)
             while True:
                 at_ms += self.rng.expovariate(kind.per_second * self.load) * 1_000
                 if at_ms >= end_ms:
                     break
                 arrivals.append((int(at_ms), kind))
+        self.simulation.schedule_after(SAMPLE_MS, lambda: self.sample_room(end_ms))
         for at_ms, kind in sorted(arrivals, key=lambda arrival: arrival[0]):
             self.simulation.advance(max(0, at_ms - self.simulation.now_ms))
             self.submit(kind)
         self.simulation.advance(max(0, end_ms - self.simulation.now_ms))
 
+    def sample_room(self, until_ms: int) -> None:
+        """Record the share of capacity at work if tasks wait, and again later."""
+        if any(job.waiting for job in self.dispatcher.queue.values()):
+            running = list(self.simulation.endpoints.values())
+            used = sum(
+                attempt.cpu_millis
+                for endpoint in running
+                for attempt in endpoint.running_attempts.values()
+            )
+            self.room_samples.append(used / sum(each.cpu_millis for each in running))
+        if self.simulation.now_ms < until_ms:
+            self.simulation.schedule_after(
+                SAMPLE_MS, lambda: self.sample_room(until_ms)
+            )
+
     def finish(self) -> Result:
         """Wait for open jobs to end and return the result.
 
@@ -196,6 +258,7 @@
             refused / count,
             get_share(all_pairs),
             by_class,
+            statistics.fmean(self.room_samples or [0.0]),
         )
 
 
@@ -205,18 +268,22 @@
     return sum(earned for earned, _ in pairs) / total if total else 0.0
 
 
-def run(load: float, seed: int, seconds: float = 12) -> Result:
+def run(
+    load: float, seed: int, seconds: float = 12, setting: Setting = DEFAULT
+) -> Result:
     """Return the result of a run at a steady load."""
-    load_run = LoadRun(load, seed)
+    load_run = LoadRun(load, seed, setting=setting)
     load_run.run_for(seconds)
     return load_run.finish()
 
 
-def compare(loads: tuple[float, ...], seeds: int, seconds: float) -> list[str]:
+def compare(
+    loads: tuple[float, ...], seeds: int, seconds: float, setting: Setting = DEFAULT
+) -> list[str]:
     """Return one line of mean results over the seeds for each load."""
     lines = []
     for load in loads:
-        results = [run(load, seed, seconds) for seed in range(1, seeds + 1)]
+        results = [run(load, seed, seconds, setting) for seed in range(1, seeds + 1)]
 
         def mean(name: str, of: list[Result] = results) -> float:
             return statistics.fmean(getattr(result, name) for result in of)
@@ -227,6 +294,7 @@
         )
         lines.append(
             f"load {load:.2f}: in time {mean('in_time'):.3f} late {mean('late'):.3f} "
-            f"refused {mean('refused'):.3f} worth {mean('worth'):.3f} {classes}"
+            f"refused {mean('refused'):.3f} worth {mean('worth'):.3f} {classes} "
+            f"room {mean('room'):.3f}"
         )
     return lines
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -110,6 +110,7 @@
         self.lost_entries.clear()
         self.load_report.reset()
         self.task_starter.start_window.clear()
+        self.task_starter.reservations.clear()
         self.recovery_steps.reset(self.clock.now_ms())
         self.endpoint_index.attempts_by_job.clear()
         for endpoint in list(self.endpoints.values()):
--- a/packages/core/src/knapweedbeam_core/pool/placing.py
+++ b/packages/core/src/knapweedbeam_core/pool/placing.py
@@ -21,12 +21,11 @@
     messages,
     placement_order,
     queueing,
+    reservations,
     resources,
+    speeds,
 )
 
-# Safety factor for callers' estimates, which are off by a factor of up to two.
-ESTIMATE_MARGIN = 1.25
-
 
 class AvailableEndpoints:
     """The endpoints of one service that may take tasks now, in order of preference.
@@ -41,12 +40,14 @@
         now_ms: int,
         remote_factor: float = 1.0,
         names: collections.abc.Set[str] | None = None,
+        held: reservations.Reservations | None = None,
     ) -> None:
         self.order = order
         self.known = known
         self.now_ms = now_ms
         self.remote_factor = remote_factor
         self.names = names
+        self.held = held
         # No endpoint has more free processor capacity.
         self.largest_cpu_millis: float = math.inf
 
@@ -109,7 +110,7 @@
             if is_wanted(endpoint)
         }
         return AvailableEndpoints(
-            self.order, self.known, self.now_ms, self.remote_factor, names
+            self.order, self.known, self.now_ms, self.remote_factor, names, self.held
         )
 
     def find_free_rack(self, task: jobs.Task) -> str:
@@ -269,7 +270,7 @@
     """
     if is_isolated(task):
         return choose_emptiest(task, available)
-    planned_ms = task.spec.estimate_ms * ESTIMATE_MARGIN
+    planned_ms = task.spec.estimate_ms * speeds.ESTIMATE_MARGIN
     factor = available.remote_factor
     due_ms = task.job.due_ms - queueing.TRANSIT_MS
     best: Candidate | None = None
@@ -282,8 +283,11 @@
             task, available
         ):
             continue
-        run_ms = ESTIMATE_MARGIN * endpoint.get_estimate_ms(task.spec, factor)
+        run_ms = speeds.ESTIMATE_MARGIN * endpoint.get_estimate_ms(task.spec, factor)
         ends_ms = now_ms + endpoint.speed.get_run_ms(run_ms)
+        held = available.held
+        if held is not None and held.is_held_from(task, endpoint, ends_ms):
+            continue
         # Lasting tasks run until their job is cancelled, so waiting gains nothing.
         if ends_ms <= due_ms or task.spec.is_lasting:
             return endpoint
--- a/packages/core/src/knapweedbeam_core/pool/speeds.py
+++ b/packages/core/src/knapweedbeam_core/pool/speeds.py
@@ -13,6 +13,8 @@
 # Time for start, polling and answer in addition to the work itself.
 OVERHEAD_MS = 8
 MIN_SPEED = 0.05
+# Safety factor for callers' estimates where a task's end is forecast.
+ESTIMATE_MARGIN = 1.25
 # Callers' estimates are too high or too low by at most this factor.
 ESTIMATE_ERROR = 2.0
 # A task that runs this many times longer than the error of its estimate explains hangs,
--- a/packages/core/src/knapweedbeam_core/pool/task_starter.py
+++ b/packages/core/src/knapweedbeam_core/pool/task_starter.py
@@ -15,6 +15,7 @@
     placing,
     queueing,
     recovery_steps,
+    reservations,
     run_reports,
     start_window,
 )
@@ -33,10 +34,14 @@
 
 @dataclasses.dataclass(slots=True)
 class BestSpeed:
-    """The speed of the fastest held endpoint of a service, and when it was found."""
+    """The speed of the fastest held endpoint of a service, and when it was found.
+
+    `mean_millis` is the mean processor capacity of the held endpoints.
+    """
 
     value: float
     found_ms: int
+    mean_millis: float
 
 
 class TaskStarter:
@@ -47,6 +52,7 @@
         self.orders: dict[str, placement_order.PlacementOrder] = {}
         self.services: dict[str, str] = {}
         self.best_speeds: dict[str, BestSpeed] = {}
+        self.reservations: dict[str, reservations.Reservations] = {}
         self.start_window = start_window.StartWindow()
         self.placed_ms = 0
         self.queue_length = 0
@@ -97,17 +103,28 @@
         best = self.best_speeds.get(service)
         if best is not None and now_ms - best.found_ms < BEST_SPEED_INTERVAL_MS:
             return best.value
-        value = max(
-            (
-                endpoint.speed.value
-                for endpoint in self.owner.iterate_service(service)
-                if endpoint.is_held
-            ),
-            default=1.0,
-        )
-        self.best_speeds[service] = BestSpeed(value, now_ms)
+        held_endpoints = [
+            endpoint
+            for endpoint in self.owner.iterate_service(service)
+            if endpoint.is_held
+        ]
+        value = max((each.speed.value for each in held_endpoints), default=1.0)
+        total_millis = sum(each.capacity.cpu_millis for each in held_endpoints)
+        mean_millis = total_millis / max(1, len(held_endpoints))
+        self.best_speeds[service] = BestSpeed(value, now_ms, mean_millis)
         return value
 
+    def get_reservations(
+        self, service: str, now_ms: int
+    ) -> reservations.Reservations | None:
+        """Return what is held for a service, or None where room is not scarce."""
+        mean_millis = self.best_speeds[service].mean_millis
+        if not self.owner.task_sizes.is_room_scarce(service, mean_millis):
+            return None
+        held = self.reservations.setdefault(service, reservations.Reservations())
+        held.begin(now_ms)
+        return held
+
     def place_service(
         self, service: str, queued: list[jobs.Job], now_ms: int
     ) -> dispatcher.Effects:
@@ -121,6 +138,7 @@
             self.owner.endpoints,
             now_ms,
             self.owner.bounds.remote_factor,
+            held=self.get_reservations(service, now_ms),
         )
         too_late: list[jobs.Job] = []
         produced: dispatcher.Effects = []
@@ -137,6 +155,8 @@
             produced += self.place_job(job, available, now_ms, best_speed)
             if not job.waiting:
                 self.owner.queue.pop(job.key, None)
+            elif available.held is not None:
+                available.held.reserve(job, available.iterate(0), now_ms)
         return produced + self.refuse_late_jobs(too_late, queued, service)
 
     def refuse_late_jobs(
@@ -188,6 +208,8 @@
                 continue
             endpoint = placing.choose_endpoint(task, allowed, now_ms, best_speed)
             if endpoint is not None:
+                if available.held is not None:
+                    available.held.record_start(task, endpoint)
                 starts.append(self.start(task, endpoint, now_ms))
                 produced.append(starts[-1])
                 continue
