--- a/packages/core/src/knapweedbeam_core/pool/reservations.py
+++ b/packages/core/src/knapweedbeam_core/pool/reservations.py
@@ -213,6 +213,9 @@
                 continue
             if not endpoint.capacity.covers(task.need):
                 continue
+            # Where there is room now, something other than processor capacity is short.
+            if endpoint.free.cpu_millis >= task.need.cpu_millis:
+                continue
             for at_ms, free_millis in steps:
                 if free_millis < task.need.cpu_millis:
                     continue
--- a/packages/core/tests/pool/test_reservations.py
+++ b/packages/core/tests/pool/test_reservations.py
@@ -12,6 +12,8 @@
 WIDE_SHARE = 0.6
 LOADS = (1.0, 1.4, 1.8)
 SEEDS = range(5, 9)
+# A loss of less than one job in a hundred.
+MAX_LOSS = 0.01
 NEVER = room_policy.RoomPolicy(9)
 
 
@@ -53,8 +55,9 @@
                 ]
                 for run in runs:
                     self.assertEqual([], run.simulation.breaches)
-            if at_load == LOADS[-1]:
-                for with_it, without in zip(means[True], means[False], strict=True):
+            for with_it, without in zip(means[True], means[False], strict=True):
+                self.assertGreater(with_it, without - MAX_LOSS)
+                if at_load == LOADS[-1]:
                     self.assertGreater(with_it, without)
 
 
