--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -115,6 +115,7 @@
         self.lost_entries.clear()
         self.load_report.reset()
         self.task_starter.budget.reset()
+        self.task_starter.reservations.clear()
         self.recovery_steps.reset(self.clock.now_ms())
         self.endpoint_index.attempts_by_job.clear()
         for endpoint in list(self.endpoints.values()):
@@ -588,6 +589,7 @@
             now_ms, self.task_starter.queue_length
         )
         produced += self.load_report.build(self.queue.values(), now_ms)
+        produced += self.task_starter.reservations.build(now_ms)
         return produced + self.record_recovery(now_ms)
 
     def record_recovery(self, now_ms: int) -> Effects:
--- a/packages/core/src/knapweedbeam_core/pool/task_starter.py
+++ b/packages/core/src/knapweedbeam_core/pool/task_starter.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import typing
 
 from knapweedbeam_core import reasons
@@ -15,7 +14,9 @@
     placing,
     queueing,
     recovery_steps,
+    reservations,
     run_reports,
+    service_means,
     start_budget,
 )
 
@@ -27,16 +28,6 @@
 # much of the processor's time.
 LONG_QUEUE = 50
 LONG_QUEUE_PAUSE_MS = 5
-# The speed of the fastest endpoint changes slowly.
-BEST_SPEED_INTERVAL_MS = 20
-
-
-@dataclasses.dataclass(slots=True)
-class BestSpeed:
-    """The speed of the fastest held endpoint of a service, and when it was found."""
-
-    value: float
-    found_ms: int
 
 
 class TaskStarter:
@@ -46,9 +37,10 @@
         self.owner = owner
         self.orders: dict[str, placement_order.PlacementOrder] = {}
         self.services: dict[str, str] = {}
-        self.best_speeds: dict[str, BestSpeed] = {}
         self.budget = start_budget.StartBudget()
         self.start_window = self.budget.window
+        self.means = service_means.ServiceMeans()
+        self.reservations = reservations.ServiceReservations()
         self.placed_ms = 0
         self.queue_length = 0
 
@@ -99,21 +91,14 @@
             order.update(name, endpoint.speed.value, endpoint.free.cpu_millis, is_cold)
         changed.clear()
 
-    def get_best_speed(self, service: str, now_ms: int) -> float:
-        """Return the speed of the fastest endpoint in service."""
-        best = self.best_speeds.get(service)
-        if best is not None and now_ms - best.found_ms < BEST_SPEED_INTERVAL_MS:
-            return best.value
-        value = max(
-            (
-                endpoint.speed.value
-                for endpoint in self.owner.iterate_service(service)
-                if endpoint.is_in_service
-            ),
-            default=1.0,
-        )
-        self.best_speeds[service] = BestSpeed(value, now_ms)
-        return value
+    def get_reservations(
+        self, service: str, now_ms: int
+    ) -> reservations.Reservations | None:
+        """Return what is held for a service, or None where room is not scarce."""
+        mean_millis = self.means.get_mean_millis(service)
+        if not self.owner.task_sizes.is_room_scarce(service, mean_millis):
+            return None
+        return self.reservations.begin(service, now_ms)
 
     def place_service(
         self, service: str, queued: list[jobs.Job], now_ms: int
@@ -122,12 +107,15 @@
 
         Jobs that are too late and were never started are refused.
         """
-        best_speed = self.get_best_speed(service, now_ms)
+        best_speed = self.means.get_best_speed(
+            service, self.owner.iterate_service, now_ms
+        )
         available = placing.AvailableEndpoints(
             self.orders.setdefault(service, placement_order.PlacementOrder()),
             self.owner.endpoints,
             now_ms,
             self.owner.bounds.remote_factor,
+            held=self.get_reservations(service, now_ms),
         )
         too_late: list[jobs.Job] = []
         beyond: list[jobs.Job] = []
@@ -150,6 +138,8 @@
             produced += self.place_job(job, available, now_ms, best_speed)
             if not job.waiting:
                 self.owner.queue.pop(job.key, None)
+            elif available.held is not None:
+                available.held.reserve(job, available.iterate(0), now_ms)
         produced += self.refuse_beyond(beyond, ahead, now_ms)
         return produced + self.refuse_late_jobs(too_late, queued, service)
 
@@ -212,6 +202,8 @@
                 continue
             endpoint = placing.choose_endpoint(task, allowed, now_ms, best_speed)
             if endpoint is not None:
+                if available.held is not None:
+                    available.held.record_start(task, endpoint)
                 starts.append(self.start(task, endpoint, now_ms))
                 produced.append(starts[-1])
                 continue
