--- a/bench/pool/load.py
+++ b/bench/pool/load.py
@@ -13,7 +13,7 @@
 import statistics
 
 from bench.pool import simulation
-from knapweedbeam_core.pool import messages
+from knapweedbeam_core.pool import messages, room_policy
 
 LATE_FACTOR = 3
 LATE_SHARE = 0.2
@@ -37,6 +37,12 @@
     JobClass("assign", 3.12, 900, 4, 0.16, 2, 3),
     JobClass("confirm", 50.0, 200, 2, 0.01, 1, 2),
 )
+# Three queues of about equal value a second, whose tasks take half of an endpoint.
+WIDE_CLASSES = (
+    JobClass("lock", 12.4, 51, 8, 0.00485, 0, 2),
+    JobClass("refresh", 2.25, 760, 4, 0.0267, 2, 2),
+    JobClass("transfer", 36.0, 170, 2, 0.00167, 1, 4),
+)
 SPEEDS = (0.55, 1.2, 1.2, 1.2)
 SIZES = (1.0, 1.0, 1.5)
 SLACK_FACTOR = 1.6
@@ -52,13 +58,16 @@
     at_ms: int
     objective_ms: float
     value: float
+    domain: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Result:
     """Shares of all jobs by outcome, and the earned share of their value.
 
-    `worth` and `by_class` are shares of the value of all jobs and of each class.
+    `worth`, `by_class`, `by_domain` and `by_second` are shares of the value of all
+    jobs, of each class, of each failure domain and of the jobs of each second.
+    `refused_early` is the share of refusals within a quarter of the objective.
     """
 
     in_time: float
@@ -66,6 +75,14 @@
     refused: float
     worth: float
     by_class: dict[str, float]
+    by_domain: dict[str, float]
+    by_second: list[float]
+    refused_early: float
+
+    def get_worst_seconds(self) -> float:
+        """Return the mean worth of the worst tenth of the seconds."""
+        worst = sorted(self.by_second)
+        return statistics.fmean(worst[: max(1, len(worst) // 10)])
 
 
 class LoadSimulation(simulation.Simulation):
@@ -94,34 +111,53 @@
 class LoadRun:
     """A run: a deployment, the jobs submitted to it and their outcomes.
 
-    `load` is a factor on the rates of the job classes.
+    `load` is a factor on the rates of the job classes. `task_share` is the mean task's
+    share of the smallest endpoint. Submissions come from `domains` in turn, so that one
+    which is named twice has twice the load.
     """
 
     def __init__(
-        self, load: float, seed: int = 1, endpoints: int = 24, cpu_millis: int = 32_000
+        self,
+        load: float,
+        seed: int = 1,
+        endpoints: int = 24,
+        cpu_millis: int = 32_000,
+        classes: tuple[JobClass, ...] = CLASSES,
+        task_share: float = 0.4375,
+        domains: tuple[str, ...] = ("",),
+        speeds: tuple[float, ...] = SPEEDS,
+        policy: room_policy.RoomPolicy = room_policy.DEFAULT,
     ) -> None:
         self.rng = random.Random(seed)
         self.load = load
         self.cpu_millis = cpu_millis
+        self.classes = classes
+        self.task_share = task_share
+        self.domains = domains
         self.simulation = LoadSimulation(seed)
         self.submitted: list[SubmittedJob] = []
         sizes = [SIZES[number % 3] for number in range(endpoints)]
-        speeds = [SPEEDS[number % 4] for number in range(endpoints)]
+        drawn = [speeds[number % len(speeds)] for number in range(endpoints)]
         self.rng.shuffle(sizes)
-        self.rng.shuffle(speeds)
-        for number, (size, speed) in enumerate(zip(sizes, speeds, strict=True)):
+        self.rng.shuffle(drawn)
+        for number, (size, speed) in enumerate(zip(sizes, drawn, strict=True)):
             self.simulation.add_endpoint(f"e{number}", int(cpu_millis * size), speed)
-        self.dispatcher = self.simulation.add_dispatcher("a", 10)
+        self.dispatcher = self.simulation.add_dispatcher("a", 10, policy=policy)
         self.simulation.advance(50)
 
-    def submit(self, kind: JobClass) -> None:
+    def submit(self, kind: JobClass, domain: str = "") -> None:
         """Submit a random job of a class."""
         rng = self.rng
         job_id = f"{kind.name}{len(self.submitted)}"
         work_ms = draw_lognormal(rng, kind.work_ms, 0.4, 4 * kind.work_ms)
         count = max(1, round(draw_lognormal(rng, kind.width, 0.4, 4 * kind.width)))
         cpu_millis = int(
-            draw_lognormal(rng, 0.4375 * self.cpu_millis, 0.2, 0.625 * self.cpu_millis)
+            draw_lognormal(
+                rng,
+                self.task_share * self.cpu_millis,
+                0.2,
+                min(0.75, self.task_share / 0.7) * self.cpu_millis,
+            )
         )
         estimate_ms = work_ms * 2 ** rng.uniform(-0.58, 0.58)
         longest_ms = 0.0
@@ -133,7 +169,14 @@
         mean_work = kind.work_ms * kind.width
         value = kind.value * min(4, 0.3 + 0.7 * work_ms * count / mean_work)
         self.submitted.append(
-            SubmittedJob(job_id, kind.name, self.simulation.now_ms, objective_ms, value)
+            SubmittedJob(
+                job_id,
+                kind.name,
+                self.simulation.now_ms,
+                objective_ms,
+                value,
+                domain or self.domains[len(self.submitted) % len(self.domains)],
+            )
         )
         self.simulation.submit(
             self.dispatcher,
@@ -146,13 +189,14 @@
             max_attempts=kind.max_attempts,
             priority=kind.priority,
             queue=kind.name,
+            domain=self.submitted[-1].domain,
         )
 
     def run_for(self, seconds: float) -> None:
         """Submit jobs at the rate of the load for some seconds."""
         end_ms = self.simulation.now_ms + int(seconds * 1_000)
         arrivals: list[tuple[int, JobClass]] = []
-        for kind in CLASSES:
+        for kind in self.classes:
             at_ms = float(self.simulation.now_ms)
             while True:
                 at_ms += self.rng.expovariate(kind.per_second * self.load) * 1_000
@@ -172,13 +216,16 @@
         """
         self.simulation.advance(6_000)
         earnings: dict[str, list[tuple[float, float]]] = {}
-        in_time = late = refused = 0
+        by_domain: dict[str, list[tuple[float, float]]] = {}
+        by_second: dict[int, list[tuple[float, float]]] = {}
+        in_time = late = refused = refused_early = 0
         for job in self.submitted:
             message, at_ms = self.simulation.outcomes.get(job.job_id, (None, 0))
             duration_ms = at_ms - job.at_ms
             share = 0.0
             if isinstance(message, messages.JobRefused):
                 refused += 1
+                refused_early += duration_ms <= job.objective_ms / 4
             elif isinstance(message, messages.JobComplete):
                 if duration_ms <= job.objective_ms:
                     in_time += 1
@@ -186,7 +233,10 @@
                 elif duration_ms <= LATE_FACTOR * job.objective_ms:
                     late += 1
                     share = LATE_SHARE
-            earnings.setdefault(job.name, []).append((share * job.value, job.value))
+            pair = (share * job.value, job.value)
+            earnings.setdefault(job.name, []).append(pair)
+            by_domain.setdefault(job.domain, []).append(pair)
+            by_second.setdefault(job.at_ms // 1_000, []).append(pair)
         count = len(self.submitted)
         all_pairs = [pair for pairs in earnings.values() for pair in pairs]
         by_class = {name: get_share(pairs) for name, pairs in sorted(earnings.items())}
@@ -196,6 +246,9 @@
             refused / count,
             get_share(all_pairs),
             by_class,
+            {name: get_share(pairs) for name, pairs in sorted(by_domain.items())},
+            [get_share(pairs) for _, pairs in sorted(by_second.items())],
+            refused_early / refused if refused else 1.0,
         )
 
 
--- a/bench/pool/simulation.py
+++ b/bench/pool/simulation.py
@@ -15,7 +15,14 @@
 
 from knapweedbeam_core import clock, effects
 from knapweedbeam_core.manifests import manifest
-from knapweedbeam_core.pool import attempt_tracker, calls, clocks, dispatcher, messages
+from knapweedbeam_core.pool import (
+    attempt_tracker,
+    calls,
+    clocks,
+    dispatcher,
+    messages,
+    room_policy,
+)
 
 LATENCY_MS = 1
 LEASE_MS = 1_000
@@ -386,12 +393,13 @@
         fence: int,
         known_endpoints: typing.Iterable[str] | None = None,
         standby_ms: int = 10_000,
+        policy: room_policy.RoomPolicy = room_policy.DEFAULT,
     ) -> dispatcher.Dispatcher:
         """Add an active dispatcher that was on standby for some time.
 
         It has received announcements of `known_endpoints`, by default of all.
         """
-        made = dispatcher.Dispatcher(name, BOUNDS, self.clock)
+        made = dispatcher.Dispatcher(name, BOUNDS, self.clock, policy=policy)
         made.started_ms -= standby_ms
         self.dispatchers.append(made)
         for known in self.endpoints if known_endpoints is None else known_endpoints:
@@ -418,6 +426,7 @@
         queue: str = "queue",
         hand_in: int = 0,
         token: int = 0,
+        domain: str = "",
     ) -> None:
         """Submit a job of one step to a dispatcher."""
         self.work_ms[job_id] = work_ms
@@ -439,6 +448,7 @@
             former=tuple(
                 each.name for each in self.dispatchers if each.name != to.name
             ),
+            domain=domain,
         )
         self.run(to, to.on_submit(ENTRY, submit))
 
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -110,6 +110,8 @@
         self.lost_entries.clear()
         self.load_report.reset()
         self.task_starter.start_window.clear()
+        self.task_starter.shortages.clear()
+        self.task_starter.best_speeds.clear()
         self.recovery_steps.reset(self.clock.now_ms())
         self.endpoint_index.attempts_by_job.clear()
         for endpoint in list(self.endpoints.values()):
@@ -321,6 +323,7 @@
         self.add_job(job)
         self.load_report.record_arrival(job)
         self.task_sizes.record(job)
+        self.task_starter.record_arrival(job)
         return [*run_reports.report_taken(self, job), *self.take_job(job)]
 
     def rejoin(self, job: jobs.Job, sender: str, submit: messages.Submit) -> Effects:
@@ -415,6 +418,7 @@
         job.was_started = base > 0
         job.hand_in = submit.hand_in
         job.domain = submit.domain
+        job.arrived_ms = now_ms
         job.submitted_base = submit.attempt_base
         job.restore_crashes(submit.crashes)
         if ended is not None:
@@ -526,6 +530,7 @@
             if job.orphaned_ms and now_ms - job.orphaned_ms > ORPHAN_GRACE_MS:
                 produced += self.end_job(job, None)
         produced += self.load_report.build(self.queue.values(), now_ms)
+        produced += self.task_starter.build_room_reports(now_ms)
         return produced + self.record_recovery(now_ms)
 
     def record_recovery(self, now_ms: int) -> Effects:
--- a/packages/core/src/knapweedbeam_core/pool/jobs.py
+++ b/packages/core/src/knapweedbeam_core/pool/jobs.py
@@ -109,10 +109,12 @@
 
     `entry` is the entry VM that waits for it, empty for a stored job, which is kept in
     the log; `orphaned_ms` is since when that VM is unresponsive, 0 while it is live.
-    `domain` is that VM's failure domain, empty if unknown.
+    `domain` is that VM's failure domain, empty if unknown. `work` is the estimated work
+    of all of its tasks, in millicore-ms.
     `submitted_base` is the attempt base that it sent. `question_ms` is when it was
     asked to confirm the job, 0 if no answer is open.
-    `born_ms` is when the caller sent the job, `give_up_ms` when the caller stops
+    `born_ms` is when the caller sent the job, `arrived_ms` when the dispatcher took it,
+    `give_up_ms` when the caller stops
     waiting. `work_factor` is the largest ratio of actual to estimated work among the
     tasks that ended, 0 while none has: the tasks of a job share the error of its
     estimate. `overdue_endpoints` are those on which its tasks ran longer than the error
@@ -139,6 +141,7 @@
         self.steps = steps
         self.needs = [resources.get_need(step) for step in steps]
         self.born_ms = born_ms
+        self.arrived_ms = born_ms
         self.give_up_ms = give_up_ms
         self.attempt_base = attempt_base
         self.was_started = False
@@ -161,6 +164,7 @@
         ]
         self.waiting = self.find_ready_tasks()
         self.tasks_left = sum(step.count for step in steps)
+        self.work = sum(s.count * s.cpu_millis * s.estimate_ms for s in steps)
         self.longest_task_ms = max(step.estimate_ms for step in steps)
         self.work_factor = 0.0
         self.overdue_endpoints: set[str] = set()
--- a/packages/core/src/knapweedbeam_core/pool/log_events.py
+++ b/packages/core/src/knapweedbeam_core/pool/log_events.py
@@ -248,6 +248,23 @@
     withdrawn: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoomShared:
+    """What a queue's jobs from one failure domain got of a service short of room.
+
+    `part_percent` is the part of the room that they are entitled to. The counts are
+    jobs since the last report; `refused` are those refused for lack of room.
+    """
+
+    service: str
+    queue: str
+    domain: str
+    part_percent: int
+    arrived: int
+    started: int
+    refused: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RecoveryStepReached:
     """A dispatcher reached a step for the first time since it became active."""
@@ -276,5 +293,6 @@
     | StoredDispatchStarted
     | StoredDispatchStopped
     | QueueLoad
+    | RoomShared
     | RecoveryStepReached
 )
--- a/packages/core/src/knapweedbeam_core/pool/task_starter.py
+++ b/packages/core/src/knapweedbeam_core/pool/task_starter.py
@@ -11,10 +11,13 @@
     crashes,
     endpoints,
     jobs,
+    log_events,
     placement_order,
     placing,
     queueing,
     recovery_steps,
+    room_forecast,
+    room_shortage,
     run_reports,
     start_window,
 )
@@ -33,10 +36,14 @@
 
 @dataclasses.dataclass(slots=True)
 class BestSpeed:
-    """The speed of the fastest held endpoint of a service, and when it was found."""
+    """The speed of the fastest held endpoint of a service, and when it was found.
+
+    `shortage` is set while room is scarce there.
+    """
 
     value: float
     found_ms: int
+    shortage: room_shortage.RoomShortage | None = None
 
 
 class TaskStarter:
@@ -47,6 +54,7 @@
         self.orders: dict[str, placement_order.PlacementOrder] = {}
         self.services: dict[str, str] = {}
         self.best_speeds: dict[str, BestSpeed] = {}
+        self.shortages: dict[str, room_shortage.RoomShortage] = {}
         self.start_window = start_window.StartWindow()
         self.placed_ms = 0
         self.queue_length = 0
@@ -97,17 +105,42 @@
         best = self.best_speeds.get(service)
         if best is not None and now_ms - best.found_ms < BEST_SPEED_INTERVAL_MS:
             return best.value
-        value = max(
-            (
-                endpoint.speed.value
-                for endpoint in self.owner.iterate_service(service)
-                if endpoint.is_held
-            ),
-            default=1.0,
-        )
-        self.best_speeds[service] = BestSpeed(value, now_ms)
+        held = self.list_held(service)
+        value = max((endpoint.speed.value for endpoint in held), default=1.0)
+        total_millis = sum(endpoint.capacity.cpu_millis for endpoint in held)
+        mean_millis = total_millis / max(1, len(held))
+        is_scarce = self.owner.task_sizes.is_room_scarce(service, mean_millis)
+        shortage = self.get_shortage(service) if is_scarce else None
+        self.best_speeds[service] = BestSpeed(value, now_ms, shortage)
         return value
 
+    def list_held(self, service: str) -> list[endpoints.Endpoint]:
+        """Return the held endpoints of a service."""
+        return [
+            endpoint
+            for endpoint in self.owner.iterate_service(service)
+            if endpoint.is_held
+        ]
+
+    def get_shortage(self, service: str) -> room_shortage.RoomShortage:
+        """Return who gets how much of the room of a service."""
+        return self.shortages.setdefault(service, room_shortage.RoomShortage())
+
+    def record_arrival(self, job: jobs.Job) -> None:
+        """Count the work of a job that arrived."""
+        shortage = self.get_shortage(job.terms.service)
+        shortage.shares.record_arrival(job, job.arrived_ms)
+
+    def build_room_reports(self, now_ms: int) -> list[log_events.RoomShared]:
+        """Return the reports of the services that are short of room, if due."""
+        return [
+            report
+            for service, shortage in self.shortages.items()
+            for report in shortage.shares.build_report(
+                service, now_ms, shortage.is_short(now_ms)
+            )
+        ]
+
     def place_service(
         self, service: str, queued: list[jobs.Job], now_ms: int
     ) -> dispatcher.Effects:
@@ -116,6 +149,9 @@
         Jobs that are too late and were never started are refused.
         """
         best_speed = self.get_best_speed(service, now_ms)
+        shortage = self.best_speeds[service].shortage
+        sort_jobs = queueing.sort_jobs if shortage is None else shortage.sort_jobs
+        ordered = sort_jobs(queued, now_ms, best_speed)
         available = placing.AvailableEndpoints(
             self.orders.setdefault(service, placement_order.PlacementOrder()),
             self.owner.endpoints,
@@ -123,21 +159,71 @@
             self.owner.bounds.remote_factor,
         )
         too_late: list[jobs.Job] = []
+        kept: list[jobs.Job] = []
         produced: dispatcher.Effects = []
-        for job in queueing.sort_jobs(queued, now_ms, best_speed):
+        for job in ordered:
             if job.question_ms or self.owner.takeover.may_run_elsewhere(job):
                 continue
             is_refusable = not job.was_started and not job.is_stored
             if is_refusable and queueing.is_too_late(job, now_ms, best_speed):
                 too_late.append(job)
                 continue
+            kept.append(job)
             if not self.start_window.count_free(now_ms):
                 self.start_window.jobs_held_back += 1
                 continue
             produced += self.place_job(job, available, now_ms, best_speed)
             if not job.waiting:
                 self.owner.queue.pop(job.key, None)
-        return produced + self.refuse_late_jobs(too_late, queued, service)
+        if shortage is None:
+            return produced + self.refuse_late_jobs(too_late, queued, service)
+        for job in too_late:
+            shortage.shares.record_refusal(job, now_ms)
+        waiting = [job for job in kept if job.waiting]
+        too_late += self.choose_refusals(shortage, waiting, service, now_ms)
+        return produced + self.refuse_for_room(shortage, too_late, service, now_ms)
+
+    def choose_refusals(
+        self,
+        shortage: room_shortage.RoomShortage,
+        waiting: list[jobs.Job],
+        service: str,
+        now_ms: int,
+    ) -> list[jobs.Job]:
+        """Return the jobs to refuse for the others to start in time.
+
+        None while it is not known how much room there is.
+        """
+        if not waiting or now_ms < shortage.forecast_due_ms:
+            return []
+        if not self.owner.takeover.holds_all_endpoints(service):
+            return []
+        held = self.list_held(service)
+        speed = sum(endpoint.speed.value for endpoint in held) / len(held)
+        releases = room_forecast.list_releases(held, now_ms)
+        forecast = room_forecast.RoomForecast(now_ms, releases, speed)
+        best_speed = self.best_speeds[service].value
+        return shortage.choose_refusals(waiting, forecast, now_ms, best_speed)
+
+    def refuse_for_room(
+        self,
+        shortage: room_shortage.RoomShortage,
+        chosen: list[jobs.Job],
+        service: str,
+        now_ms: int,
+    ) -> dispatcher.Effects:
+        """Refuse jobs, each with a time to return of its own."""
+        if not chosen:
+            return []
+        room_millis = sum(
+            endpoint.capacity.cpu_millis * endpoint.speed.value
+            for endpoint in self.list_held(service)
+        )
+        produced: dispatcher.Effects = []
+        for job in chosen:
+            return_ms = shortage.get_return_ms(job, now_ms, room_millis)
+            produced += self.refuse(job, reasons.Reason.DEADLINE, return_ms)
+        return produced
 
     def refuse_late_jobs(
         self, too_late: list[jobs.Job], queued: list[jobs.Job], service: str
@@ -145,12 +231,7 @@
         """Refuse jobs that cannot end in time to be of use."""
         if not too_late:
             return []
-        held_endpoints = [
-            endpoint
-            for endpoint in self.owner.iterate_service(service)
-            if endpoint.is_held
-        ]
-        backlog_ms = queueing.get_backlog_ms(queued, held_endpoints)
+        backlog_ms = queueing.get_backlog_ms(queued, self.list_held(service))
         produced: dispatcher.Effects = []
         for job in too_late:
             produced += self.refuse(job, reasons.Reason.DEADLINE, backlog_ms)
@@ -265,6 +346,7 @@
         job = task.job
         if not job.was_started:
             self.owner.load_report.record_first_start(job, now_ms)
+            self.get_shortage(job.terms.service).shares.record_first_start(job)
         job.was_started = True
         job.waiting.remove(task)
         task.state = jobs.TaskState.PLACED
--- a/packages/server/src/knapweedbeam_server/fleet/node.py
+++ b/packages/server/src/knapweedbeam_server/fleet/node.py
@@ -93,6 +93,7 @@
     log_events.StoredDispatchStarted: catalogue.STORED_OFFICE,
     log_events.StoredDispatchStopped: catalogue.STORED_LEFT,
     log_events.QueueLoad: catalogue.QUEUE_LOAD,
+    log_events.RoomShared: catalogue.ROOM_SHARED,
     log_events.RecoveryStepReached: catalogue.RECOVERY_STEP_REACHED,
 }
 
--- a/packages/server/src/knapweedbeam_server/fleet/telemetry.py
+++ b/packages/server/src/knapweedbeam_server/fleet/telemetry.py
@@ -46,6 +46,18 @@
             ["reason"],
             registry=self.registry,
         )
+        self.room_refusals = prometheus_client.Counter(
+            "knapweedbeam_room_refusals",
+            "Jobs refused while a service was short of room, by domain of the callers.",
+            ["domain"],
+            registry=self.registry,
+        )
+        self.room_starts = prometheus_client.Counter(
+            "knapweedbeam_room_starts",
+            "Jobs started while a service was short of room, by domain of the callers.",
+            ["domain"],
+            registry=self.registry,
+        )
         self.claims = prometheus_client.Counter(
             "knapweedbeam_claims",
             "Attempts of another token that a job claimed.",
@@ -92,12 +104,15 @@
         self.decisions.labels(name).inc()
 
     def count_run_event(self, log_event: log_events.LogEvent) -> None:
-        """Count a stop or a claim of an attempt; other events are none of these."""
+        """Count a stop or a claim of an attempt, or what a class got of scarce room."""
         match log_event:
             case log_events.AttemptStopped():
                 self.stops.labels(log_event.reason).inc()
             case log_events.AttemptClaimed():
                 self.claims.inc()
+            case log_events.RoomShared():
+                self.room_refusals.labels(log_event.domain).inc(log_event.refused)
+                self.room_starts.labels(log_event.domain).inc(log_event.started)
 
     def count_call(self, kind: str, outcome: str) -> None:
         """Count a call to an endpoint."""
--- a/packages/server/src/knapweedbeam_server/logs/catalogue.py
+++ b/packages/server/src/knapweedbeam_server/logs/catalogue.py
@@ -713,6 +713,15 @@
     "time, {late} late, {failed} failed, {refused} refused, {withdrawn} withdrawn",
     "The dispatcher's jobs of one queue in the last second.",
 )
+ROOM_SHARED = Event(
+    7082,
+    "room_shared",
+    Level.INFO,
+    "service {service} is short of room: queue {queue}, callers in {domain}, entitled "
+    "to {part_percent}%: {arrived} arrived, {started} started, {refused} refused",
+    "More was asked for than fits. One line a second for each busy class, at most 20.",
+    "Compare the classes: one that asks for far more than its part loses alone.",
+)
 BODY_MALFORMED = Event(
     7060,
     "body_malformed",
