--- a/packages/core/src/knapweedbeam_core/pool/room_forecast.py
+++ b/packages/core/src/knapweedbeam_core/pool/room_forecast.py
@@ -10,6 +10,8 @@
 
 # A task that runs longer than expected ends after this share of its expected run time.
 OVERRUN_SHARE = 0.2
+# A lower speed is most probably an error of estimates, on which no refusal may rest.
+MIN_SPEED = 0.5
 
 
 @dataclasses.dataclass(slots=True, order=True)
@@ -21,15 +23,12 @@
 
 
 class RoomForecast:
-    """When processor capacity becomes free, in the order of time.
-
-    Room that is free now counts for nothing: what waits did not fit there.
-    """
+    """When processor capacity becomes free, in the order of time."""
 
     def __init__(self, now_ms: float, releases: list[Release], speed: float) -> None:
         self.at_ms = now_ms
         self.releases = releases
-        self.speed = speed
+        self.speed = max(MIN_SPEED, speed)
         self.free_millis = 0
         self.planned: dict[str, Release] = {}
         heapq.heapify(releases)
@@ -56,15 +55,23 @@
 
 
 def list_releases(
-    held: collections.abc.Iterable[endpoints.Endpoint], now_ms: int
+    held: collections.abc.Iterable[endpoints.Endpoint], now_ms: int, need_millis: int
 ) -> list[Release]:
-    """Return when the attempts that run are expected to end."""
+    """Return when the attempts that run are expected to end.
+
+    Room that is free now counts where the smallest waiting task, of `need_millis`,
+    fits: then tasks wait for faster endpoints. Smaller gaps are of use to none.
+    """
     releases = []
     for endpoint in held:
+        free_millis = endpoint.free.cpu_millis
+        if free_millis >= need_millis and endpoint.is_available(now_ms):
+            releases.append(Release(now_ms, free_millis))
+        speed = max(MIN_SPEED, endpoint.speed.value)
         for attempt in endpoint.attempts.values():
             if attempt.owner is None or attempt.owner.job.is_lasting:
                 continue
-            run_ms = endpoint.speed.get_run_ms(attempt.owner.spec.estimate_ms)
+            run_ms = attempt.owner.spec.estimate_ms / speed
             ends_ms = max(attempt.sent_ms + run_ms, now_ms + OVERRUN_SHARE * run_ms)
             releases.append(Release(ends_ms, attempt.need.cpu_millis))
     return releases
--- a/packages/core/src/knapweedbeam_core/pool/room_shortage.py
+++ b/packages/core/src/knapweedbeam_core/pool/room_shortage.py
@@ -77,6 +77,7 @@
         `ordered` are the waiting jobs in the order of their placement.
         """
         self.forecast_due_ms = now_ms + FORECAST_INTERVAL_MS
+        best_speed = max(room_forecast.MIN_SPEED, best_speed)
         chosen: list[jobs.Job] = []
         newest: Newest = {}
         for number, job in enumerate(ordered):
--- a/packages/core/src/knapweedbeam_core/pool/task_starter.py
+++ b/packages/core/src/knapweedbeam_core/pool/task_starter.py
@@ -192,15 +192,17 @@
     ) -> list[jobs.Job]:
         """Return the jobs to refuse for the others to start in time.
 
-        None while it is not known how much room there is.
+        None until most endpoints are held: a successor does not know how much room
+        there is.
         """
         if not waiting or now_ms < shortage.forecast_due_ms:
             return []
-        if not self.owner.takeover.holds_all_endpoints(service):
-            return []
         held = self.list_held(service)
+        if 2 * len(held) <= sum(1 for _ in self.owner.iterate_service(service)):
+            return []
         speed = sum(endpoint.speed.value for endpoint in held) / len(held)
-        releases = room_forecast.list_releases(held, now_ms)
+        need_millis = min(job.waiting[0].need.cpu_millis for job in waiting)
+        releases = room_forecast.list_releases(held, now_ms, need_millis)
         forecast = room_forecast.RoomForecast(now_ms, releases, speed)
         best_speed = self.best_speeds[service].value
         return shortage.choose_refusals(waiting, forecast, now_ms, best_speed)
