--- a/packages/core/src/knapweedbeam_core/pool/room_shares.py
+++ b/packages/core/src/knapweedbeam_core/pool/room_shares.py
@@ -17,9 +17,12 @@
 # Work that was admitted within about this time counts against a class.
 RECENT_MS = 1_000
 # What a class usually asks for is the mean over about this time.
-USUAL_MS = 30_000
+USUAL_MS = 60_000
 # A class has at least this share of the mean weight.
 MIN_WEIGHT = 0.25
+# Classes differ by one rank where one got this many times as much of its part.
+RANK_STEP = 1.5
+MIN_EXCESS = 0.001
 # Manifests may name hundreds of queues; the last class takes the jobs of all further.
 MAX_CLASSES = 200
 MAX_REPORTED_CLASSES = 20
@@ -114,6 +117,19 @@
             for key, part in self.get_parts(now_ms).items()
         }
 
+    def get_ranks(self, now_ms: int) -> dict[RoomClass, int]:
+        """Return the rank of each class: the lower, the less of its part it got.
+
+        It is 0 for a class that got about its part of all that was admitted.
+        """
+        excess = self.get_excess(now_ms)
+        admitted = sum(load.admitted.get(now_ms) for load in self.classes.values())
+        total = max(1.0, admitted)
+        return {
+            key: round(math.log(max(MIN_EXCESS, value / total)) / math.log(RANK_STEP))
+            for key, value in excess.items()
+        }
+
     def build_report(
         self, service: str, now_ms: int, is_short: bool
     ) -> list[log_events.RoomShared]:
--- a/packages/core/src/knapweedbeam_core/pool/room_shortage.py
+++ b/packages/core/src/knapweedbeam_core/pool/room_shortage.py
@@ -26,6 +26,9 @@
 # A forecast looks at all attempts, so that frequent ones would take the processor.
 FORECAST_INTERVAL_MS = 10
 
+# Before the ranks of all classes.
+FIRST_RANK = -1_000
+
 Newest = dict[room_shares.RoomClass, list[tuple[int, int, jobs.Job]]]
 
 
@@ -53,15 +56,19 @@
         if not self.is_short(now_ms):
             return ordered
 
-        def get_key(job: jobs.Job) -> tuple[int, int, int]:
+        ranks = self.shares.get_ranks(now_ms)
+
+        def get_key(job: jobs.Job) -> tuple[int, int, int, int]:
             feasibility = queueing.get_feasibility(job, now_ms, best_speed)
             latest_start_ms = job.due_ms - job.longest_task_ms
             if feasibility == queueing.Feasibility.IN_TIME:
-                priority = 0 if job.was_started else job.terms.priority
-                return 1, priority, latest_start_ms
+                if job.was_started:
+                    return 1, FIRST_RANK, 0, latest_start_ms
+                rank = ranks[self.shares.find(job)]
+                return 1, rank, job.terms.priority, latest_start_ms
             if feasibility == queueing.Feasibility.LATE and job.was_started:
-                return 0, 0, latest_start_ms
-            return 2 + feasibility, int(not job.was_started), job.longest_task_ms
+                return 0, 0, 0, latest_start_ms
+            return 2 + feasibility, int(not job.was_started), 0, job.longest_task_ms
 
         return sorted(ordered, key=get_key)
 
@@ -95,16 +102,23 @@
             if start_ms <= latest_start_ms:
                 continue
             self.short_until_ms = now_ms + SHORT_MS
-            if newest:
-                victim = self.pop_victim(newest, now_ms)
+            victim = self.pop_victim(newest, now_ms)
+            if victim is not None:
                 forecast.cancel(victim)
                 chosen.append(victim)
         return chosen
 
-    def pop_victim(self, newest: Newest, now_ms: int) -> jobs.Job:
-        """Take the newest job of the class that is furthest above its part."""
+    def pop_victim(self, newest: Newest, now_ms: int) -> jobs.Job | None:
+        """Take the newest job of the class that is furthest above its part.
+
+        None if all of these are clearly below: they rather end late.
+        """
         excess = self.shares.get_excess(now_ms)
-        key = max(newest, key=lambda each: (excess[each], each))
+        ranks = self.shares.get_ranks(now_ms)
+        candidates = [key for key in newest if ranks[key] >= 0]
+        if not candidates:
+            return None
+        key = max(candidates, key=lambda each: (excess[each], each))
         _, _, victim = heapq.heappop(newest[key])
         if not newest[key]:
             del newest[key]
