--- a/packages/core/src/knapweedbeam_core/pool/room_shares.py
+++ b/packages/core/src/knapweedbeam_core/pool/room_shares.py
@@ -15,7 +15,7 @@
 from knapweedbeam_core.pool import jobs, log_events
 
 # Work that was admitted within about this time counts against a class.
-RECENT_MS = 1_000
+RECENT_MS = 3_000
 # What a class usually asks for is the mean over about this time.
 USUAL_MS = 60_000
 # A class has at least this share of the mean weight.
--- a/packages/core/src/knapweedbeam_core/pool/room_shortage.py
+++ b/packages/core/src/knapweedbeam_core/pool/room_shortage.py
@@ -8,8 +8,8 @@
 A service is short of room for a while after a waiting job could not start in time with
 the work that goes before it. Then, for each such job, the newest job of the class that
 is furthest above its part is refused. Jobs that were started go before others, even
-late: they earn nothing until their last task ends. Priority decides which of the
-admitted jobs go first, not how many are admitted.
+late: they earn nothing until their last task ends. Then classes that got less of their
+part go first; within about equal classes priority decides, and then slack.
 """
 
 from __future__ import annotations
--- a/packages/core/tests/pool/test_shards.py
+++ b/packages/core/tests/pool/test_shards.py
@@ -125,6 +125,25 @@
             owners.submit(5)
             self.assert_all_complete(owners, seed)
 
+    def test_successor_of_a_lost_shard_learns_the_shares_of_room_anew(self) -> None:
+        owners = Owners(1)
+        owners.assign(["a", "b"], [21, 22])
+        owners.simulation.advance(200)
+        owners.submit(20)
+        owners.simulation.advance(100)
+        owners.down.add("a")
+        owners.simulation.dispatchers.remove(owners.processes["a"])
+        owners.simulation.cut_links |= {("a", f"i-{n}") for n in range(ENDPOINTS)}
+        owners.simulation.advance(450)
+        successor = owners.processes["b"].dispatchers[0]
+        self.assertEqual(successor.task_starter.shortages, {})
+        owners.assign(["b", "b"], [32, 22])
+        parts = successor.task_starter.shortages["service"].shares.get_parts(
+            owners.simulation.now_ms
+        )
+        self.assertEqual(sum(parts.values()), 1.0)
+        self.assert_all_complete(owners, "")
+
     def test_two_owners_that_act_at_once_start_no_task_twice(self) -> None:
         """The former owner learns of the change only after a second."""
         for seed in range(10):
