--- a/packages/core/src/knapweedbeam_core/fleet/load_meter.py
+++ b/packages/core/src/knapweedbeam_core/fleet/load_meter.py
@@ -11,7 +11,7 @@
 
 from knapweedbeam_core import clock
 
-WINDOW_MS = clock.SECOND_MS
+WINDOW_MS = 2 * clock.SECOND_MS
 # A turn counts as late if it follows the one before after more than this time.
 LATE_TURN_MS = 50
 # With fewer turns in a window, the process was suspended for most of it.
--- a/packages/core/src/knapweedbeam_core/fleet/relief.py
+++ b/packages/core/src/knapweedbeam_core/fleet/relief.py
@@ -17,6 +17,9 @@
 OVERLOAD_MS = 1_000
 # After a remedy, the owners need some time to take over.
 PAUSE_MS = 10_000
+# For so long, a VM that lost its shard gets no other, and a shard that moved is divided
+# if its next owner is overloaded too.
+MEMORY_MS = 60_000
 # Smaller deployments are not divided by load: a few endpoints pack wide tasks badly.
 MIN_ENDPOINTS = 60
 
@@ -30,8 +33,10 @@
     def __init__(self, timer: clock.Clock) -> None:
         self.clock = timer
         self.overloaded_since_ms: dict[str, int] = {}
-        self.relieved_ms = timer.now_ms() - PAUSE_MS
-        self.moved_shards: set[int] = set()
+        # A new lead doesn't know what its predecessor did just before.
+        self.relieved_ms = timer.now_ms()
+        self.moved_ms: dict[int, int] = {}
+        self.relieved_owners_ms: dict[str, int] = {}
 
     def record(
         self, owners: Owners, overloaded: collections.abc.Container[str]
@@ -47,7 +52,7 @@
     def record_division(self) -> None:
         """Record that the endpoints were divided anew."""
         self.relieved_ms = self.clock.now_ms()
-        self.moved_shards.clear()
+        self.moved_ms.clear()
 
     def list_overloaded_shards(self, owners: Owners) -> list[int]:
         """Return the shards whose owners have been overloaded for long.
@@ -70,16 +75,30 @@
         full = self.list_overloaded_shards(owners)
         if not full or endpoint_count < MIN_ENDPOINTS:
             return False
-        return 2 * len(full) > len(owners) or bool(self.moved_shards & set(full))
+        return 2 * len(full) > len(owners) or any(map(self.has_moved, full))
+
+    def has_moved(self, shard: int) -> bool:
+        """Return whether a shard was moved lately."""
+        return self.is_recent(self.moved_ms.get(shard))
+
+    def is_recent(self, at_ms: int | None) -> bool:
+        """Return whether something happened within `MEMORY_MS`."""
+        return at_ms is not None and self.clock.now_ms() - at_ms < MEMORY_MS
 
     def move(
         self, owners: Owners, idle: collections.abc.Collection[str]
     ) -> tuple[int, str] | None:
         """Return the shard to move and its next owner, and record the move."""
         full = self.list_overloaded_shards(owners)
-        movable = [shard for shard in full if shard not in self.moved_shards]
-        if not movable or not idle or len(owners) < 2 or 2 * len(full) > len(owners):
+        movable = [shard for shard in full if not self.has_moved(shard)]
+        fresh = [
+            name
+            for name in idle
+            if not self.is_recent(self.relieved_owners_ms.get(name))
+        ]
+        if not movable or not fresh or len(owners) < 2 or 2 * len(full) > len(owners):
             return None
-        self.relieved_ms = self.clock.now_ms()
-        self.moved_shards.add(movable[0])
-        return movable[0], min(idle)
+        now_ms = self.clock.now_ms()
+        self.relieved_ms = self.moved_ms[movable[0]] = now_ms
+        self.relieved_owners_ms[owners[movable[0]]] = now_ms
+        return movable[0], min(fresh)
--- a/packages/core/src/knapweedbeam_core/fleet/sharding.py
+++ b/packages/core/src/knapweedbeam_core/fleet/sharding.py
@@ -224,10 +224,15 @@
         """
         if self.clock.now_ms() - self.started_ms >= MATURE_MS:
             return
-        cores = [each for each in self.members.get_live() if each.is_core]
-        count = min(self.recalled_count, len(cores) + 1)
-        if count > 1 and not self.is_alone:
-            self.table = (messages.ShardOwner("", 0, 0),) * count
+        if self.recalled_count > 1 and not self.is_alone:
+            # Core VMs that start later get their shards when these are balanced.
+            self.table = (messages.ShardOwner("", 0, 0),) * self.recalled_count
+
+    def get_known_count(self) -> int:
+        """Return the number of shards, as far as this process knows it."""
+        if not self.table and not self.is_alone:
+            return max(1, self.recalled_count)
+        return max(1, len(self.table))
 
     def decide(self, own: messages.Presence, work: Work) -> None:
         """Divide the endpoints, and replace owners that are lost."""
--- a/packages/core/tests/fleet/test_sharding.py
+++ b/packages/core/tests/fleet/test_sharding.py
@@ -324,6 +324,29 @@
         self.assertEqual(len(self.deployment.get_lead().sharding.table), 6)
         self.assert_each_shard_has_one_owner()
 
+    def test_core_vms_that_start_later_leave_the_division_as_it_was(self) -> None:
+        late = {}
+        for name in list(self.deployment.processes):
+            self.deployment.start(name, name.startswith("c"))
+            self.deployment.processes[name].sharding.recalled_count = 6
+            if name in ("c3", "c4", "c5"):
+                late[name] = self.deployment.processes[name]
+                late[name].is_up = False
+        self.deployment.advance(1_500)
+        self.assertEqual(len(self.deployment.get_lead().sharding.table), 6)
+        for process in late.values():
+            process.is_up = True
+        table = self.deployment.get_lead().sharding.table
+        self.deployment.advance(4_000)
+        self.assertEqual(len(self.deployment.get_lead().sharding.table), 6)
+        self.assertEqual(self.deployment.get_lead().sharding.table, table)
+
+    def test_count_is_known_while_no_lead_names_a_division(self) -> None:
+        process = self.deployment.processes["c3"]
+        process.sharding.recalled_count = 6
+        process.sharding.table = ()
+        self.assertEqual(process.sharding.get_known_count(), 6)
+
     def test_lead_of_a_running_deployment_recalls_no_division(self) -> None:
         work = dataclasses.replace(WORK, endpoint_count=24)
         deployment = Deployment(6, 3, work)
@@ -468,6 +491,19 @@
             [len(names) for names in self.deployment.get_owned().values()], [1] * 4
         )
 
+    def test_shard_that_moved_long_ago_moves_again_to_another_core_vm(self) -> None:
+        former = self.table[1].name
+        self.overload(former)
+        self.deployment.advance(relief.OVERLOAD_MS + 500)
+        self.deployment.processes[former].is_overloaded = False
+        self.deployment.advance(relief.MEMORY_MS)
+        second = self.deployment.get_lead().sharding.table[1].name
+        self.overload(second)
+        self.deployment.advance(relief.OVERLOAD_MS + 500)
+        after = self.deployment.get_lead().sharding.table
+        self.assertEqual(len(after), 2)
+        self.assertNotEqual(after[1].name, second)
+
     def test_owners_that_are_all_overloaded_are_divided(self) -> None:
         for owner in self.table:
             self.overload(owner.name)
--- a/packages/ctl/src/knapweedbeam_ctl/commands/config_check.py
+++ b/packages/ctl/src/knapweedbeam_ctl/commands/config_check.py
@@ -4,6 +4,7 @@
 
 import importlib.metadata
 import pathlib
+import re
 import typing
 
 import msgspec
@@ -82,8 +83,9 @@
             continue
         bundle = parse_bundle(body)
         if isinstance(bundle, tuple):
+            which = "bundle" if body is new else "bundle to compare with"
             return [
-                review.Finding(review.Kind.ERROR, error.field or "bundle", error.detail)
+                review.Finding(review.Kind.ERROR, error.field or which, error.detail)
                 for error in bundle
             ]
         bundles.append(bundle)
@@ -111,9 +113,9 @@
 def find_line(body: bytes, place: str) -> int:
     """Return the line on which an entry is named first, 0 if there is none."""
     name = place.partition(" ")[2]
-    quoted = msgspec.json.encode(name)
-    position = body.find(quoted) if name else -1
-    return body.count(b"\n", 0, position) + 1 if position >= 0 else 0
+    quoted = re.escape(msgspec.json.encode(name))
+    found = re.search(rb'"name"\s*:\s*' + quoted, body) if name else None
+    return body.count(b"\n", 0, found.start()) + 1 if found else 0
 
 
 def print_findings(
--- a/packages/server/src/knapweedbeam_server/fleet/endpoint_memory.py
+++ b/packages/server/src/knapweedbeam_server/fleet/endpoint_memory.py
@@ -18,13 +18,14 @@
 from knapweedbeam_core import clock
 from knapweedbeam_core.fleet import sharding
 from knapweedbeam_core.pool import messages, shards
-from knapweedbeam_server.logs import catalogue, emit
+from knapweedbeam_server.logs import catalogue, emit, faults
 from knapweedbeam_wire.store import endpoint_file
 
 SAVE_INTERVAL_S = 2.0
 # The file is written this often if nothing changed, so that its age is known.
 REFRESH_MS = 20_000
 # After a longer pause most endpoints have announced themselves elsewhere or are gone.
+# Those that do not answer are forgotten as after any silence.
 MAX_AGE_MS = 60_000
 
 
@@ -64,7 +65,8 @@
         )
         if age_ms > MAX_AGE_MS:
             return
-        self.host.sharding.recalled_count = known.shard_count
+        if known.endpoints_per_shard == self.host.sharding.endpoints_per_shard:
+            self.host.sharding.recalled_count = known.shard_count
         for news in known.endpoints:
             older = dataclasses.replace(news, age_ms=news.age_ms + age_ms)
             self.host.run(self.host.shards.on_announcement(older))
@@ -73,7 +75,16 @@
         """Write the file whenever the endpoints or their division have changed."""
         while True:
             gevent.sleep(SAVE_INTERVAL_S)
-            self.save()
+            try:
+                self.save()
+            except Exception as error:
+                # Nothing relies on the file, so this ends no process.
+                emit.emit(
+                    catalogue.DECISION_FAILED,
+                    step="save",
+                    subject="known endpoints",
+                    error=faults.describe(error),
+                )
 
     def save(self) -> None:
         """Write the file if it is due; a full or broken disk is tried again."""
@@ -82,13 +93,16 @@
             dataclasses.replace(news, sequence=0, clock_ms=0, age_ms=0)
             for news in announced
         )
-        count = max(1, len(self.host.sharding.table))
+        count = self.host.sharding.get_known_count()
         now_ms = self.host.clock.now_ms()
         is_same = (seen, count) == (self.saved, self.saved_count)
         if not seen or (is_same and now_ms - self.saved_ms < REFRESH_MS):
             return
         known = endpoint_file.KnownEndpoints(
-            self.host.clock.wall_ms(), count, tuple(announced)
+            self.host.clock.wall_ms(),
+            count,
+            self.host.sharding.endpoints_per_shard,
+            tuple(announced),
         )
         pool = gevent.get_hub().threadpool
         if pool.apply(endpoint_file.write, (self.folder, known)):
--- a/packages/server/tests/fleet/test_endpoint_memory.py
+++ b/packages/server/tests/fleet/test_endpoint_memory.py
@@ -31,9 +31,13 @@
 
 class Sharding:
     def __init__(self) -> None:
-        self.table: tuple[object, ...] = ()
+        self.count = 1
+        self.endpoints_per_shard = 60
         self.recalled_count = 0
 
+    def get_known_count(self) -> int:
+        return self.count
+
 
 class Host:
     def __init__(self, timer: clock.Clock) -> None:
@@ -59,7 +63,7 @@
 
     def save(self) -> None:
         self.host.shards.on_announcement(NEWS)
-        self.host.sharding.table = (None, None)
+        self.host.sharding.count = 2
         self.memory.save()
 
     def test_endpoints_and_shards_are_known_after_a_restart(self) -> None:
@@ -83,6 +87,14 @@
         (known,) = host.shards.list_announcements()
         self.assertEqual(known.state, leaving)
 
+    def test_division_of_another_setting_is_not_recalled(self) -> None:
+        self.save()
+        host, memory = self.start()
+        host.sharding.endpoints_per_shard = 30
+        memory.recall()
+        self.assertEqual(host.sharding.recalled_count, 0)
+        self.assertEqual(host.shards.count_endpoints(), 1)
+
     def test_old_file_is_not_used(self) -> None:
         self.save()
         self.clock.advance(endpoint_memory.MAX_AGE_MS + 1)
--- a/packages/wire/src/knapweedbeam_wire/store/endpoint_file.py
+++ b/packages/wire/src/knapweedbeam_wire/store/endpoint_file.py
@@ -21,11 +21,13 @@
 class KnownEndpoints(msgspec.Struct, frozen=True, array_like=True):
     """The newest announcements, their ages and the number of shards at `saved_ms`.
 
-    `saved_ms` is in Unix milliseconds.
+    `saved_ms` is in Unix milliseconds. `endpoints_per_shard` is the setting that the
+    division followed.
     """
 
     saved_ms: int
     shard_count: int
+    endpoints_per_shard: int
     endpoints: tuple[messages.EndpointNews, ...]
 
 
--- a/packages/wire/tests/store/test_endpoint_file.py
+++ b/packages/wire/tests/store/test_endpoint_file.py
@@ -23,7 +23,7 @@
     age_ms=300,
     rack="r1-3",
 )
-KNOWN = endpoint_file.KnownEndpoints(1_700_000_000_000, 2, (NEWS,))
+KNOWN = endpoint_file.KnownEndpoints(1_700_000_000_000, 2, 60, (NEWS,))
 
 
 class EndpointFileTest(unittest.TestCase):
