--- a/packages/core/src/knapweedbeam_core/fleet/sharding.py
+++ b/packages/core/src/knapweedbeam_core/fleet/sharding.py
@@ -43,6 +43,9 @@
 MAX_PAUSE_WAIT_MS = 2_000
 # The number of shards follows the number of endpoints in steps of at least this factor.
 GROWTH_STEP = 1.5
+# Endpoints that restart under new ids count twice for some seconds, so a division stays
+# until each shard has this many times its endpoints.
+REGROWTH_FACTOR = 1.25
 # Owners that have more than others give shards to them after this time, but not to a
 # process that just started: it may not know all endpoints yet, and lets jobs of other
 # dispatchers wait. See `Takeover.holds_all_endpoints`.
@@ -273,7 +276,9 @@
         work = dataclasses.replace(work, has_stored_jobs=self.has_had_stored_jobs)
         # A core VM that is away for a moment gets its shard when it is back.
         owner_count = len(self.members.get_core_names() | set(candidates))
-        wanted = count_shards(work, owner_count, self.endpoints_per_shard)
+        factor = REGROWTH_FACTOR if size > 1 else 1
+        shard_size = int(factor * self.endpoints_per_shard)
+        wanted = count_shards(work, owner_count, shard_size)
         wanted = max(wanted, self.count_shards_for_load(work, owner_count))
         is_due = wanted >= GROWTH_STEP * size or (wanted == 1 < size and self.is_alone)
         if not is_due:
--- a/packages/core/tests/fleet/test_sharding.py
+++ b/packages/core/tests/fleet/test_sharding.py
@@ -504,6 +504,19 @@
         self.assertEqual(len(after), 2)
         self.assertNotEqual(after[1].name, second)
 
+    def test_some_endpoints_more_leave_a_division_as_it_is(self) -> None:
+        """176 endpoints in two shards were divided again when 4 restarted."""
+        self.deployment.work = dataclasses.replace(
+            self.deployment.work, endpoint_count=190
+        )
+        self.deployment.advance(5_000)
+        self.assertEqual(self.deployment.get_lead().sharding.table, self.table)
+        self.deployment.work = dataclasses.replace(
+            self.deployment.work, endpoint_count=360
+        )
+        self.deployment.advance(5_000)
+        self.assertEqual(len(self.deployment.get_lead().sharding.table), 4)
+
     def test_owners_that_are_all_overloaded_are_divided(self) -> None:
         for owner in self.table:
             self.overload(owner.name)
