--- a/review/stand_ins_3/world.py
+++ b/review/stand_ins_3/world.py
@@ -423,6 +423,8 @@
             await world.close()
         return 1 if events.broken else 0
 
+    # Ends the processes of the run also when it is ended from outside.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     code = asyncio.run(play())
     events.add(f"trouble {int(has_trouble)}, exit {code}")
     print(f"exit {code}", *events.broken[:3], sep="\n  ")
