--- a/review/stand_ins_3/world.py
+++ b/review/stand_ins_3/world.py
@@ -419,6 +419,9 @@
         except (CannotRunError, TimeoutError) as error:
             events.add(f"the case could not run: {error or 'too slow'}")
             return 2
+        except Exception as error:
+            events.add(f"the case has a fault: {error!r}")
+            return 2
         finally:
             await world.close()
         return 1 if events.broken else 0
