--- a/bench/pool/simulation.py
+++ b/bench/pool/simulation.py
@@ -314,6 +314,17 @@
     def end_process(self) -> None:
         """Drop all attempts, close all connections and refuse new ones."""
         self.crash()
+        self.refuse_connections()
+
+    def cut_off(self, is_refusing: bool) -> None:
+        """Cut off the endpoint, which runs on: calls are refused or left unanswered."""
+        self.polls.clear()
+        self.is_unresponsive = True
+        if is_refusing:
+            self.refuse_connections()
+
+    def refuse_connections(self) -> None:
+        """Close all connections and refuse new ones."""
         self.has_ended = True
         closing, self.open_calls = self.open_calls, []
         for close in closing:
--- a/bench/pool/stored_simulation.py
+++ b/bench/pool/stored_simulation.py
@@ -110,8 +110,8 @@
     ) -> None:
         """Commit a crash under a task to the log."""
         if by.name not in self.cut_from_log:
-            crash = messages.TaskCrash(request.task, request.number, request.is_early)
-            self.commit(commands.RecordCrashes((crash,), request.is_retracted))
+            command = commands.RecordCrashes((request.crash,), request.is_retracted)
+            self.commit(command)
 
     def record_start(
         self, endpoint: simulation.FakeEndpoint, call: calls.Start
--- a/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
+++ b/packages/core/src/knapweedbeam_core/pool/attempt_tracker.py
@@ -409,7 +409,7 @@
             )
             granted_ms = answer.reading.clock_ms + self.owner.bounds.lease_ms
             endpoint.lease_until_ms = max(endpoint.lease_until_ms, granted_ms)
-            produced += self.owner.crash_handler.retract(endpoint)
+        produced += self.owner.crash_handler.on_answer(endpoint, answer)
         endpoint.is_held = True
         endpoint.failed_polls = 0
         endpoint.contact.record_answer()
@@ -646,11 +646,11 @@
                 cause = crashes.LossCause.CRASHED
             return self.owner.lose_endpoint(endpoint, "lease has run out", cause)
         if not endpoint.attempts and now_ms - endpoint.announced_ms > FORGET_MS:
-            confirmed = self.owner.crash_handler.confirm(
+            counted = self.owner.crash_handler.on_silent(
                 endpoint.announcement.endpoint, endpoint.announcement.born_ms
             )
             cause = crashes.LossCause.UNEXPLAINED
-            return confirmed + self.owner.remove_endpoint(endpoint, "silent", cause)
+            return counted + self.owner.remove_endpoint(endpoint, "silent", cause)
         return []
 
     def stop_unclaimed(self, endpoint: endpoints.Endpoint) -> dispatcher.Effects:
--- a/packages/core/src/knapweedbeam_core/pool/calls.py
+++ b/packages/core/src/knapweedbeam_core/pool/calls.py
@@ -5,7 +5,7 @@
 import dataclasses
 import enum
 
-from knapweedbeam_core.pool import clocks
+from knapweedbeam_core.pool import clocks, messages
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -187,14 +187,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RecordCrash:
-    """Record in the log that an endpoint crashed under a stored job's task.
+    """Record in the log that an endpoint crashed, or may have, under a stored task.
 
     Or that it did not, as `is_retracted` tells, but answers again.
     """
 
-    task: str
-    number: int
-    is_early: bool
+    crash: messages.TaskCrash
     is_retracted: bool = False
 
 
--- a/packages/core/src/knapweedbeam_core/pool/crash_handler.py
+++ b/packages/core/src/knapweedbeam_core/pool/crash_handler.py
@@ -3,15 +3,30 @@
 from __future__ import annotations
 
 import collections.abc
+import dataclasses
 import typing
 
 from knapweedbeam_core import effects, reasons
-from knapweedbeam_core.pool import crashes, endpoints, jobs, log_events, messages
+from knapweedbeam_core.pool import (
+    calls,
+    crashes,
+    endpoints,
+    jobs,
+    log_events,
+    messages,
+)
 
 if typing.TYPE_CHECKING:
     from knapweedbeam_core.pool import dispatcher
 
 
+# How long a loss that nothing explains holds a task of a stored job back. An endpoint
+# that crashed under the task is back sooner.
+EXPLANATION_MS = 10_000
+# Afterwards a replacement of the endpoint still proves a crash for this long.
+MEMORY_MS = 600_000
+
+
 def may_have_run(endpoint: endpoints.Endpoint, attempt: endpoints.Attempt) -> bool:
     """Return whether an attempt may have run before contact with its endpoint ended."""
     ended_ms = endpoint.contact.failed_ms
@@ -40,9 +55,9 @@
     ) -> dispatcher.Effects:
         """Handle the loss of an endpoint with the attempts that may have run there.
 
-        A partition that resets and refuses connections looks like a crash. It counts as
-        one until the endpoint answers again, unless that would end a stored job, which
-        cannot be taken back: its task is held back until it is known what happened.
+        A partition that resets and refuses connections looks like a crash. For a
+        best-effort job it counts as one until the endpoint answers again. A stored job
+        does not end by it: its task is held back until it is known what happened.
         """
         announcement = endpoint.announcement
         losses = tuple(
@@ -58,26 +73,58 @@
             return []
         if cause == crashes.LossCause.CRASHED:
             return self.count(losses, announcement.endpoint)
+        now_ms = self.owner.clock.now_ms()
         self.unexplained.add(
-            announcement.endpoint, announcement.born_ms, announcement.address, losses
+            announcement.endpoint,
+            announcement.born_ms,
+            crashes.LostIncarnation(announcement.address, losses, now_ms),
         )
-        is_refusing = cause == crashes.LossCause.REFUSING
         produced: dispatcher.Effects = []
         for loss in losses:
             task = self.find_task(loss)
             if task is None:
                 continue
-            if is_refusing and not self.would_end_stored_job(task, loss):
+            if cause != crashes.LossCause.REFUSING:
+                task.history.unexplained[loss.number] = loss.is_early
+            elif task.job.is_stored:
+                produced += self.suspect(task, loss, announcement)
+            else:
                 produced += self.count([loss], announcement.endpoint)
-                continue
-            task.history.unexplained[loss.number] = loss.is_early
-            task.history.is_suspect |= is_refusing
         return produced
 
-    def would_end_stored_job(self, task: jobs.Task, loss: crashes.Loss) -> bool:
-        """Return whether one more crash puts the task of a stored job at fault."""
-        counted = task.history.crashes | {loss.number: loss.is_early}
-        return task.job.is_stored and crashes.is_at_fault(counted, task.job.is_lasting)
+    def suspect(
+        self, task: jobs.Task, loss: crashes.Loss, lost: messages.EndpointNews
+    ) -> dispatcher.Effects:
+        """Record a probable crash under a stored job's task, for its successors too."""
+        task.history.suspect(loss.number, loss.is_early)
+        crash = messages.TaskCrash(
+            task.name,
+            loss.number,
+            loss.is_early,
+            lost.endpoint,
+            lost.born_ms,
+            lost.address,
+        )
+        return [
+            self.build_event(task, loss, lost.endpoint),
+            *self.owner.stored_scheduler.record_crash(crash),
+        ]
+
+    def restore(self, task: jobs.Task, crash: messages.TaskCrash) -> dispatcher.Effects:
+        """Handle a probable crash that another dispatcher recorded in the log."""
+        if task.history.is_certain(crash.number) or task.state == jobs.TaskState.DONE:
+            return []
+        loss = crashes.Loss(task.job.key, task.name, crash.number, crash.is_early)
+        now_ms = self.owner.clock.now_ms()
+        lost = crashes.LostIncarnation(crash.address, (loss,), now_ms)
+        if not self.unexplained.add(crash.endpoint, crash.born_ms, lost):
+            return []
+        task.history.suspect(crash.number, crash.is_early)
+        return [
+            effect
+            for endpoint in self.owner.endpoints.values()
+            for effect in self.confirm_replaced(endpoint.announcement)
+        ]
 
     def build_loss(
         self, endpoint: endpoints.Endpoint, attempt: endpoints.Attempt, task: jobs.Task
@@ -99,14 +146,58 @@
     def confirm_replaced(
         self, announcement: messages.EndpointNews
     ) -> dispatcher.Effects:
-        """Count the losses of endpoints whose address another one has now."""
+        """Count the losses of incarnations that an endpoint has replaced."""
         produced: dispatcher.Effects = []
         for endpoint, born_ms in self.unexplained.find_replaced(
-            announcement.endpoint, announcement.address
+            announcement.endpoint, announcement.born_ms, announcement.address
         ):
             produced += self.confirm(endpoint, born_ms)
         return produced
 
+    def on_silent(self, endpoint: str, born_ms: int) -> dispatcher.Effects:
+        """Count the losses of an endpoint without a sign of life for long.
+
+        It may be cut off, so those of stored jobs still wait for an explanation.
+        """
+        lost = self.unexplained.incarnations.pop((endpoint, born_ms), None)
+        if lost is None:
+            return []
+        stored = tuple(loss for loss in lost.losses if self.is_stored(loss))
+        self.unexplained.add(
+            endpoint, born_ms, dataclasses.replace(lost, losses=stored)
+        )
+        return self.count(
+            [loss for loss in lost.losses if loss not in stored], endpoint
+        )
+
+    def is_stored(self, loss: crashes.Loss) -> bool:
+        """Return whether a loss concerns a task of a stored job that is open."""
+        task = self.find_task(loss)
+        return task is not None and task.job.is_stored
+
+    def on_answer(
+        self, endpoint: endpoints.Endpoint, answer: calls.HoldResult
+    ) -> dispatcher.Effects:
+        """Retract the losses of an incarnation that answers a call sent after them."""
+        if not self.unexplained.incarnations:
+            return []
+        announcement = endpoint.announcement
+        key = (announcement.endpoint, announcement.born_ms)
+        lost = self.unexplained.incarnations.get(key)
+        if lost is None or answer.reading.sent_ms < lost.lost_ms:
+            return []
+        return self.retract(endpoint)
+
+    def tick(self, now_ms: int) -> None:
+        """Let tasks of stored jobs start again if nothing explains their losses."""
+        for key in self.unexplained.list_older(now_ms - EXPLANATION_MS):
+            for loss in self.unexplained.incarnations[key].losses:
+                task = self.find_task(loss)
+                if task is not None and task.job.is_stored:
+                    task.history.waived.add(loss.number)
+        for endpoint, born_ms in self.unexplained.list_older(now_ms - MEMORY_MS):
+            self.unexplained.take(endpoint, born_ms)
+
     def retract(self, endpoint: endpoints.Endpoint) -> dispatcher.Effects:
         """Forget the losses of an incarnation that answers again or signed off."""
         announcement = endpoint.announcement
@@ -115,11 +206,10 @@
             task = self.find_task(loss)
             if task is None:
                 continue
-            task.history.unexplained.pop(loss.number, None)
-            is_early = task.history.crashes.pop(loss.number, None)
-            task.history.is_suspect = bool(task.history.crashes)
-            if is_early is not None and task.job.is_stored:
-                crash = messages.TaskCrash(task.name, loss.number, is_early)
+            was_counted = loss.number in task.history.crashes
+            task.history.forget(loss.number)
+            if was_counted and task.job.is_stored:
+                crash = messages.TaskCrash(task.name, loss.number, loss.is_early)
                 produced += self.owner.stored_scheduler.record_crash(crash, True)
         return produced
 
@@ -140,7 +230,7 @@
             task.history.unexplained.pop(loss.number, None)
             if task.job.is_lasting and not loss.is_early:
                 continue
-            if loss.number not in task.history.crashes:
+            if not task.history.is_certain(loss.number):
                 produced += self.count_crash(task, loss, endpoint)
         return produced
 
@@ -152,18 +242,9 @@
         The entry VM keeps the count of a best-effort job for the next dispatcher, the
         log that of a stored job, which it also ends.
         """
-        task.history.crashes[loss.number] = loss.is_early
-        task.history.is_suspect = True
+        task.history.count(loss.number, loss.is_early)
         crash = messages.TaskCrash(task.name, loss.number, loss.is_early)
-        produced: dispatcher.Effects = [
-            log_events.TaskSuspected(
-                task.name,
-                loss.number,
-                endpoint,
-                loss.is_early,
-                len(task.history.crashes),
-            )
-        ]
+        produced: dispatcher.Effects = [self.build_event(task, loss, endpoint)]
         if task.job.is_stored:
             return produced + self.owner.stored_scheduler.record_crash(crash)
         if task.job.entry:
@@ -171,6 +252,19 @@
             produced.append(effects.Send(task.job.entry, crashed))
         return produced + self.fail_if_at_fault(task.job)
 
+    def build_event(
+        self, task: jobs.Task, loss: crashes.Loss, endpoint: str
+    ) -> log_events.TaskSuspected:
+        """Return the log event for a crash, or a probable one, under a task."""
+        return log_events.TaskSuspected(
+            task.name,
+            loss.number,
+            endpoint,
+            loss.is_early,
+            len(task.history.crashes),
+            task.history.is_certain(loss.number),
+        )
+
     def fail_if_at_fault(self, job: jobs.Job) -> dispatcher.Effects:
         """End a best-effort job if one of its tasks is at fault."""
         if not job.has_task_at_fault or self.owner.jobs.get(job.key) is not job:
--- a/packages/core/src/knapweedbeam_core/pool/crashes.py
+++ b/packages/core/src/knapweedbeam_core/pool/crashes.py
@@ -51,17 +51,52 @@
     Both are attempt numbers, with whether contact was lost early in the attempt's run:
     `crashes` of endpoints that crashed, `unexplained` of endpoints that may be cut off.
     A suspect was on an endpoint that most probably crashed.
+
+    `suspected` are the numbers among `crashes` of a stored job's task whose endpoint
+    may be cut off instead, `waived` those of losses that nothing explained in time.
     """
 
     crashes: dict[int, bool] = dataclasses.field(default_factory=dict)
     unexplained: dict[int, bool] = dataclasses.field(default_factory=dict)
     is_suspect: bool = False
+    suspected: set[int] = dataclasses.field(default_factory=set)
+    waived: set[int] = dataclasses.field(default_factory=set)
 
     def may_start(self, is_lasting: bool) -> bool:
-        """Return whether the task is not at fault, whatever explains its losses."""
+        """Return whether the task is not at fault, whatever explains its losses.
+
+        Waived losses do not hold it back.
+        """
         if not self.crashes and not self.unexplained:
             return True
-        return not is_at_fault(self.crashes | self.unexplained, is_lasting)
+        lost = self.crashes | self.unexplained
+        counted = {number: lost[number] for number in lost.keys() - self.waived}
+        return not is_at_fault(counted, is_lasting)
+
+    def count(self, number: int, is_early: bool) -> None:
+        """Count a crash that is certain."""
+        self.forget(number)
+        self.crashes[number] = is_early
+        self.is_suspect = True
+
+    def suspect(self, number: int, is_early: bool) -> None:
+        """Count a crash, unless it is certain, that may turn out to be a cut."""
+        if number not in self.crashes:
+            self.crashes[number] = is_early
+            self.suspected.add(number)
+        self.is_suspect = True
+
+    def forget(self, number: int) -> None:
+        """Forget the loss of an attempt."""
+        self.crashes.pop(number, None)
+        self.unexplained.pop(number, None)
+        self.suspected.discard(number)
+        self.waived.discard(number)
+        self.is_suspect = bool(self.crashes)
+
+    def is_certain(self, number: int) -> bool:
+        """Return whether an attempt's endpoint has certainly crashed."""
+        return number in self.crashes and number not in self.suspected
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,10 +111,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LostIncarnation:
-    """An endpoint whose loss is unexplained, with the attempts on it."""
+    """An endpoint whose loss at `lost_ms` is unexplained, with the attempts on it."""
 
     address: str
     losses: tuple[Loss, ...]
+    lost_ms: int
 
 
 class UnexplainedLosses:
@@ -89,28 +125,37 @@
         self.incarnations: dict[tuple[str, int], LostIncarnation] = {}
 
     def add(
-        self, endpoint: str, born_ms: int, address: str, losses: tuple[Loss, ...]
-    ) -> None:
-        """Add the attempts that were lost with an endpoint's incarnation."""
-        if not losses:
-            return
+        self, endpoint: str, born_ms: int, lost: LostIncarnation
+    ) -> tuple[Loss, ...]:
+        """Add the attempts that were lost with an incarnation; return the new ones."""
         key = (endpoint, born_ms)
         known = self.incarnations.get(key)
-        if known is not None:
-            losses = (*known.losses, *losses)
-        self.incarnations[key] = LostIncarnation(address, losses)
+        before = known.losses if known is not None else ()
+        added = tuple(loss for loss in lost.losses if loss not in before)
+        if added:
+            self.incarnations[key] = dataclasses.replace(lost, losses=(*before, *added))
+        return added
 
     def take(self, endpoint: str, born_ms: int) -> tuple[Loss, ...]:
         """Remove and return the losses of one incarnation, whose fate is known now."""
         found = self.incarnations.pop((endpoint, born_ms), None)
         return found.losses if found is not None else ()
 
-    def find_replaced(self, endpoint: str, address: str) -> list[tuple[str, int]]:
-        """Return the incarnations whose address another endpoint has now."""
+    def find_replaced(
+        self, endpoint: str, born_ms: int, address: str
+    ) -> list[tuple[str, int]]:
+        """Return the incarnations that an endpoint replaces by its id or address."""
+        return [
+            (name, former_ms)
+            for (name, former_ms), lost in self.incarnations.items()
+            if (name == endpoint and former_ms < born_ms)
+            or (name != endpoint and lost.address == address)
+        ]
+
+    def list_older(self, lost_ms: int) -> list[tuple[str, int]]:
+        """Return the incarnations that were lost at a time or before."""
         return [
-            key
-            for key, lost in self.incarnations.items()
-            if lost.address == address and key[0] != endpoint
+            key for key, lost in self.incarnations.items() if lost.lost_ms <= lost_ms
         ]
 
     def clear(self) -> None:
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -584,6 +584,7 @@
             return self.stored_scheduler.resend_crashes(now_ms)
         produced = self.confirmations.tick()
         produced += self.tracker.tick(now_ms) + self.stored_scheduler.tick(now_ms)
+        self.crash_handler.tick(now_ms)
         for job in list(self.jobs.values()):
             if job.orphaned_ms and now_ms - job.orphaned_ms > ORPHAN_GRACE_MS:
                 produced += self.end_job(job, None)
--- a/packages/core/src/knapweedbeam_core/pool/log_events.py
+++ b/packages/core/src/knapweedbeam_core/pool/log_events.py
@@ -182,7 +182,8 @@
 class TaskSuspected:
     """An endpoint crashed under an attempt of a task, for the `crashes`-th time.
 
-    `early` tells whether it did soon after the attempt's start.
+    `early` tells whether it did soon after the attempt's start, `certain` is false if
+    it may be cut off instead.
     """
 
     task: str
@@ -190,6 +191,7 @@
     endpoint: str
     early: bool
     crashes: int
+    certain: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/knapweedbeam_core/pool/messages.py
+++ b/packages/core/src/knapweedbeam_core/pool/messages.py
@@ -98,12 +98,22 @@
 class TaskCrash:
     """An endpoint crashed under an attempt of a task.
 
-    `is_early` tells whether it did soon after the attempt's start.
+    `is_early` tells whether it did soon after the attempt's start. If the endpoint may
+    have been cut off instead, `endpoint`, `born_ms` and `address` name its incarnation,
+    whose next sign of life or replacement tells. They are empty if it has crashed.
     """
 
     task: str
     number: int
     is_early: bool
+    endpoint: str = ""
+    born_ms: int = 0
+    address: str = ""
+
+    @property
+    def is_certain(self) -> bool:
+        """Return whether the endpoint has certainly crashed."""
+        return not self.endpoint
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/knapweedbeam_core/pool/stored_scheduler.py
+++ b/packages/core/src/knapweedbeam_core/pool/stored_scheduler.py
@@ -249,7 +249,21 @@
         if not job.tasks_left:
             return []
         self.owner.add_job(job)
-        return self.owner.tracker.adopt_attempts(job)
+        return [
+            *self.owner.tracker.adopt_attempts(job),
+            *self.restore_suspicions(job, entry),
+        ]
+
+    def restore_suspicions(
+        self, job: jobs.Job, entry: ledger.Entry
+    ) -> dispatcher.Effects:
+        """Take over the probable crashes that a job's former dispatchers recorded."""
+        produced: dispatcher.Effects = []
+        for crash in entry.list_suspicions():
+            task = job.find_task(crash.task)
+            if task is not None:
+                produced += self.owner.crash_handler.restore(task, crash)
+        return produced
 
     def build_job(
         self,
@@ -292,8 +306,8 @@
                 failure_key = name.gang if task.spec.is_gang else name.task
                 for number in entry.failures.get(failure_key, ()):
                     job.record_failure(task, number, self.owner.clock.now_ms())
-                task.history.crashes.update(entry.crashes.get(name.task, {}))
-                task.history.is_suspect = bool(task.history.crashes)
+                for number, is_early in entry.get_certain_crashes(name.task).items():
+                    task.history.count(number, is_early)
 
     def close_job(self, job_id: str) -> dispatcher.Effects:
         """Stop a job that has ended in the ledger, with all of its occurrences."""
@@ -326,9 +340,7 @@
         self, crash: messages.TaskCrash, is_retracted: bool = False
     ) -> dispatcher.Effects:
         """Return an effect that records a crash under a stored task in the log."""
-        record = calls.RecordCrash(
-            crash.task, crash.number, crash.is_early, is_retracted
-        )
+        record = calls.RecordCrash(crash, is_retracted)
         self.unconfirmed_crashes[crash.task, crash.number] = record
         return [record]
 
@@ -341,28 +353,35 @@
         """Update the tasks that crashes concern, and close the jobs that these end."""
         produced: dispatcher.Effects = []
         for crash in counted:
-            self.update_history(crash, is_retracted)
             key = (crash.task, crash.number)
             record = self.unconfirmed_crashes.get(key)
-            if record is not None and record.is_retracted == is_retracted:
+            if record == calls.RecordCrash(crash, is_retracted):
                 del self.unconfirmed_crashes[key]
             job_id = jobs.get_job_id(crash.task)
             entry = local_ledger.entries.get(job_id)
             if entry is None or not entry.is_open:
                 produced += self.close_job(job_id)
+            elif key not in self.unconfirmed_crashes:
+                # What this dispatcher has yet to record is newer.
+                produced += self.update_history(crash, entry)
         return produced
 
-    def update_history(self, crash: messages.TaskCrash, is_retracted: bool) -> None:
-        """Add a crash to its task or remove it; another dispatcher may have seen it."""
+    def update_history(
+        self, crash: messages.TaskCrash, entry: ledger.Entry
+    ) -> dispatcher.Effects:
+        """Update a task by what the log holds of a crash that any dispatcher saw."""
         job = self.owner.jobs.get(jobs.get_key(crash.task))
         task = job.find_task(crash.task) if job is not None else None
-        if task is None or not task.job.is_stored:
-            return
-        if is_retracted:
-            task.history.crashes.pop(crash.number, None)
-        else:
-            task.history.crashes[crash.number] = crash.is_early
-        task.history.is_suspect = bool(task.history.crashes)
+        name = jobs.parse_task_name(crash.task)
+        if task is None or name is None or not task.job.is_stored:
+            return []
+        if crash.number not in entry.crashes.get(name.task, {}):
+            task.history.forget(crash.number)
+            return []
+        if crash.number in entry.get_certain_crashes(name.task):
+            task.history.count(crash.number, crash.is_early)
+            return []
+        return self.owner.crash_handler.restore(task, crash)
 
     # Ends that endpoints list.
 
--- a/packages/core/src/knapweedbeam_core/stored/ledger.py
+++ b/packages/core/src/knapweedbeam_core/stored/ledger.py
@@ -12,6 +12,8 @@
 
 # Callers may look up an ended job for two minutes; clocks may jump by some seconds.
 ENDED_RETENTION_MS = 180_000
+# Retractions kept for each task: a record that was delayed arrives within seconds.
+MAX_RETRACTED = 100
 
 
 class Entry(msgspec.Struct, array_like=True):
@@ -20,7 +22,8 @@
     `done` holds the names of completed tasks without the job's id. `failures` holds the
     numbers of the failed attempts of each task, or of each gang under the gang's name.
     `crashes` holds the numbers of each task's attempts under which an endpoint crashed,
-    with whether it did early in the attempt's run.
+    or may have, with whether it did early in the attempt's run. `suspicions` holds
+    those that may have been cuts, `retracted` the numbers of those that were.
     """
 
     queue: str
@@ -32,12 +35,29 @@
     failures: dict[str, list[int]] = msgspec.field(default_factory=dict)
     ended_ms: int = 0
     crashes: dict[str, dict[int, bool]] = msgspec.field(default_factory=dict)
+    suspicions: dict[str, dict[int, pool_messages.TaskCrash]] = msgspec.field(
+        default_factory=dict
+    )
+    retracted: dict[str, list[int]] = msgspec.field(default_factory=dict)
 
     @property
     def is_open(self) -> bool:
         """Return whether the job is queued or active."""
         return self.verdict in messages.OPEN_VERDICTS
 
+    def get_certain_crashes(self, task: str) -> dict[int, bool]:
+        """Return the crashes under a task that cannot have been cuts."""
+        suspected = self.suspicions.get(task, {})
+        return {
+            number: is_early
+            for number, is_early in self.crashes.get(task, {}).items()
+            if number not in suspected
+        }
+
+    def list_suspicions(self) -> list[pool_messages.TaskCrash]:
+        """Return the crashes under all tasks that may have been cuts."""
+        return [crash for task in self.suspicions.values() for crash in task.values()]
+
 
 class State(msgspec.Struct, array_like=True):
     """State of the ledger: the jobs and the registered dispatcher.
@@ -212,25 +232,43 @@
         return CrashesRecorded(counted, is_retracted)
 
     def retract_crash(self, crash: pool_messages.TaskCrash) -> None:
-        """Forget a crash under a task of an open job."""
+        """Forget a crash under a task of an open job, also when recorded again."""
         entry = self.entries.get(jobs.get_job_id(crash.task))
         name = jobs.parse_task_name(crash.task)
-        if entry is not None and name is not None:
-            entry.crashes.get(name.task, {}).pop(crash.number, None)
+        if entry is None or entry.job is None or name is None:
+            return
+        entry.crashes.get(name.task, {}).pop(crash.number, None)
+        entry.suspicions.get(name.task, {}).pop(crash.number, None)
+        retracted = entry.retracted.setdefault(name.task, [])
+        if crash.number not in retracted:
+            retracted.append(crash.number)
+            del retracted[:-MAX_RETRACTED]
 
     def record_crash(self, crash: pool_messages.TaskCrash, wall_ms: int) -> None:
-        """Record a crash under a task; end the job as failed if it is at fault."""
+        """Record a crash under a task; end the job as failed if it is at fault.
+
+        One that may have been a cut puts no task at fault.
+        """
         job_id = jobs.get_job_id(crash.task)
         entry = self.entries.get(job_id)
         name = jobs.parse_task_name(crash.task)
         if entry is None or entry.job is None or name is None:
             return
-        if name.task in entry.done:
+        if name.task in entry.done or crash.number in entry.retracted.get(
+            name.task, ()
+        ):
             return
         entry.verdict = messages.Verdict.ACTIVE
         counted = entry.crashes.setdefault(name.task, {})
-        counted[crash.number] = crash.is_early
-        if crashes.is_at_fault(counted, entry.job.is_lasting):
+        suspected = entry.suspicions.setdefault(name.task, {})
+        if crash.is_certain:
+            counted[crash.number] = crash.is_early
+            suspected.pop(crash.number, None)
+        elif crash.number not in counted:
+            counted[crash.number] = crash.is_early
+            suspected[crash.number] = crash
+        certain = entry.get_certain_crashes(name.task)
+        if crashes.is_at_fault(certain, entry.job.is_lasting):
             self.end_job(job_id, entry, messages.Verdict.FAILED, wall_ms)
 
     def record_done(
@@ -257,6 +295,8 @@
         entry.done = set()
         entry.failures = {}
         entry.crashes = {}
+        entry.suspicions = {}
+        entry.retracted = {}
         entry.ended_ms = wall_ms
         self.ended.append((wall_ms, job_id))
 
--- a/packages/core/tests/stored/test_stored_scheduler.py
+++ b/packages/core/tests/stored/test_stored_scheduler.py
@@ -545,6 +545,59 @@
         self.world.advance(6_000)
         self.assertEqual(self.world.get_state("j"), "complete")
 
+    def play_two_cuts(self, is_refusing: bool) -> list[simulation.FakeEndpoint]:
+        """Cut off the endpoints of a task's first two runs and return them."""
+        self.world.deadly_tasks.clear()
+        step = stored_simulation.build_step(1, estimate_ms=2_000)
+        self.world.store_job("j", (step,), work_ms=2_000)
+        cut_off = []
+        for starts in (1, 2):
+            while len(self.world.starts) < starts:
+                self.world.advance(20)
+            self.world.advance(400)
+            cut_off.append(self.world.endpoints[self.world.starts[-1][1]])
+            cut_off[-1].cut_off(is_refusing)
+        self.world.advance(2_000)
+        return cut_off
+
+    def test_two_cuts_of_any_length_do_not_end_a_job(self) -> None:
+        """Guards against cuts that count as crashes once they last for long."""
+        for is_refusing in (True, False):
+            with self.subTest(is_refusing=is_refusing):
+                self.setUp()
+                self.play_two_cuts(is_refusing)
+                self.world.advance(15_000)
+                self.assertEqual(self.world.get_state("j"), "complete")
+
+    def test_cuts_that_end_after_a_change_of_dispatcher_are_retracted(self) -> None:
+        """Guards against a suspicion that the next dispatcher cannot take back."""
+        cut_off = self.play_two_cuts(is_refusing=True)
+        entry = self.world.ledger.entries["j"]
+        self.assertEqual(entry.crashes, {"0.0.0": {1: True, 2: True}})
+        self.world.run(self.dispatcher, self.dispatcher.set_fence(0))
+        self.world.add_dispatcher("b", 11)
+        self.world.advance(1_000)
+        for endpoint in cut_off:
+            endpoint.is_unresponsive = endpoint.has_ended = False
+        self.world.advance(1_000)
+        self.assertEqual(entry.crashes, {"0.0.0": {}})
+        self.world.advance(10_000)
+        self.assertEqual(self.world.get_state("j"), "complete")
+
+    def test_endpoint_that_announces_itself_but_refuses_calls_holds_no_job_back(
+        self,
+    ) -> None:
+        """Guards against a task that waits for as long as a cut one way lasts."""
+        cut_off = self.play_two_cuts(is_refusing=True)
+        for _ in range(10):
+            self.world.advance(1_500)
+            for endpoint in cut_off:
+                announcement = endpoint.build_announcement()
+                self.world.run(
+                    self.dispatcher, self.dispatcher.on_announcement(announcement)
+                )
+        self.assertEqual(self.world.get_state("j"), "complete")
+
     def test_lasting_task_that_crashes_endpoints_after_some_time_is_given_up(
         self,
     ) -> None:
--- a/packages/server/src/knapweedbeam_server/fleet/stored_jobs.py
+++ b/packages/server/src/knapweedbeam_server/fleet/stored_jobs.py
@@ -11,7 +11,6 @@
 
 from knapweedbeam_core import clock, effects
 from knapweedbeam_core.pool import calls, jobs, shards
-from knapweedbeam_core.pool import messages as pool_messages
 from knapweedbeam_core.stored import client, ledger, messages, service
 from knapweedbeam_server.fleet import replicated_log
 from knapweedbeam_server.logs import catalogue, emit
@@ -221,8 +220,7 @@
         """Send a crash to the log's leader; the stored-job scheduler resends it."""
         leader = self.host.find_log_leader()
         if leader:
-            crash = pool_messages.TaskCrash(effect.task, effect.number, effect.is_early)
-            message = messages.NoteCrashes((crash,), effect.is_retracted)
+            message = messages.NoteCrashes((effect.crash,), effect.is_retracted)
             self.host.send(effects.Send(leader, message))
 
     # Time.
--- a/packages/server/src/knapweedbeam_server/logs/catalogue.py
+++ b/packages/server/src/knapweedbeam_server/logs/catalogue.py
@@ -657,10 +657,12 @@
     7059,
     "pool_task_suspected",
     Level.WARNING,
-    "endpoint {endpoint} crashed under attempt {number} of task {task}, early {early}: "
-    "crash {crashes} under this task",
+    "endpoint {endpoint} crashed under attempt {number} of task {task}, early {early}, "
+    "certain {certain}: crash {crashes} under this task",
     "The task is started apart from others. After two crashes early in its run, or "
-    "three in all, its job fails.",
+    "three in all, its job fails. An endpoint that closes and refuses connections may "
+    "be cut off: its crash is certain once it is replaced, and only then counts "
+    "against a stored job.",
 )
 POOL_TASKS_PLACED = Event(
     7054,
--- a/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
+++ b/packages/wire/src/knapweedbeam_wire/schema/pool.capnp
@@ -78,6 +78,9 @@
   task @0 :Text;
   number @1 :Int64;
   isEarly @2 :Bool;
+  endpoint @3 :Text;
+  bornMs @4 :Int64;
+  address @5 :Text;
 }
 
 struct TaskCrashed {
