--- a/bench/pool/simulation.py
+++ b/bench/pool/simulation.py
@@ -341,6 +341,7 @@
     `crashes` holds the endpoints that crashed, with the task to blame. If
     `is_crash_silent`, their hosts leave calls unanswered in place of refusing them.
     `reported_crashes` are those of which dispatchers told entry VMs, by job.
+    `suspended` holds the dispatchers that are suspended, with what waits for them.
     """
 
     def __init__(self, seed: int = 1) -> None:
@@ -371,6 +372,7 @@
         self.crashes: list[tuple[str, str]] = []
         self.is_crash_silent = False
         self.reported_crashes: dict[str, list[messages.TaskCrash]] = {}
+        self.suspended: dict[str, list[typing.Callable[[], None]]] = {}
 
     @property
     def now_ms(self) -> int:
@@ -394,6 +396,22 @@
         self.busy_until_ms = begin_ms + self.call_cost_ms
         self.schedule(math.ceil(self.busy_until_ms), action)
 
+    def suspend(self, name: str) -> None:
+        """Suspend a dispatcher: its timers and what arrives wait until it resumes."""
+        self.suspended[name] = []
+
+    def resume(self, name: str) -> None:
+        """Resume a dispatcher, which first handles what has waited."""
+        for action in self.suspended.pop(name):
+            action()
+
+    def deliver(self, by: Dispatching, action: typing.Callable[[], None]) -> None:
+        """Run a dispatcher's action, once it is not suspended."""
+        if by.name in self.suspended:
+            self.suspended[by.name].append(action)
+            return
+        action()
+
     def get_work_ms(self, task: str) -> int:
         """Return how long a task runs on an endpoint of speed 1."""
         return self.work_ms[task.partition(".")[0]]
@@ -569,6 +587,9 @@
 
     def place(self, by: Dispatching) -> None:
         """Let a dispatcher place tasks once all events of this moment are handled."""
+        if by.name in self.suspended:
+            self.deliver(by, lambda: self.place(by))
+            return
         self.pending_placements.discard(by.name)
         produced = by.place()
         if produced:
@@ -600,7 +621,8 @@
             reading = None
             if clock_ms is not None:
                 reading = clocks.Reading(clock_ms, sent_ms, self.now_ms)
-            self.run(by, on_answer(call, calls.Answer(verdict, reading)))
+            received = calls.Answer(verdict, reading)
+            self.deliver(by, lambda: self.run(by, on_answer(call, received)))
 
         def arrive() -> None:
             if self.is_refusing(by.name, endpoint):
@@ -687,7 +709,8 @@
             if isinstance(answer, calls.HoldResult):
                 reading = clocks.Reading(answer.reading.clock_ms, sent_ms, self.now_ms)
                 answer = dataclasses.replace(answer, reading=reading)
-            on_answer(answer)
+            received = answer
+            self.deliver(by, lambda: on_answer(received))
 
         def fail(verdict: calls.Verdict) -> None:
             if (by.name, endpoint.name) not in self.cut_links:
@@ -757,15 +780,16 @@
         for endpoint in self.endpoints.values():
             endpoint.expire()
         for each in self.dispatchers:
-            if each.name not in self.pending_ticks:
+            if each.name not in self.pending_ticks | self.suspended.keys():
                 self.pending_ticks.add(each.name)
                 self.occupy(functools.partial(self.tick_dispatcher, each))
 
     def exchange_lists(self) -> None:
         """Tell all dispatchers which endpoints each active one uses."""
-        for sender in self.dispatchers:
+        running = [each for each in self.dispatchers if each.name not in self.suspended]
+        for sender in running:
             learned = sender.list_speeds()
-            for other in self.dispatchers:
+            for other in running:
                 if learned.speeds and other is not sender:
                     other.on_speeds(sender.name, learned)
 
--- a/bench/pool/stored_simulation.py
+++ b/bench/pool/stored_simulation.py
@@ -13,6 +13,8 @@
 
 # Time of a disk sync and one round trip between VMs.
 COMMIT_MS = 12
+# How much longer a dispatcher that resumes takes to read the log than to go on.
+CATCH_UP_MS = 50
 
 
 class StoredSimulation(simulation.Simulation):
@@ -29,6 +31,21 @@
         self.done_in_log: set[str] = set()
         self.registration_due_ms: dict[str, int] = {}
         self.pending_changes: dict[str, list[ledger.Change]] = {}
+        self.catching_up: set[str] = set()
+
+    @property
+    def without_log(self) -> set[str]:
+        """Return the dispatchers that get no changes of the log now."""
+        return self.cut_from_log | self.catching_up | self.suspended.keys()
+
+    def resume(self, name: str) -> None:
+        """Resume a dispatcher, which gets a late heartbeat before it reads the log."""
+        self.catching_up.add(name)
+        self.schedule_after(CATCH_UP_MS, lambda: self.catching_up.discard(name))
+        for each in self.dispatchers:
+            if each.name == name:
+                each.stored_scheduler.record_log_contact()
+        super().resume(name)
 
     def commit(self, command: commands.Command) -> None:
         """Apply a command to the log once the commit time has passed."""
@@ -47,7 +64,7 @@
 
     def deliver_changes(self, by: dispatcher.Dispatcher) -> None:
         """Deliver the pending changes of the log to a dispatcher that can reach it."""
-        if by.name not in self.cut_from_log:
+        if by.name not in self.without_log:
             changes = self.pending_changes.pop(by.name, [])
             self.run(by, by.stored_scheduler.on_changes(changes, self.ledger))
 
@@ -146,7 +163,7 @@
         """Run what is due and deliver the changes of the log."""
         super().tick()
         for each in self.dispatchers:
-            if each.name in self.cut_from_log:
+            if each.name in self.without_log:
                 continue
             self.deliver_changes(each)
             each.stored_scheduler.has_stored_jobs = bool(self.ledger.entries)
--- a/packages/core/src/knapweedbeam_core/pool/dispatcher.py
+++ b/packages/core/src/knapweedbeam_core/pool/dispatcher.py
@@ -581,6 +581,7 @@
         self.task_starter.budget.tick(now_ms, self.waiting_clock.late_ms)
         self.ended.forget_old()
         if not self.fence:
+            self.stored_scheduler.succession.tick(now_ms)
             return self.stored_scheduler.resend_crashes(now_ms)
         produced = self.confirmations.tick()
         produced += self.tracker.tick(now_ms) + self.stored_scheduler.tick(now_ms)
--- a/packages/core/src/knapweedbeam_core/pool/stored_scheduler.py
+++ b/packages/core/src/knapweedbeam_core/pool/stored_scheduler.py
@@ -21,6 +21,7 @@
     log_events,
     messages,
     predecessors,
+    succession,
 )
 from knapweedbeam_core.stored import ledger
 from knapweedbeam_core.stored import messages as stored_messages
@@ -34,10 +35,6 @@
 # A dispatcher without contact to the log for this long may have been replaced and stops
 # its stored jobs. Electing a new leader of the log takes 1 to 2 s.
 LOG_CONTACT_TIMEOUT_MS = 3_000
-# How long a replaced dispatcher may run tasks on endpoints that its successor cannot
-# reach: the log's leader loses its lease (0.8 s), then `LOG_CONTACT_TIMEOUT_MS` passes
-# and the dispatcher stops, then its leases of 1 s expire.
-TAKEOVER_MS = 5_500
 # Interval at which ends that the log has not confirmed are sent again.
 RESEND_MS = 500
 # Callers of stored jobs do not wait, so these have no deadline.
@@ -52,9 +49,8 @@
 
     `term` is 0 until the log has committed the dispatcher's fencing token.
     `has_stored_jobs` is set while any process knows of stored jobs. `occurrences`
-    counts the occurrences of each scheduled job that were opened. `confirmed_ms` is
-    when the newest confirmed registration was requested, `lost_ms` when an endpoint
-    with stored tasks was last lost.
+    counts the occurrences of each scheduled job that were opened. `lost_ms` is when an
+    endpoint with stored tasks was last lost.
     """
 
     def __init__(self, owner: dispatcher.Dispatcher) -> None:
@@ -70,7 +66,7 @@
         # Crashes that the log has not confirmed, by task and attempt number.
         self.unconfirmed_crashes: dict[tuple[str, int], calls.RecordCrash] = {}
         self.log_contact_ms = 0
-        self.confirmed_ms = 0
+        self.succession = succession.Succession(owner.clock)
         self.lost_ms = 0
 
     def reset(self) -> None:
@@ -80,7 +76,7 @@
         """
         self.term = 0
         self.active_since_ms = 0
-        self.confirmed_ms = 0
+        self.succession.reset()
         self.lost_ms = 0
         self.unconfirmed_ends.clear()
         self.scheduled.clear()
@@ -119,7 +115,13 @@
     @property
     def needs_registration(self) -> bool:
         """Return whether to request registration, or a confirmation of it."""
-        return not self.term or self.confirmed_ms < self.lost_ms
+        is_unsure = self.succession.needs_confirmation
+        return not self.term or is_unsure or self.confirmed_ms < self.lost_ms
+
+    @property
+    def confirmed_ms(self) -> int:
+        """Return when the newest confirmed registration was requested."""
+        return self.succession.confirmed_ms
 
     def hold_back(self, task: jobs.Task) -> None:
         """Hold back a stored task that may have ended on a lost endpoint.
@@ -135,7 +137,9 @@
 
         A crash under it has to be in the log before its next start.
         """
-        return task.lost_ms <= self.confirmed_ms and not any(
+        if task.lost_ms > self.confirmed_ms or self.succession.may_be_replaced:
+            return False
+        return not any(
             (task.name, number) in self.unconfirmed_crashes
             for number in task.history.crashes
         )
@@ -152,7 +156,7 @@
             return []
         if fence > self.owner.fence:
             return self.abandon("replaced")
-        self.confirmed_ms = max(self.confirmed_ms, requested_ms)
+        self.succession.confirm(requested_ms)
         if self.term == term:
             return []
         self.term = term
@@ -162,21 +166,22 @@
             entry = local_ledger.entries.get(job.job_id)
             if entry is None or not entry.is_open:
                 produced += self.owner.end_job(job, None)
-        for job_id, entry in local_ledger.entries.items():
-            if entry.is_open:
-                produced += self.add(job_id, entry)
+        open_entries = {
+            job_id: entry
+            for job_id, entry in local_ledger.entries.items()
+            if entry.is_open
+        }
         if term > 1:
-            # An earlier dispatcher may run their tasks on unreachable endpoints.
-            former = (
-                self.owner.takeover.predecessors.list_fresh() or predecessors.UNKNOWN
-            )
-            for job in self.owner.jobs.values():
-                if job.is_stored:
-                    job.not_before_ms = self.active_since_ms + TAKEOVER_MS
-                    job.former = former
+            former = self.owner.takeover.predecessors.list_fresh()
+            self.succession.inherit(open_entries, former or predecessors.UNKNOWN)
+        for job in self.owner.jobs.values():
+            if job.is_stored:
+                self.succession.hold_back(job)
+        for job_id, entry in open_entries.items():
+            produced += self.add(job_id, entry)
         self.forget_unclaimed_ends()
-        count = sum(entry.is_open for entry in local_ledger.entries.values())
-        return [log_events.StoredDispatchStarted(fence, term, count), *produced]
+        started = log_events.StoredDispatchStarted(fence, term, len(open_entries))
+        return [started, *produced]
 
     def require_registration(self) -> None:
         """Request registration again, as a snapshot replaced changes of the log."""
@@ -248,6 +253,7 @@
         job = self.build_job(entry, stored_job, occurrence)
         if not job.tasks_left:
             return []
+        self.succession.hold_back(job)
         self.owner.add_job(job)
         return [
             *self.owner.tracker.adopt_attempts(job),
@@ -420,6 +426,7 @@
 
     def tick(self, now_ms: int) -> dispatcher.Effects:
         """Open due occurrences, resend ends, and stop without contact to the log."""
+        self.succession.tick(now_ms)
         if not self.active_since_ms:
             return self.resend_crashes(now_ms)
         if now_ms - self.log_contact_ms > LOG_CONTACT_TIMEOUT_MS:
