Count the wait for a probable cut from its first record in the log

Cause: the next dispatcher took the time of its own registration for that of the loss. The log now keeps when a suspicion was recorded. The new test of stored.test_stored_scheduler failed before.

--- a/packages/core/src/knapweedbeam_core/pool/crash_handler.py
+++ b/packages/core/src/knapweedbeam_core/pool/crash_handler.py
@@ -77,7 +77,7 @@
         self.unexplained.add(
             announcement.endpoint,
             announcement.born_ms,
-            crashes.LostIncarnation(announcement.address, losses, now_ms),
+            crashes.LostIncarnation(announcement.address, losses, now_ms, now_ms),
         )
         produced: dispatcher.Effects = []
         for loss in losses:
@@ -110,13 +110,20 @@
             *self.owner.stored_scheduler.record_crash(crash),
         ]
 
-    def restore(self, task: jobs.Task, crash: messages.TaskCrash) -> dispatcher.Effects:
-        """Handle a probable crash that another dispatcher recorded in the log."""
+    def restore(
+        self, task: jobs.Task, crash: messages.TaskCrash, age_ms: int
+    ) -> dispatcher.Effects:
+        """Handle a probable crash that was recorded in the log `age_ms` ago.
+
+        The task has waited for an explanation since then, whoever dispatched it.
+        """
         if task.history.is_certain(crash.number) or task.state == jobs.TaskState.DONE:
             return []
         loss = crashes.Loss(task.job.key, task.name, crash.number, crash.is_early)
         now_ms = self.owner.clock.now_ms()
-        lost = crashes.LostIncarnation(crash.address, (loss,), now_ms)
+        lost = crashes.LostIncarnation(
+            crash.address, (loss,), now_ms, now_ms - min(age_ms, EXPLANATION_MS)
+        )
         if not self.unexplained.add(crash.endpoint, crash.born_ms, lost):
             return []
         task.history.suspect(crash.number, crash.is_early)
@@ -190,13 +197,14 @@
 
     def tick(self, now_ms: int) -> None:
         """Let tasks of stored jobs start again if nothing explains their losses."""
-        for key in self.unexplained.list_older(now_ms - EXPLANATION_MS):
-            for loss in self.unexplained.incarnations[key].losses:
+        for lost in self.unexplained.incarnations.values():
+            if lost.waiting_since_ms > now_ms - EXPLANATION_MS:
+                continue
+            for loss in lost.losses:
                 task = self.find_task(loss)
                 if task is not None and task.job.is_stored:
                     task.history.waived.add(loss.number)
-        for endpoint, born_ms in self.unexplained.list_older(now_ms - MEMORY_MS):
-            self.unexplained.take(endpoint, born_ms)
+        self.unexplained.drop_older(now_ms - MEMORY_MS)
 
     def retract(self, endpoint: endpoints.Endpoint) -> dispatcher.Effects:
         """Forget the losses of an incarnation that answers again or signed off."""
--- a/packages/core/src/knapweedbeam_core/pool/crashes.py
+++ b/packages/core/src/knapweedbeam_core/pool/crashes.py
@@ -111,11 +111,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LostIncarnation:
-    """An endpoint whose loss at `lost_ms` is unexplained, with the attempts on it."""
+    """An endpoint whose loss is unexplained, with the attempts on it.
+
+    An answer to a call sent after `lost_ms` explains it. Its tasks wait for that since
+    `waiting_since_ms`, perhaps at another dispatcher before.
+    """
 
     address: str
     losses: tuple[Loss, ...]
     lost_ms: int
+    waiting_since_ms: int
 
 
 class UnexplainedLosses:
@@ -152,11 +157,11 @@
             or (name != endpoint and lost.address == address)
         ]
 
-    def list_older(self, lost_ms: int) -> list[tuple[str, int]]:
-        """Return the incarnations that were lost at a time or before."""
-        return [
-            key for key, lost in self.incarnations.items() if lost.lost_ms <= lost_ms
-        ]
+    def drop_older(self, lost_ms: int) -> None:
+        """Drop the incarnations that were lost before a time."""
+        for key, lost in list(self.incarnations.items()):
+            if lost.lost_ms < lost_ms:
+                del self.incarnations[key]
 
     def clear(self) -> None:
         """Forget all losses."""
--- a/packages/core/src/knapweedbeam_core/pool/stored_scheduler.py
+++ b/packages/core/src/knapweedbeam_core/pool/stored_scheduler.py
@@ -265,12 +265,19 @@
     ) -> dispatcher.Effects:
         """Take over the probable crashes that a job's former dispatchers recorded."""
         produced: dispatcher.Effects = []
-        for crash in entry.list_suspicions():
-            task = job.find_task(crash.task)
+        for suspicion in entry.list_suspicions():
+            task = job.find_task(suspicion.crash.task)
             if task is not None:
-                produced += self.owner.crash_handler.restore(task, crash)
+                produced += self.restore_suspicion(task, suspicion)
         return produced
 
+    def restore_suspicion(
+        self, task: jobs.Task, suspicion: ledger.Suspicion
+    ) -> dispatcher.Effects:
+        """Take over a probable crash, with its age as the wall clocks tell it."""
+        age_ms = max(0, self.owner.clock.wall_ms() - suspicion.wall_ms)
+        return self.owner.crash_handler.restore(task, suspicion.crash, age_ms)
+
     def build_job(
         self,
         entry: ledger.Entry,
@@ -384,10 +391,11 @@
         if crash.number not in entry.crashes.get(name.task, {}):
             task.history.forget(crash.number)
             return []
-        if crash.number in entry.get_certain_crashes(name.task):
-            task.history.count(crash.number, crash.is_early)
-            return []
-        return self.owner.crash_handler.restore(task, crash)
+        suspicion = entry.suspicions.get(name.task, {}).get(crash.number)
+        if suspicion is not None:
+            return self.restore_suspicion(task, suspicion)
+        task.history.count(crash.number, crash.is_early)
+        return []
 
     # Ends that endpoints list.
 
--- a/packages/core/src/knapweedbeam_core/stored/ledger.py
+++ b/packages/core/src/knapweedbeam_core/stored/ledger.py
@@ -16,6 +16,13 @@
 MAX_RETRACTED = 100
 
 
+class Suspicion(msgspec.Struct, frozen=True, array_like=True):
+    """A crash that may have been a cut, recorded at `wall_ms` of the leader's clock."""
+
+    crash: pool_messages.TaskCrash
+    wall_ms: int
+
+
 class Entry(msgspec.Struct, array_like=True):
     """A stored job; `job` is None once it has ended, `left` counts its open tasks.
 
@@ -35,9 +42,7 @@
     failures: dict[str, list[int]] = msgspec.field(default_factory=dict)
     ended_ms: int = 0
     crashes: dict[str, dict[int, bool]] = msgspec.field(default_factory=dict)
-    suspicions: dict[str, dict[int, pool_messages.TaskCrash]] = msgspec.field(
-        default_factory=dict
-    )
+    suspicions: dict[str, dict[int, Suspicion]] = msgspec.field(default_factory=dict)
     retracted: dict[str, list[int]] = msgspec.field(default_factory=dict)
 
     @property
@@ -54,9 +59,9 @@
             if number not in suspected
         }
 
-    def list_suspicions(self) -> list[pool_messages.TaskCrash]:
+    def list_suspicions(self) -> list[Suspicion]:
         """Return the crashes under all tasks that may have been cuts."""
-        return [crash for task in self.suspicions.values() for crash in task.values()]
+        return [each for task in self.suspicions.values() for each in task.values()]
 
 
 class State(msgspec.Struct, array_like=True):
@@ -266,7 +271,7 @@
             suspected.pop(crash.number, None)
         elif crash.number not in counted:
             counted[crash.number] = crash.is_early
-            suspected[crash.number] = crash
+            suspected[crash.number] = Suspicion(crash, wall_ms)
         certain = entry.get_certain_crashes(name.task)
         if crashes.is_at_fault(certain, entry.job.is_lasting):
             self.end_job(job_id, entry, messages.Verdict.FAILED, wall_ms)
--- a/packages/core/tests/stored/test_stored_scheduler.py
+++ b/packages/core/tests/stored/test_stored_scheduler.py
@@ -584,6 +584,15 @@
         self.world.advance(10_000)
         self.assertEqual(self.world.get_state("j"), "complete")
 
+    def test_change_of_dispatcher_does_not_begin_the_wait_for_a_cut_anew(self) -> None:
+        """Guards against a job that waits longer with each change of dispatcher."""
+        self.play_two_cuts(is_refusing=True)
+        self.world.advance(6_000)
+        self.world.run(self.dispatcher, self.dispatcher.set_fence(0))
+        self.world.add_dispatcher("b", 11)
+        self.world.advance(8_500)
+        self.assertEqual(self.world.get_state("j"), "complete")
+
     def test_endpoint_that_announces_itself_but_refuses_calls_holds_no_job_back(
         self,
     ) -> None:
