Bound the work for unexplained losses; say in the log which crash is certain

A restored suspicion was compared with every endpoint for each lost incarnation, and each tick went through all losses. Now only its own id and address are looked up, and losses are waived once.

--- a/packages/core/src/knapweedbeam_core/pool/crash_handler.py
+++ b/packages/core/src/knapweedbeam_core/pool/crash_handler.py
@@ -89,7 +89,7 @@
             elif task.job.is_stored:
                 produced += self.suspect(task, loss, announcement)
             else:
-                produced += self.count([loss], announcement.endpoint)
+                produced += self.count([loss], announcement.endpoint, is_certain=False)
         return produced
 
     def suspect(
@@ -106,7 +106,7 @@
             lost.address,
         )
         return [
-            self.build_event(task, loss, lost.endpoint),
+            self.build_event(task, loss, lost.endpoint, is_certain=False),
             *self.owner.stored_scheduler.record_crash(crash),
         ]
 
@@ -127,11 +127,20 @@
         if not self.unexplained.add(crash.endpoint, crash.born_ms, lost):
             return []
         task.history.suspect(crash.number, crash.is_early)
-        return [
-            effect
-            for endpoint in self.owner.endpoints.values()
-            for effect in self.confirm_replaced(endpoint.announcement)
-        ]
+        if not self.is_replaced(crash):
+            return []
+        return self.confirm(crash.endpoint, crash.born_ms)
+
+    def is_replaced(self, crash: messages.TaskCrash) -> bool:
+        """Return whether a known endpoint replaced the incarnation of a crash."""
+        known = self.owner.endpoints.get(crash.endpoint)
+        if known is not None and known.announcement.born_ms > crash.born_ms:
+            return True
+        return any(
+            endpoint.announcement.address == crash.address
+            for name, endpoint in self.owner.endpoints.items()
+            if name != crash.endpoint
+        )
 
     def build_loss(
         self, endpoint: endpoints.Endpoint, attempt: endpoints.Attempt, task: jobs.Task
@@ -197,13 +206,10 @@
 
     def tick(self, now_ms: int) -> None:
         """Let tasks of stored jobs start again if nothing explains their losses."""
-        for lost in self.unexplained.incarnations.values():
-            if lost.waiting_since_ms > now_ms - EXPLANATION_MS:
-                continue
-            for loss in lost.losses:
-                task = self.find_task(loss)
-                if task is not None and task.job.is_stored:
-                    task.history.waived.add(loss.number)
+        for loss in self.unexplained.waive_older(now_ms - EXPLANATION_MS):
+            task = self.find_task(loss)
+            if task is not None and task.job.is_stored:
+                task.history.waived.add(loss.number)
         self.unexplained.drop_older(now_ms - MEMORY_MS)
 
     def retract(self, endpoint: endpoints.Endpoint) -> dispatcher.Effects:
@@ -227,9 +233,15 @@
         return job.find_task(loss.task) if job is not None else None
 
     def count(
-        self, losses: collections.abc.Iterable[crashes.Loss], endpoint: str
+        self,
+        losses: collections.abc.Iterable[crashes.Loss],
+        endpoint: str,
+        is_certain: bool = True,
     ) -> dispatcher.Effects:
-        """Count a crash against each task that was lost with the endpoint."""
+        """Count a crash against each task that was lost with the endpoint.
+
+        Only best-effort jobs count one that is not certain.
+        """
         produced: dispatcher.Effects = []
         for loss in losses:
             task = self.find_task(loss)
@@ -239,11 +251,11 @@
             if task.job.is_lasting and not loss.is_early:
                 continue
             if not task.history.is_certain(loss.number):
-                produced += self.count_crash(task, loss, endpoint)
+                produced += self.count_crash(task, loss, endpoint, is_certain)
         return produced
 
     def count_crash(
-        self, task: jobs.Task, loss: crashes.Loss, endpoint: str
+        self, task: jobs.Task, loss: crashes.Loss, endpoint: str, is_certain: bool
     ) -> dispatcher.Effects:
         """Count one crash against a task; fail its job if the task is at fault.
 
@@ -252,7 +264,9 @@
         """
         task.history.count(loss.number, loss.is_early)
         crash = messages.TaskCrash(task.name, loss.number, loss.is_early)
-        produced: dispatcher.Effects = [self.build_event(task, loss, endpoint)]
+        produced: dispatcher.Effects = [
+            self.build_event(task, loss, endpoint, is_certain)
+        ]
         if task.job.is_stored:
             return produced + self.owner.stored_scheduler.record_crash(crash)
         if task.job.entry:
@@ -261,7 +275,7 @@
         return produced + self.fail_if_at_fault(task.job)
 
     def build_event(
-        self, task: jobs.Task, loss: crashes.Loss, endpoint: str
+        self, task: jobs.Task, loss: crashes.Loss, endpoint: str, is_certain: bool
     ) -> log_events.TaskSuspected:
         """Return the log event for a crash, or a probable one, under a task."""
         return log_events.TaskSuspected(
@@ -270,7 +284,7 @@
             endpoint,
             loss.is_early,
             len(task.history.crashes),
-            task.history.is_certain(loss.number),
+            is_certain,
         )
 
     def fail_if_at_fault(self, job: jobs.Job) -> dispatcher.Effects:
--- a/packages/core/src/knapweedbeam_core/pool/crashes.py
+++ b/packages/core/src/knapweedbeam_core/pool/crashes.py
@@ -114,13 +114,14 @@
     """An endpoint whose loss is unexplained, with the attempts on it.
 
     An answer to a call sent after `lost_ms` explains it. Its tasks wait for that since
-    `waiting_since_ms`, perhaps at another dispatcher before.
+    `waiting_since_ms`, perhaps at another dispatcher before, until it `is_waived`.
     """
 
     address: str
     losses: tuple[Loss, ...]
     lost_ms: int
     waiting_since_ms: int
+    is_waived: bool = False
 
 
 class UnexplainedLosses:
@@ -157,6 +158,16 @@
             or (name != endpoint and lost.address == address)
         ]
 
+    def waive_older(self, waiting_since_ms: int) -> list[Loss]:
+        """Waive the losses that have waited since a time; return the new ones."""
+        waived: list[Loss] = []
+        for key, lost in self.incarnations.items():
+            if lost.is_waived or lost.waiting_since_ms > waiting_since_ms:
+                continue
+            self.incarnations[key] = dataclasses.replace(lost, is_waived=True)
+            waived += lost.losses
+        return waived
+
     def drop_older(self, lost_ms: int) -> None:
         """Drop the incarnations that were lost before a time."""
         for key, lost in list(self.incarnations.items()):
